--- /dev/null
+++ b/sequoia-cli/src/main/java/org/sequoiahub/cli/ExplainCommand.java
@@ -0,0 +1,63 @@
+package org.sequoiahub.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+
+/** Prints where an adapter's versions are loaded, as the dispatchers that own the runners tell. */
+final class ExplainCommand implements Command {
+
+  @Override
+  public int run(List<String> arguments, PrintStream out) throws Exception {
+    if (arguments.size() < 2) {
+      throw new UsageException("an ADAPTER and at least one dispatcher's ADMIN are wanted");
+    }
+    String adapter = arguments.get(0);
+    int unread = 0;
+    int found = 0;
+    try (AdminReader reader = new AdminReader()) {
+      for (String admin : arguments.subList(1, arguments.size())) {
+        try {
+          found += explain(adapter, reader.read(admin, "/status"), out);
+        } catch (IOException e) {
+          unread++;
+          out.println("admin=" + admin + " error=\"" + e.getMessage() + "\"");
+        }
+      }
+    }
+    if (found == 0) {
+      out.println("adapter=" + adapter + " is loaded nowhere that was asked: its next request");
+      out.println("  loads it at its first candidate runner");
+    }
+    return unread == 0 ? 0 : 1;
+  }
+
+  private static int explain(String adapter, JsonNode status, PrintStream out) {
+    int found = 0;
+    for (JsonNode runner : status.path("runners")) {
+      for (Map.Entry<String, JsonNode> slot : runner.path("slots").properties()) {
+        if (slot.getKey().equals(adapter) || slot.getKey().startsWith(adapter + "@")) {
+          found++;
+          out.println(
+              "adapter="
+                  + slot.getKey()
+                  + " runner="
+                  + runner.path("runner").asText()
+                  + " slot="
+                  + slot.getValue().asText()
+                  + " owner="
+                  + status.path("host").asText()
+                  + " authority="
+                  + runner.path("authority").asText()
+                  + " queued="
+                  + runner.path("queued").asText()
+                  + " running="
+                  + runner.path("running").asText());
+        }
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/sequoia-cli/src/main/java/org/sequoiahub/cli/SequoiaMain.java
@@ -0,0 +1,67 @@
+package org.sequoiahub.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import org.sequoiahub.runtime.log.LineFormatter;
+import org.sequoiahub.runtime.process.ProcessMain;
+
+/** The binary {@code sequoia}. */
+public final class SequoiaMain {
+
+  private static final int USAGE = 2;
+  private static final int FAILED = 70;
+  private static final String HELP =
+      """
+      usage: sequoia VERB ...
+
+        validate FILE              what would be accepted of the records in FILE, and why not
+        status ADMIN...            state of the processes at these admin addresses
+        explain ADAPTER ADMIN...   where an adapter is, as these dispatchers tell
+        --help, --version
+
+      FILE is a JSON object whose fields are record keys, or an array of {"key", "value"}.
+      ADMIN is host:port of a process's administration interface.
+      Exit codes: 0 done, 1 a record was refused or a process could not be read, 2 wrong usage,
+      70 a defect.
+      """;
+
+  private SequoiaMain() {}
+
+  /** Runs one verb. */
+  public static void main(String[] arguments) {
+    LineFormatter.install(Level.WARNING);
+    System.exit(run(List.of(arguments), System.out, System.err));
+  }
+
+  static int run(List<String> arguments, PrintStream out, PrintStream err) {
+    Map<String, Command> verbs =
+        Map.of(
+            "validate", new ValidateCommand(),
+            "status", new StatusCommand(),
+            "explain", new ExplainCommand());
+    if (arguments.isEmpty() || arguments.get(0).equals("--help")) {
+      out.print(HELP);
+      return arguments.isEmpty() ? USAGE : 0;
+    }
+    if (arguments.get(0).equals("--version")) {
+      out.println("sequoia " + ProcessMain.version());
+      return 0;
+    }
+    Command command = verbs.get(arguments.get(0));
+    if (command == null) {
+      err.println("sequoia: no verb '" + arguments.get(0) + "' (see --help)");
+      return USAGE;
+    }
+    try {
+      return command.run(arguments.subList(1, arguments.size()), out);
+    } catch (UsageException e) {
+      err.println("sequoia " + arguments.get(0) + ": " + e.getMessage());
+      return USAGE;
+    } catch (Exception e) {
+      err.println("sequoia " + arguments.get(0) + ": " + e);
+      return FAILED;
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/FencedAuthority.java
@@ -0,0 +1,89 @@
+package org.sequoiahub.core.authority;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Authority over a runner whose engine checks fencing numbers: the engine itself is the arbiter.
+ *
+ * <p>A claim is a harmless order with a higher number. An accepted one makes the engine refuse
+ * every order with a lower number; a refused one ends the authority at once and tells the number to
+ * exceed.
+ */
+public final class FencedAuthority implements Authority {
+
+  private static final int RENEWALS_PER_TERM = 3;
+
+  private final long durationMillis;
+  private final Term term;
+  private long number;
+  private long nextClaimMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates an authority that is not held.
+   *
+   * @param durationMillis how long authority lasts after the sending of an accepted renewal
+   * @param firstNumber the number of the first claim, above 0
+   */
+  public FencedAuthority(long durationMillis, long firstNumber) {
+    checkArgument(durationMillis > 0, "durationMillis must be above 0");
+    checkArgument(firstNumber > 0, "firstNumber must be above 0");
+    this.durationMillis = durationMillis;
+    this.term = new Term(durationMillis);
+    this.number = firstNumber;
+  }
+
+  @Override
+  public Rights rights(long nowMillis) {
+    return term.rights(nowMillis);
+  }
+
+  @Override
+  public boolean claimDue(long nowMillis) {
+    return nowMillis >= nextClaimMillis;
+  }
+
+  /** Records that a claim is being sent. */
+  public void claimSent(long nowMillis) {
+    nextClaimMillis = nowMillis + durationMillis / RENEWALS_PER_TERM;
+  }
+
+  /**
+   * Records that the engine accepted the claim with {@code claimed}, sent at {@code sentMillis}.
+   */
+  public void claimAccepted(long claimed, long sentMillis, long nowMillis) {
+    if (claimed == number) {
+      term.accepted(sentMillis, nowMillis);
+    }
+  }
+
+  /**
+   * Records that the engine refused an order or claim that carried {@code refused}.
+   *
+   * <p>A refusal of an older number of this holder's own says nothing about the present one.
+   *
+   * @param highest the highest number that the engine has accepted
+   */
+  public void refused(long refused, long highest, long nowMillis) {
+    if (refused != number) {
+      return;
+    }
+    boolean preempted = term.held(nowMillis);
+    term.end();
+    number = Math.max(number, highest) + 1;
+    // A new owner exceeds the number at once. One that was pre-empted waits a term first: otherwise
+    // two dispatchers with different host lists would take turns at the engine with every order.
+    nextClaimMillis = preempted ? nowMillis + durationMillis : nowMillis;
+  }
+
+  @Override
+  public long fencingNumber() {
+    return number;
+  }
+
+  @Override
+  public void giveUp() {
+    term.end();
+    number++;
+    nextClaimMillis = Long.MIN_VALUE;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -0,0 +1,107 @@
+package org.sequoiahub.core.authority;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Authority over a runner whose engine does not check fencing numbers: a soft lease from a majority
+ * of the hosts.
+ *
+ * <p>While a change of the host list is younger than the lease's duration, a majority of the hosts
+ * before the change is needed as well, so that two holders that read the list at different moments
+ * cannot both find a majority.
+ */
+public final class LeasedAuthority implements Authority {
+
+  private static final int RENEWALS_PER_TERM = 3;
+
+  private final long durationMillis;
+  private final Term term;
+  private final List<Quorum> former = new ArrayList<>();
+  private Set<String> granters = Set.of();
+  private final Set<String> grantedBy = new HashSet<>();
+  private long roundSentMillis;
+  private long nextClaimMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates an authority that is not held.
+   *
+   * @param durationMillis how long authority lasts after the sending of an accepted renewal
+   */
+  public LeasedAuthority(long durationMillis) {
+    checkArgument(durationMillis > 0, "durationMillis must be above 0");
+    this.durationMillis = durationMillis;
+    this.term = new Term(durationMillis);
+  }
+
+  /** Sets the hosts that may grant the lease. */
+  public void granters(Set<String> hosts, long nowMillis) {
+    if (hosts.equals(granters)) {
+      return;
+    }
+    if (!granters.isEmpty()) {
+      former.add(new Quorum(granters, nowMillis + durationMillis));
+    }
+    granters = Set.copyOf(hosts);
+  }
+
+  /** Returns the hosts to ask for a grant, those of former lists included. */
+  public Set<String> toAsk(long nowMillis) {
+    Set<String> hosts = new HashSet<>(granters);
+    former.removeIf(quorum -> nowMillis >= quorum.untilMillis);
+    former.forEach(quorum -> hosts.addAll(quorum.hosts));
+    return hosts;
+  }
+
+  @Override
+  public Rights rights(long nowMillis) {
+    return term.rights(nowMillis);
+  }
+
+  @Override
+  public boolean claimDue(long nowMillis) {
+    return nowMillis >= nextClaimMillis;
+  }
+
+  /** Records that a round of claims is being sent; answers to earlier rounds no longer count. */
+  public void roundSent(long nowMillis) {
+    roundSentMillis = nowMillis;
+    grantedBy.clear();
+    nextClaimMillis = nowMillis + durationMillis / RENEWALS_PER_TERM;
+  }
+
+  /** Records that {@code host} granted the claim of the round sent at {@code sentMillis}. */
+  public void granted(String host, long sentMillis, long nowMillis) {
+    if (sentMillis != roundSentMillis) {
+      return;
+    }
+    grantedBy.add(host);
+    former.removeIf(quorum -> nowMillis >= quorum.untilMillis);
+    if (isMajority(granters) && former.stream().allMatch(quorum -> isMajority(quorum.hosts))) {
+      term.accepted(sentMillis, nowMillis);
+    }
+  }
+
+  @Override
+  public long fencingNumber() {
+    return 0;
+  }
+
+  @Override
+  public void giveUp() {
+    term.end();
+    roundSentMillis = Long.MIN_VALUE;
+    nextClaimMillis = Long.MIN_VALUE;
+  }
+
+  private boolean isMajority(Set<String> hosts) {
+    long count = hosts.stream().filter(grantedBy::contains).count();
+    return !hosts.isEmpty() && 2 * count > hosts.size();
+  }
+
+  private record Quorum(Set<String> hosts, long untilMillis) {}
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/Term.java
@@ -0,0 +1,37 @@
+package org.sequoiahub.core.authority;
+
+/** One holder's authority in time, however it is granted. */
+final class Term {
+
+  private final long durationMillis;
+  private long number;
+  private long expiresMillis = Long.MIN_VALUE;
+  private long soleSinceMillis = Long.MAX_VALUE;
+
+  Term(long durationMillis) {
+    this.durationMillis = durationMillis;
+  }
+
+  /** Records that a claim sent at {@code sentMillis} was accepted. */
+  void accepted(long sentMillis, long nowMillis) {
+    if (!held(nowMillis)) {
+      number++;
+      // The previous holder's last renewal was accepted before this claim was, at the latest now.
+      soleSinceMillis = nowMillis + durationMillis;
+    }
+    expiresMillis = Math.max(expiresMillis, sentMillis + durationMillis);
+  }
+
+  void end() {
+    expiresMillis = Long.MIN_VALUE;
+    soleSinceMillis = Long.MAX_VALUE;
+  }
+
+  boolean held(long nowMillis) {
+    return nowMillis < expiresMillis;
+  }
+
+  Rights rights(long nowMillis) {
+    return held(nowMillis) ? new Rights(true, number, soleSinceMillis) : Rights.NONE;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/fleet/FleetJson.java
@@ -0,0 +1,138 @@
+package org.sequoiahub.core.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.fleet.Fleet.Host;
+import org.sequoiahub.core.fleet.Fleet.Runner;
+import org.sequoiahub.core.fleet.Fleet.ServiceUpstream;
+import org.sequoiahub.core.fleet.Fleet.State;
+
+/** Reads the host list's JSON, as docs/PLATFORM.md gives it. */
+public final class FleetJson {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private FleetJson() {}
+
+  /**
+   * Reads a host list.
+   *
+   * @throws IllegalArgumentException if a field is missing or wrong; the message names it
+   */
+  public static Fleet parse(byte[] json) {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(json);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the host list must be JSON: " + e.getMessage(), e);
+    }
+    return new Fleet(
+        Item.at(root, "host list").number("revision"),
+        items(root, "hosts", FleetJson::host, Host::id),
+        items(root, "runners", FleetJson::runner, Runner::id),
+        items(root, "upstreams", FleetJson::upstream, ServiceUpstream::id));
+  }
+
+  private static Host host(Item item) {
+    return new Host(
+        item.text("id"),
+        item.text("address"),
+        item.text("failure_domain"),
+        item.state(),
+        item.positive("entry_port"),
+        item.positive("dispatcher_port"),
+        item.positive("watcher_port"));
+  }
+
+  private static Runner runner(Item item) {
+    return new Runner(
+        item.text("id"),
+        item.text("address"),
+        item.text("failure_domain"),
+        item.state(),
+        item.text("base_model"),
+        item.positive("slots"),
+        item.positive("batch"),
+        item.flag("checks_fencing"));
+  }
+
+  private static ServiceUpstream upstream(Item item) {
+    return new ServiceUpstream(
+        item.text("id"),
+        item.text("service"),
+        item.text("address"),
+        item.text("failure_domain"),
+        item.state());
+  }
+
+  private static <T> List<T> items(
+      JsonNode root, String field, Function<Item, T> read, Function<T, String> id) {
+    List<T> items = new ArrayList<>();
+    Set<String> ids = new HashSet<>();
+    for (JsonNode node : root.path(field)) {
+      T item = read.apply(Item.at(node, field + "[" + items.size() + "]"));
+      if (!ids.add(id.apply(item))) {
+        throw new IllegalArgumentException(field + ": id '" + id.apply(item) + "' is listed twice");
+      }
+      items.add(item);
+    }
+    return items;
+  }
+
+  private record Item(JsonNode node, String path) {
+    static Item at(JsonNode node, String path) {
+      return new Item(node, path);
+    }
+
+    String text(String field) {
+      @Nullable String text = node.path(field).textValue();
+      if (text == null || text.isEmpty()) {
+        throw wrong(field, "must be a text");
+      }
+      return text;
+    }
+
+    long number(String field) {
+      if (!node.path(field).isIntegralNumber()) {
+        throw wrong(field, "must be a whole number");
+      }
+      return node.path(field).longValue();
+    }
+
+    int positive(String field) {
+      long value = number(field);
+      if (value < 1 || value > 1_000_000) {
+        throw wrong(field, "must be from 1 to 1000000");
+      }
+      return (int) value;
+    }
+
+    boolean flag(String field) {
+      if (!node.path(field).isBoolean()) {
+        throw wrong(field, "must be true or false");
+      }
+      return node.path(field).booleanValue();
+    }
+
+    State state() {
+      String text = text("state");
+      try {
+        return State.valueOf(text.toUpperCase(Locale.ROOT));
+      } catch (IllegalArgumentException e) {
+        throw wrong("state", "must be live or leaving");
+      }
+    }
+
+    private IllegalArgumentException wrong(String field, String rule) {
+      return new IllegalArgumentException(path + "." + field + " " + rule);
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/load/package-info.java
@@ -0,0 +1,5 @@
+/** Turns at the weight store, which gives full speed to one load at a time. */
+@NullMarked
+package org.sequoiahub.core.load;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/operation/OperationId.java
@@ -0,0 +1,44 @@
+package org.sequoiahub.core.operation;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Names one non-idempotent operation and the one dispatcher incarnation that may run it.
+ *
+ * @param host the host of the dispatcher that minted it
+ * @param incarnation that dispatcher's incarnation: a random number drawn when it started
+ * @param sequence the dispatcher's running number, from 1
+ */
+public record OperationId(String host, long incarnation, long sequence) {
+
+  private static final Pattern FORM =
+      Pattern.compile("op1:([A-Za-z0-9][A-Za-z0-9._-]{0,127}):([0-9a-f]{16}):([1-9][0-9]{0,17})");
+
+  /** Checks the arguments. */
+  public OperationId {
+    checkArgument(!host.isEmpty(), "host must not be empty");
+    checkArgument(sequence > 0, "sequence must be above 0, was %s", sequence);
+  }
+
+  /** Reads an id; empty if {@code text} is not of the form that {@link #toString} writes. */
+  public static Optional<OperationId> parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new OperationId(
+            matcher.group(1),
+            Long.parseUnsignedLong(matcher.group(2), 16),
+            Long.parseLong(matcher.group(3))));
+  }
+
+  @Override
+  public String toString() {
+    return String.format("op1:%s:%016x:%d", host, incarnation, sequence);
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/operation/OperationTable.java
@@ -0,0 +1,161 @@
+package org.sequoiahub.core.operation;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.verdict.Verdict;
+
+/**
+ * The operations of one dispatcher incarnation: each runs at most once.
+ *
+ * <p>An id names the incarnation that minted it, and only that incarnation runs it. A dispatcher
+ * that was restarted, and so has forgotten what it ran, draws a new incarnation and refuses the old
+ * ids as {@code MayHaveRun}. No clock, lease or agreement is involved, so neither a pause nor a
+ * partition can make an operation run twice.
+ *
+ * <p>Not thread-safe: one duty owns it.
+ *
+ * @param <A> the type of a kept answer
+ */
+public final class OperationTable<A> {
+
+  private static final long RETRY_AFTER_FULL_MILLIS = 1_000;
+
+  private final String host;
+  private final long incarnation;
+  private final long lifetimeMillis;
+  private final int limit;
+  private final Map<Long, Entry<A>> entries = new HashMap<>();
+  private final Deque<Minted> minted = new ArrayDeque<>();
+  private long lastSequence;
+  private long expiredThrough;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param host the host's name
+   * @param incarnation a number drawn at random when the process started
+   * @param lifetimeMillis how long an id stays valid after it was minted
+   * @param limit the most operations remembered at once
+   */
+  public OperationTable(String host, long incarnation, long lifetimeMillis, int limit) {
+    checkArgument(lifetimeMillis > 0, "lifetimeMillis must be above 0");
+    checkArgument(limit > 0, "limit must be above 0");
+    this.host = requireNonNull(host, "host must not be null");
+    this.incarnation = incarnation;
+    this.lifetimeMillis = lifetimeMillis;
+    this.limit = limit;
+  }
+
+  /** Mints ids that this incarnation will run at most once each. */
+  public List<OperationId> mint(int count, long nowMillis) {
+    checkArgument(count > 0, "count must be above 0, was %s", count);
+    expire(nowMillis);
+    List<OperationId> ids = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      ids.add(new OperationId(host, incarnation, ++lastSequence));
+    }
+    minted.add(new Minted(lastSequence, nowMillis + lifetimeMillis));
+    return ids;
+  }
+
+  /** Says what to do with a call that carries {@code id}; on {@code Run} it is taken as begun. */
+  public Begin<A> begin(OperationId id, long nowMillis) {
+    expire(nowMillis);
+    if (!id.host().equals(host) || id.incarnation() != incarnation) {
+      return mayHaveRun(
+          "operation-owner-gone", "the process that could tell whether this operation ran is gone");
+    }
+    if (id.sequence() > lastSequence) {
+      return refuseNotRun("operation-unknown", "this operation id was never handed out", 0);
+    }
+    Entry<A> known = entries.get(id.sequence());
+    if (known != null) {
+      return known.answer != null
+          ? new Begin.Repeat<>(known.answer)
+          : known.ended
+              ? mayHaveRun("answer-lost", "the operation's outcome is not known")
+              : new Begin.Wait<>();
+    }
+    if (id.sequence() <= expiredThrough) {
+      return mayHaveRun("operation-expired", "this operation id has expired");
+    }
+    if (entries.size() >= limit) {
+      return refuseNotRun(
+          "operations-full", "too many operations are remembered", RETRY_AFTER_FULL_MILLIS);
+    }
+    entries.put(id.sequence(), new Entry<>());
+    return new Begin.Run<>();
+  }
+
+  /** Records that a begun operation ran and answered; repeats get {@code answer}. */
+  public void answered(OperationId id, A answer) {
+    Entry<A> entry = entries.get(id.sequence());
+    if (entry != null) {
+      entry.answer = requireNonNull(answer, "answer must not be null");
+      entry.ended = true;
+    }
+  }
+
+  /** Records that nobody can tell whether a begun operation ran; it will not be run again. */
+  public void unknown(OperationId id) {
+    Entry<A> entry = entries.get(id.sequence());
+    if (entry != null) {
+      entry.ended = true;
+    }
+  }
+
+  /** Records that a begun operation surely did not run; a repeat may run it. */
+  public void notRun(OperationId id) {
+    entries.remove(id.sequence());
+  }
+
+  /** Returns how many operations are remembered. */
+  public int size() {
+    return entries.size();
+  }
+
+  /** Returns how long a newly minted id stays valid, in milliseconds. */
+  public long lifetimeMillis() {
+    return lifetimeMillis;
+  }
+
+  private void expire(long nowMillis) {
+    while (!minted.isEmpty() && minted.getFirst().expiresMillis <= nowMillis) {
+      long through = minted.removeFirst().throughSequence;
+      for (long sequence = expiredThrough + 1; sequence <= through; sequence++) {
+        forgetUnlessRunning(sequence);
+      }
+      expiredThrough = through;
+    }
+  }
+
+  private void forgetUnlessRunning(long sequence) {
+    Entry<A> entry = entries.get(sequence);
+    if (entry != null && entry.ended) {
+      entries.remove(sequence);
+    }
+  }
+
+  private Begin<A> refuseNotRun(String reason, String message, long retryAfterMillis) {
+    return new Begin.Refuse<>(new Verdict.NotRun(reason, message, retryAfterMillis));
+  }
+
+  private Begin<A> mayHaveRun(String reason, String message) {
+    return new Begin.Refuse<>(new Verdict.MayHaveRun(reason, message));
+  }
+
+  private record Minted(long throughSequence, long expiresMillis) {}
+
+  private static final class Entry<A> {
+    private @Nullable A answer;
+    private boolean ended;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/placement/Rendezvous.java
@@ -0,0 +1,98 @@
+package org.sequoiahub.core.placement;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Weighted rendezvous hashing: every process that knows the same nodes ranks them alike for a key,
+ * and a node that comes or goes moves only the keys that it gains or had.
+ */
+public final class Rendezvous {
+
+  private static final double UNIT = 0x1.0p-53;
+
+  private Rendezvous() {}
+
+  /** Returns the highest-ranked node for {@code key}, all nodes weighing the same. */
+  public static <T> Optional<T> first(String key, Collection<T> nodes, Function<T, String> id) {
+    long keyHash = hash(key);
+    T best = null;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (T node : nodes) {
+      double score = score(keyHash, hash(id.apply(node)), 1);
+      if (score > bestScore) {
+        best = node;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Returns the {@code count} highest-ranked nodes, taking one of each failure domain before a
+   * second of any, so that the loss of a domain leaves the key other candidates.
+   */
+  public static <T> List<T> spread(
+      String key,
+      Collection<T> nodes,
+      int count,
+      Function<T, String> id,
+      Function<T, String> domain,
+      Function<T, Integer> weight) {
+    long keyHash = hash(key);
+    List<Scored<T>> scored = new ArrayList<>(nodes.size());
+    for (T node : nodes) {
+      scored.add(new Scored<>(node, score(keyHash, hash(id.apply(node)), weight.apply(node))));
+    }
+    scored.sort(Comparator.comparingDouble((Scored<T> s) -> -s.score));
+    List<T> chosen = new ArrayList<>();
+    while (chosen.size() < count && !scored.isEmpty()) {
+      takeOneOfEachDomain(scored, chosen, count, domain);
+    }
+    return chosen;
+  }
+
+  /** Returns a 64-bit hash of {@code text}, the same on every process. */
+  public static long hash(String text) {
+    return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+  }
+
+  private static <T> void takeOneOfEachDomain(
+      List<Scored<T>> scored, List<T> chosen, int count, Function<T, String> domain) {
+    Set<String> used = new HashSet<>();
+    List<Scored<T>> left = new ArrayList<>();
+    for (Scored<T> candidate : scored) {
+      if (chosen.size() < count && used.add(domain.apply(candidate.node))) {
+        chosen.add(candidate.node);
+      } else {
+        left.add(candidate);
+      }
+    }
+    scored.clear();
+    scored.addAll(left);
+  }
+
+  private static double score(long keyHash, long nodeHash, int weight) {
+    long mixed = mix(keyHash ^ Long.rotateLeft(nodeHash, 32));
+    double uniform = ((mixed >>> 11) + 1) * UNIT;
+    return -weight / Math.log(uniform - UNIT / 2);
+  }
+
+  /** The finalizer of MurmurHash3, which spreads every input bit over the whole word. */
+  private static long mix(long value) {
+    long x = value;
+    x = (x ^ (x >>> 33)) * 0xff51afd7ed558ccdL;
+    x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return x ^ (x >>> 33);
+  }
+
+  private record Scored<T>(T node, double score) {}
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/route/RouteSettings.java
@@ -0,0 +1,22 @@
+package org.sequoiahub.core.route;
+
+/**
+ * The weights by which a runner is chosen.
+ *
+ * @param candidates how many candidates are compared
+ * @param loadCostMillis what sending a request to a runner that lacks its adapter costs
+ * @param fillWeight how strongly a runner that is already busy, but not full, is preferred; 0
+ *     prefers the emptiest
+ */
+public record RouteSettings(int candidates, double loadCostMillis, double fillWeight) {
+
+  /** Load stalls weigh most: a load is expensive. */
+  public static RouteSettings ashcombe() {
+    return new RouteSettings(4, 1_500, 0);
+  }
+
+  /** Batch efficiency weighs most: batches are filled before another runner is used. */
+  public static RouteSettings dhuwaan() {
+    return new RouteSettings(4, 1_000, 1);
+  }
+}
--- /dev/null
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -0,0 +1,162 @@
+package org.sequoiahub.dispatcher;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.HttpClient;
+import org.sequoiahub.core.record.DefaultRecordParser;
+import org.sequoiahub.platform.EngineClient;
+import org.sequoiahub.platform.HttpClients;
+import org.sequoiahub.platform.ServiceClient;
+import org.sequoiahub.runtime.admin.AdminServer;
+import org.sequoiahub.runtime.duty.Duty;
+import org.sequoiahub.runtime.duty.Inbox;
+import org.sequoiahub.runtime.duty.MonotonicClock;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.runtime.settings.Endpoint;
+import org.sequoiahub.runtime.trace.Tracing;
+import org.sequoiahub.schema.settings.DispatcherSettings;
+import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.wire.LocalView;
+import org.sequoiahub.wire.ViewFeed;
+import org.sequoiahub.wire.WireClients;
+import org.sequoiahub.wire.WireConnection;
+import org.sequoiahub.wire.WireServer;
+import org.sequoiahub.wire.WireThreads;
+
+/** A running dispatcher: its thread, ports and clients. */
+public final class Dispatcher implements AutoCloseable {
+
+  private static final int RING = 65_536;
+  private static final long TICK_MILLIS = 10;
+
+  private final DispatcherSettings settings;
+  private final EventLog log;
+  private final EventLoopGroup network;
+  private final HttpClient http;
+  private final WireClients clients;
+  private final Tracing tracing;
+  private final Duty<DispatcherEvent> duty;
+  private final WireServer server;
+  private final AdminServer admin;
+
+  private Dispatcher(DispatcherSettings settings) throws Exception {
+    this.settings = settings;
+    this.log = new EventLog("dispatcher", settings.getHostId());
+    final MetricRegistry metrics = new MetricRegistry();
+    this.network = WireThreads.one("wire");
+    this.http = HttpClients.start();
+    this.clients = new WireClients(network, settings.getSilenceMs());
+    this.tracing =
+        Tracing.create(settings.getTraces(), settings.getOtlpEndpoint(), "dispatcher", log);
+    Inbox<DispatcherEvent> events = new Inbox<>();
+    DispatcherDuty state = state(metrics, events);
+    ViewFeed feed =
+        new ViewFeed(
+            clients.to(Endpoint.of(settings.getWatcher())),
+            update -> events.accept(new DispatcherEvent.Viewed(update)));
+    this.duty =
+        new Duty<>(
+            "dispatcher",
+            RING,
+            TICK_MILLIS,
+            state::handle,
+            now -> {
+              feed.tick(now);
+              state.tick(now);
+            },
+            state::failed,
+            MonotonicClock.SYSTEM);
+    events.connectTo(duty);
+    this.admin =
+        new AdminServer(
+            settings.getBindAddress(),
+            settings.getAdminPort(),
+            metrics,
+            state::isReady,
+            state::status);
+    this.server =
+        WireServer.open(
+            network,
+            settings.getBindAddress(),
+            settings.getPort(),
+            settings.getSilenceMs(),
+            new Inbound());
+  }
+
+  /**
+   * Starts a dispatcher.
+   *
+   * @throws IOException if a port cannot be opened
+   */
+  public static Dispatcher start(DispatcherSettings settings) throws Exception {
+    Dispatcher dispatcher = new Dispatcher(settings);
+    dispatcher.duty.start();
+    dispatcher.admin.start();
+    dispatcher.log.info(
+        "started", "port", dispatcher.server.port(), "admin_port", dispatcher.admin.port());
+    return dispatcher;
+  }
+
+  /** Stops admitting, hands every runner over, finishes what runs, then stops. */
+  @Override
+  public void close() throws Exception {
+    CountDownLatch drained = new CountDownLatch(1);
+    duty.put(new DispatcherEvent.Stop(drained::countDown));
+    log.info("stopping");
+    if (!drained.await(settings.getShutdownGraceMs(), TimeUnit.MILLISECONDS)) {
+      log.warning("stopped-with-requests-in-progress");
+    }
+    server.close();
+    duty.close();
+    clients.close();
+    http.stop();
+    admin.close();
+    tracing.close();
+    network.shutdownGracefully();
+    log.info("stopped");
+  }
+
+  private DispatcherDuty state(MetricRegistry metrics, Consumer<DispatcherEvent> events) {
+    long incarnation = new SecureRandom().nextLong();
+    long now = MonotonicClock.SYSTEM.nowMillis();
+    String holder = settings.getHostId() + "/" + Long.toHexString(incarnation);
+    EngineClient engines = new EngineClient(http);
+    LocalView view = new LocalView(new DefaultRecordParser());
+    LeaseDesk leases = new LeaseDesk(settings, holder, clients, events, now);
+    LoadTurnDesk turns = new LoadTurnDesk(settings, clients, events, metrics);
+    RunnerDesk runners = new RunnerDesk(settings, engines, leases, turns, events, metrics, log);
+    JobDesk jobs =
+        new JobDesk(settings, engines, runners, view.records(), events, tracing, metrics, log);
+    ServiceDesk services =
+        new ServiceDesk(
+            settings, incarnation, new ServiceClient(http), events, tracing, metrics, log);
+    return new DispatcherDuty(
+        settings,
+        view,
+        runners,
+        jobs,
+        services,
+        leases,
+        turns,
+        MonotonicClock.SYSTEM,
+        metrics,
+        log);
+  }
+
+  private final class Inbound implements WireServer.Handler {
+    @Override
+    public void message(WireConnection connection, Envelope message) {
+      duty.put(new DispatcherEvent.Received(connection, message));
+    }
+
+    @Override
+    public void closed(WireConnection connection) {
+      duty.put(new DispatcherEvent.Closed(connection));
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/DispatcherMain.java
@@ -0,0 +1,22 @@
+package org.sequoiahub.dispatcher;
+
+import org.sequoiahub.runtime.process.ProcessMain;
+import org.sequoiahub.schema.settings.DispatcherSettings;
+
+/** The binary {@code sequoia-dispatcher}. */
+public final class DispatcherMain {
+
+  private DispatcherMain() {}
+
+  /** Runs the dispatcher until SIGTERM. */
+  public static void main(String[] arguments) {
+    ProcessMain.run(
+        "sequoia-dispatcher",
+        DispatcherSettings.getDefaultInstance(),
+        arguments,
+        settings -> {
+          Dispatcher dispatcher = Dispatcher.start(settings);
+          return dispatcher::close;
+        });
+  }
+}
--- /dev/null
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/LoadTurnDesk.java
@@ -0,0 +1,167 @@
+package org.sequoiahub.dispatcher;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sequoiahub.core.fleet.Fleet;
+import org.sequoiahub.core.fleet.Fleet.Host;
+import org.sequoiahub.core.load.LoadTurns;
+import org.sequoiahub.core.placement.Placement;
+import org.sequoiahub.core.record.AdapterVersion;
+import org.sequoiahub.core.runner.RunnerAction;
+import org.sequoiahub.runtime.settings.Endpoint;
+import org.sequoiahub.schema.settings.DispatcherSettings;
+import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.schema.wire.LoadTurnAnswer;
+import org.sequoiahub.schema.wire.LoadTurnCall;
+import org.sequoiahub.wire.CallListener;
+import org.sequoiahub.wire.WireClient;
+import org.sequoiahub.wire.WireClients;
+import org.sequoiahub.wire.WireConnection;
+
+/**
+ * Asks for, and keeps, the turns at the weight store.
+ *
+ * <p>One dispatcher, computed from the host list, keeps the turns of the fleet. When it cannot be
+ * reached, an asker falls back to its own share of the store's rate.
+ */
+final class LoadTurnDesk {
+
+  private final DispatcherSettings settings;
+  private final WireClients clients;
+  private final Consumer<DispatcherEvent> events;
+  private final Counter fallbacks;
+  private final LoadTurns<TurnKey> kept;
+  private final Map<TurnKey, AskedTurn> asked = new HashMap<>();
+  private LoadTurns<TurnKey> ownShare;
+  private Fleet fleet = Fleet.EMPTY;
+
+  LoadTurnDesk(
+      DispatcherSettings settings,
+      WireClients clients,
+      Consumer<DispatcherEvent> events,
+      MetricRegistry metrics) {
+    this.settings = settings;
+    this.clients = clients;
+    this.events = events;
+    this.fallbacks = metrics.counter("load_turns.fallbacks");
+    this.kept = new LoadTurns<>(settings.getLoadsPerSecond(), 1, settings.getLoadTimeoutMs());
+    this.ownShare = kept;
+  }
+
+  void fleet(Fleet next) {
+    fleet = next;
+    double share = (double) settings.getLoadsPerSecond() / Math.max(1, next.liveHosts().size());
+    ownShare = new LoadTurns<>(share, 1, settings.getLoadTimeoutMs());
+  }
+
+  /** Asks for a turn; the answer comes as an event. */
+  void ask(String runner, RunnerAction.AskTurn ask, long nowMillis) {
+    TurnKey key = key(runner, ask.adapter());
+    Optional<Host> keeper = Placement.loadTurnKeeper(fleet);
+    if (keeper.isEmpty() || keeper.get().id().equals(settings.getHostId())) {
+      kept.ask(key, ask.waiting(), ask.interactive(), nowMillis);
+      return;
+    }
+    WireClient client =
+        clients.to(new Endpoint(keeper.get().address(), keeper.get().dispatcherPort()));
+    LoadTurnCall call =
+        LoadTurnCall.newBuilder()
+            .setRunner(runner)
+            .setAdapter(ask.adapter().exactName())
+            .setWaiting(ask.waiting())
+            .setInteractive(ask.interactive())
+            .build();
+    long number =
+        client.call(
+            Envelope.newBuilder().setLoadTurn(call), new TurnListener(runner, ask.adapter()));
+    asked.put(key, new AskedTurn(client, number));
+  }
+
+  /** Gives a turn back, or withdraws the ask. */
+  void giveBack(String runner, AdapterVersion adapter) {
+    TurnKey key = key(runner, adapter);
+    kept.done(key);
+    ownShare.done(key);
+    AskedTurn turn = asked.remove(key);
+    if (turn != null) {
+      LoadTurnCall done = LoadTurnCall.newBuilder().setDone(true).build();
+      turn.client.send(turn.call, Envelope.newBuilder().setLoadTurn(done));
+      turn.client.end(turn.call);
+    }
+  }
+
+  /** Takes in another dispatcher's ask or give-back. */
+  void received(WireConnection connection, long call, LoadTurnCall message, long nowMillis) {
+    if (message.getDone()) {
+      kept.done(new TurnKey(connection, call, "", ""));
+      return;
+    }
+    TurnKey key = new TurnKey(connection, call, "", "");
+    kept.ask(key, message.getWaiting(), message.getInteractive(), nowMillis);
+  }
+
+  /**
+   * Withdraws what came over a connection that is gone. A turn granted to a dead asker would hold
+   * up every load of the fleet until it expires.
+   */
+  void closed(WireConnection connection) {
+    kept.withdrawIf(key -> connection.equals(key.connection()));
+  }
+
+  /** The keeper cannot be reached: takes the turn from this host's own share of the rate. */
+  void keeperLost(String runner, AdapterVersion adapter, long nowMillis) {
+    TurnKey key = key(runner, adapter);
+    if (asked.remove(key) != null) {
+      fallbacks.inc();
+      ownShare.ask(key, 1, true, nowMillis);
+    }
+  }
+
+  void tick(long nowMillis) {
+    kept.grant(nowMillis).forEach(this::granted);
+    if (ownShare != kept) {
+      ownShare.grant(nowMillis).forEach(this::granted);
+    }
+  }
+
+  private void granted(TurnKey key) {
+    if (key.connection() != null) {
+      LoadTurnAnswer answer = LoadTurnAnswer.newBuilder().setGranted(true).build();
+      key.connection().send(key.call(), Envelope.newBuilder().setLoadTurnAnswer(answer));
+    } else {
+      events.accept(
+          new DispatcherEvent.TurnAnswered(
+              key.runner(), AdapterVersion.parse(key.adapter()), true));
+    }
+  }
+
+  private static TurnKey key(String runner, AdapterVersion adapter) {
+    return new TurnKey(null, 0, runner, adapter.exactName());
+  }
+
+  private record AskedTurn(WireClient client, long call) {}
+
+  private final class TurnListener implements CallListener {
+    private final String runner;
+    private final AdapterVersion adapter;
+
+    TurnListener(String runner, AdapterVersion adapter) {
+      this.runner = runner;
+      this.adapter = adapter;
+    }
+
+    @Override
+    public void message(Envelope message) {
+      events.accept(new DispatcherEvent.TurnAnswered(runner, adapter, true));
+    }
+
+    @Override
+    public void lost(boolean handedOn) {
+      events.accept(new DispatcherEvent.TurnAnswered(runner, adapter, false));
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunner.java
@@ -0,0 +1,97 @@
+package org.sequoiahub.dispatcher;
+
+import org.sequoiahub.core.authority.Authority;
+import org.sequoiahub.core.authority.FencedAuthority;
+import org.sequoiahub.core.authority.LeasedAuthority;
+import org.sequoiahub.core.authority.Rights;
+import org.sequoiahub.core.fleet.Fleet.Runner;
+import org.sequoiahub.core.runner.PolicySettings;
+import org.sequoiahub.core.runner.RunnerController;
+
+/** One runner that this dispatcher owns or claims: its decisions, its authority, its report. */
+final class OwnedRunner {
+
+  private static final int FAILED_ROUNDS_BEFORE_REFUSAL = 3;
+
+  private Runner runner;
+  private final RunnerController controller;
+  private final Authority authority;
+  private boolean reading;
+  private long nextReportMillis = Long.MIN_VALUE;
+  private long lastAskedMillis;
+  private int failedRounds;
+  private boolean wasHeld;
+
+  OwnedRunner(Runner runner, PolicySettings policy, long authorityMillis, long nowMillis) {
+    this.runner = runner;
+    this.controller = new RunnerController(runner.slots(), runner.batch(), policy);
+    this.authority =
+        runner.checksFencing()
+            ? new FencedAuthority(authorityMillis, 1)
+            : new LeasedAuthority(authorityMillis);
+    this.lastAskedMillis = nowMillis;
+  }
+
+  Runner runner() {
+    return runner;
+  }
+
+  void runner(Runner changed) {
+    runner = changed;
+  }
+
+  RunnerController controller() {
+    return controller;
+  }
+
+  Authority authority() {
+    return authority;
+  }
+
+  Rights rights(long nowMillis) {
+    return authority.rights(nowMillis);
+  }
+
+  /** Returns 1 if authority was gained since the last call, -1 if it was lost, else 0. */
+  int authorityChange(long nowMillis) {
+    boolean held = rights(nowMillis).held();
+    int change = held == wasHeld ? 0 : held ? 1 : -1;
+    wasHeld = held;
+    return change;
+  }
+
+  boolean reportDue(long nowMillis) {
+    return !reading && nowMillis >= nextReportMillis;
+  }
+
+  void reportAsked(long nowMillis, long periodMillis) {
+    reading = true;
+    nextReportMillis = nowMillis + periodMillis;
+  }
+
+  void reportAnswered() {
+    reading = false;
+  }
+
+  void asked(long nowMillis) {
+    lastAskedMillis = nowMillis;
+  }
+
+  boolean isIdleFor(long millis, long nowMillis) {
+    return nowMillis - lastAskedMillis >= millis
+        && controller.queued() == 0
+        && controller.running() == 0;
+  }
+
+  void claimRoundStarted() {
+    failedRounds++;
+  }
+
+  void claimSucceeded() {
+    failedRounds = 0;
+  }
+
+  boolean cannotGainAuthority() {
+    return failedRounds > FAILED_ROUNDS_BEFORE_REFUSAL;
+  }
+}
--- /dev/null
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/DispatcherDirectory.java
@@ -0,0 +1,59 @@
+package org.sequoiahub.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.sequoiahub.core.fleet.Fleet;
+import org.sequoiahub.core.fleet.Fleet.Host;
+import org.sequoiahub.runtime.settings.Endpoint;
+import org.sequoiahub.wire.WireClient;
+import org.sequoiahub.wire.WireClients;
+
+/**
+ * Where dispatchers are, and which were lately found unreachable.
+ *
+ * <p>The host list lags by seconds. Without this memory every request for a dead dispatcher's
+ * runners would first wait for a connection that cannot be made.
+ */
+final class DispatcherDirectory {
+
+  private static final long AVOID_MILLIS = 1_000;
+
+  private final WireClients clients;
+  private final Map<String, Long> avoidUntil = new HashMap<>();
+
+  DispatcherDirectory(WireClients clients) {
+    this.clients = clients;
+  }
+
+  void fleet(Fleet fleet, Endpoint watcher) {
+    Set<Endpoint> endpoints =
+        fleet.hosts().stream().map(DispatcherDirectory::endpoint).collect(Collectors.toSet());
+    endpoints.add(watcher);
+    clients.retain(endpoints);
+    avoidUntil.keySet().removeIf(id -> fleet.host(id).isEmpty());
+  }
+
+  void failed(String host, long nowMillis) {
+    avoidUntil.put(host, nowMillis + AVOID_MILLIS);
+  }
+
+  /** Returns the first host that was not found unreachable lately, else the first. */
+  Optional<Host> bestOf(List<Host> hosts, long nowMillis) {
+    return hosts.stream()
+        .filter(host -> avoidUntil.getOrDefault(host.id(), Long.MIN_VALUE) <= nowMillis)
+        .findFirst()
+        .or(() -> hosts.stream().findFirst());
+  }
+
+  WireClient client(Host host) {
+    return clients.to(endpoint(host));
+  }
+
+  private static Endpoint endpoint(Host host) {
+    return new Endpoint(host.address(), host.dispatcherPort());
+  }
+}
--- /dev/null
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
@@ -0,0 +1,171 @@
+package org.sequoiahub.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahub.core.record.DefaultRecordParser;
+import org.sequoiahub.core.route.RouteSettings;
+import org.sequoiahub.runtime.admin.AdminServer;
+import org.sequoiahub.runtime.duty.Duty;
+import org.sequoiahub.runtime.duty.Inbox;
+import org.sequoiahub.runtime.duty.MonotonicClock;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.runtime.settings.Endpoint;
+import org.sequoiahub.runtime.trace.Tracing;
+import org.sequoiahub.schema.settings.EntrySettings;
+import org.sequoiahub.wire.LocalView;
+import org.sequoiahub.wire.ViewFeed;
+import org.sequoiahub.wire.WireClients;
+import org.sequoiahub.wire.WireThreads;
+
+/** A running entry: its thread, ports and clients. */
+public final class Entry implements AutoCloseable {
+
+  private static final int RING = 65_536;
+  private static final long TICK_MILLIS = 10;
+  private static final int MAX_THREADS = 16;
+  private static final int MIN_THREADS = 4;
+  private static final int MAX_HEADER_BYTES = 16 << 10;
+  private static final long IDLE_GRACE_MILLIS = 30_000;
+
+  private final EntrySettings settings;
+  private final EventLog log;
+  private final EventLoopGroup network;
+  private final WireClients clients;
+  private final Tracing tracing;
+  private final Duty<EntryEvent> duty;
+  private final Server server;
+  private final ServerConnector connector;
+  private final AdminServer admin;
+
+  private Entry(EntrySettings settings) {
+    this.settings = settings;
+    this.log = new EventLog("entry", settings.getHostId());
+    final MetricRegistry metrics = new MetricRegistry();
+    this.network = WireThreads.one("wire");
+    this.clients = new WireClients(network, settings.getSilenceMs());
+    this.tracing = Tracing.create(settings.getTraces(), settings.getOtlpEndpoint(), "entry", log);
+    Inbox<EntryEvent> events = new Inbox<>();
+    EntryDuty state = state(metrics, events);
+    ViewFeed feed =
+        new ViewFeed(
+            clients.to(Endpoint.of(settings.getWatcher())),
+            update -> events.accept(new EntryEvent.Viewed(update)));
+    this.duty =
+        new Duty<>(
+            "entry",
+            RING,
+            TICK_MILLIS,
+            state::handle,
+            now -> {
+              feed.tick(now);
+              state.tick(now);
+            },
+            state::failed,
+            MonotonicClock.SYSTEM);
+    events.connectTo(duty);
+    this.admin =
+        new AdminServer(
+            settings.getBindAddress(),
+            settings.getAdminPort(),
+            metrics,
+            state::isReady,
+            state::status);
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName("http");
+    threads.setDaemon(true);
+    this.server = new Server(threads);
+    this.connector = connector();
+    server.addConnector(connector);
+    server.setHandler(new EntryHandler(settings, duty, tracing, requestIds()));
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @throws IOException if a port cannot be opened
+   */
+  public static Entry start(EntrySettings settings) throws Exception {
+    Entry entry = new Entry(settings);
+    entry.duty.start();
+    entry.admin.start();
+    entry.server.start();
+    entry.log.info(
+        "started", "port", entry.connector.getLocalPort(), "admin_port", entry.admin.port());
+    return entry;
+  }
+
+  /** Stops admitting, finishes every request in progress, then stops. */
+  @Override
+  public void close() throws Exception {
+    CountDownLatch drained = new CountDownLatch(1);
+    duty.put(new EntryEvent.Stop(drained::countDown));
+    log.info("stopping");
+    if (!drained.await(settings.getShutdownGraceMs(), TimeUnit.MILLISECONDS)) {
+      log.warning("stopped-with-requests-in-progress");
+    }
+    server.stop();
+    duty.close();
+    clients.close();
+    admin.close();
+    tracing.close();
+    network.shutdownGracefully();
+    log.info("stopped");
+  }
+
+  private ServerConnector connector() {
+    HttpConfiguration http = new HttpConfiguration();
+    http.setRequestHeaderSize(MAX_HEADER_BYTES);
+    http.setSendServerVersion(false);
+    ServerConnector open = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+    open.setHost(settings.getBindAddress());
+    open.setPort(settings.getHttpPort());
+    // A queued request sends nothing for as long as it waits: that is no reason to cut it.
+    open.setIdleTimeout(settings.getRequestTimeoutMs() + IDLE_GRACE_MILLIS);
+    return open;
+  }
+
+  private EntryDuty state(MetricRegistry metrics, Consumer<EntryEvent> events) {
+    LocalView view = new LocalView(new DefaultRecordParser());
+    DispatcherDirectory dispatchers = new DispatcherDirectory(clients);
+    SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
+    RouteSettings routing =
+        settings.getDeployment().equals("dhuwaan")
+            ? RouteSettings.dhuwaan()
+            : RouteSettings.ashcombe();
+    FlightDesk flights =
+        new FlightDesk(
+            settings,
+            view,
+            dispatchers,
+            new FlightEvents(events),
+            routing,
+            random.split(),
+            tracing,
+            metrics,
+            log);
+    ServiceDoor services =
+        new ServiceDoor(settings, view, dispatchers, events, random.split(), tracing);
+    return new EntryDuty(
+        settings, view, flights, services, dispatchers, MonotonicClock.SYSTEM, metrics, log);
+  }
+
+  /** Returns a source of ids that are unique in the fleet. */
+  private Supplier<String> requestIds() {
+    String incarnation = Long.toHexString(new SecureRandom().nextLong());
+    AtomicLong last = new AtomicLong();
+    return () -> settings.getHostId() + "-" + incarnation + "-" + last.incrementAndGet();
+  }
+}
--- /dev/null
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/EntryMain.java
@@ -0,0 +1,22 @@
+package org.sequoiahub.entry;
+
+import org.sequoiahub.runtime.process.ProcessMain;
+import org.sequoiahub.schema.settings.EntrySettings;
+
+/** The binary {@code sequoia-entry}. */
+public final class EntryMain {
+
+  private EntryMain() {}
+
+  /** Runs the entry until SIGTERM. */
+  public static void main(String[] arguments) {
+    ProcessMain.run(
+        "sequoia-entry",
+        EntrySettings.getDefaultInstance(),
+        arguments,
+        settings -> {
+          Entry entry = Entry.start(settings);
+          return entry::close;
+        });
+  }
+}
--- /dev/null
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The callers' door: inference, plain services and address answers over HTTP. */
+@NullMarked
+package org.sequoiahub.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoia-platform/src/main/java/org/sequoiahub/platform/ConfigurationClient.java
@@ -0,0 +1,66 @@
+package org.sequoiahub.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.sequoiahub.core.config.StoredRecord;
+import org.sequoiahub.runtime.settings.Endpoint;
+
+/** Reads and watches the configuration service; blocking, for one duty's own thread. */
+public final class ConfigurationClient {
+
+  private static final int MAX_LISTING_BYTES = 256 << 20;
+  private static final long GRACE_MILLIS = 2_000;
+
+  private final HttpClient http;
+  private final Endpoint endpoint;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /** Creates a client of the service at {@code endpoint}. */
+  public ConfigurationClient(HttpClient http, Endpoint endpoint) {
+    this.http = http;
+    this.endpoint = endpoint;
+  }
+
+  /**
+   * What one call returned.
+   *
+   * @param revision the service's revision when it answered
+   * @param complete whether {@code records} is everything, not only changes
+   * @param records the records or changes
+   */
+  public record Listing(long revision, boolean complete, List<StoredRecord> records) {}
+
+  /** Reads all records. */
+  public Listing list() throws IOException, InterruptedException {
+    return read("/v1/records", GRACE_MILLIS);
+  }
+
+  /** Waits at most {@code waitMillis} for changes after {@code revision}. */
+  public Listing watch(long revision, long waitMillis) throws IOException, InterruptedException {
+    String path = "/v1/watch?after=" + revision + "&wait_ms=" + waitMillis;
+    return read(path, waitMillis + GRACE_MILLIS);
+  }
+
+  private Listing read(String path, long timeoutMillis) throws IOException, InterruptedException {
+    ContentResponse response =
+        HttpReads.get(http, endpoint, path, timeoutMillis, MAX_LISTING_BYTES);
+    JsonNode root = mapper.readTree(response.getContent());
+    List<StoredRecord> records = new ArrayList<>();
+    for (JsonNode item : root.path("records")) {
+      boolean deleted = item.path("deleted").booleanValue();
+      byte[] value = deleted ? new byte[0] : item.path("value").toString().getBytes(UTF_8);
+      records.add(
+          new StoredRecord(
+              item.path("key").asText(), item.path("revision").longValue(), deleted, value));
+    }
+    return new Listing(
+        root.path("revision").longValue(), root.path("complete").booleanValue(), records);
+  }
+}
--- /dev/null
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/EventLog.java
@@ -0,0 +1,69 @@
+package org.sequoiahub.runtime.log;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes events, one line of {@code key=value} pairs each.
+ *
+ * <p>The first pair is {@code event=NAME}; values with blanks, quotes or equals signs are quoted.
+ * docs/OPERATIONS.md lists the events.
+ */
+public final class EventLog {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  private final String fixed;
+
+  /**
+   * Creates a log whose lines all carry the process's role and host.
+   *
+   * @param role the binary's role, such as {@code entry}
+   * @param host the host's name
+   */
+  public EventLog(String role, String host) {
+    this.fixed = " role=" + role + " host=" + host;
+  }
+
+  /** Writes an event that is part of normal work. */
+  public void info(String event, @Nullable Object... pairs) {
+    write(Level.INFO, event, pairs);
+  }
+
+  /** Writes an event that an operator may have to act on. */
+  public void warning(String event, @Nullable Object... pairs) {
+    write(Level.WARNING, event, pairs);
+  }
+
+  /** Writes an event of use while a problem is looked into; off by default. */
+  public void debug(String event, @Nullable Object... pairs) {
+    if (LOGGER.atFine().isEnabled()) {
+      write(Level.FINE, event, pairs);
+    }
+  }
+
+  private void write(Level level, String event, @Nullable Object[] pairs) {
+    checkArgument(pairs.length % 2 == 0, "pairs must come as key, value; event was %s", event);
+    StringBuilder line = new StringBuilder("event=").append(event).append(fixed);
+    for (int i = 0; i < pairs.length; i += 2) {
+      line.append(' ').append(pairs[i]).append('=').append(quoted(String.valueOf(pairs[i + 1])));
+    }
+    LOGGER.at(level).log("%s", line);
+  }
+
+  private static String quoted(String value) {
+    boolean plain = !value.isEmpty();
+    for (int i = 0; i < value.length() && plain; i++) {
+      char c = value.charAt(i);
+      plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+    }
+    if (plain) {
+      return value;
+    }
+    String escaped = value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    return '"' + escaped.replace("\r", "\\r") + '"';
+  }
+}
--- /dev/null
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/LineFormatter.java
@@ -0,0 +1,44 @@
+package org.sequoiahub.runtime.log;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Formats each log record as one line that starts with its time and level. */
+public final class LineFormatter extends Formatter {
+
+  /** Sends all log records of this process to standard error, formatted by this class. */
+  public static void install(Level level) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    Handler console = new ConsoleHandler();
+    console.setFormatter(new LineFormatter());
+    console.setLevel(level);
+    root.addHandler(console);
+    root.setLevel(Level.INFO);
+    Logger.getLogger("org.sequoiahub").setLevel(level);
+    Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
+  }
+
+  @Override
+  public String format(LogRecord record) {
+    StringBuilder line = new StringBuilder();
+    line.append("time=").append(Instant.ofEpochMilli(record.getMillis()));
+    line.append(" level=").append(record.getLevel()).append(' ');
+    line.append(formatMessage(record).replace('\n', ' ')).append('\n');
+    if (record.getThrown() != null) {
+      StringWriter trace = new StringWriter();
+      record.getThrown().printStackTrace(new PrintWriter(trace));
+      line.append(trace);
+    }
+    return line.toString();
+  }
+}
--- /dev/null
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/process/ProcessMain.java
@@ -0,0 +1,96 @@
+package org.sequoiahub.runtime.process;
+
+import com.google.protobuf.Message;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import org.sequoiahub.runtime.log.LineFormatter;
+import org.sequoiahub.runtime.settings.SettingsLoader;
+
+/** Starts a process from its settings and stops it gracefully on SIGTERM. */
+public final class ProcessMain {
+
+  /** Exit code: the settings are not valid. */
+  public static final int BAD_SETTINGS = 2;
+
+  /** Exit code: a port or address cannot be used. */
+  public static final int CANNOT_BIND = 3;
+
+  /** Exit code: a defect of ours. */
+  public static final int DEFECT = 70;
+
+  private ProcessMain() {}
+
+  /** A started process. */
+  @FunctionalInterface
+  public interface Running {
+    /** Finishes what is in progress, then returns. */
+    void stopGracefully() throws Exception;
+  }
+
+  /**
+   * Starts a process from checked settings.
+   *
+   * @param <T> the settings message
+   */
+  @FunctionalInterface
+  public interface Starter<T> {
+    /** Starts the process. */
+    Running start(T settings) throws Exception;
+  }
+
+  /** Returns the version that the jar's manifest names. */
+  public static String version() {
+    return Optional.ofNullable(ProcessMain.class.getPackage().getImplementationVersion())
+        .orElse("unpackaged");
+  }
+
+  /** Runs a process until SIGTERM and returns never. */
+  public static <T extends Message> void run(
+      String binary, T prototype, String[] arguments, Starter<T> starter) {
+    SettingsLoader<T> loader = new SettingsLoader<>(binary, version(), prototype);
+    loader
+        .load(arguments, System.getenv())
+        .<Runnable>fold(
+            settings -> () -> start(settings, starter),
+            problems -> () -> refuse(binary, problems),
+            text -> () -> System.out.println(text))
+        .run();
+  }
+
+  private static void refuse(String binary, List<String> problems) {
+    problems.forEach(problem -> System.err.println(binary + ": " + problem));
+    System.exit(BAD_SETTINGS);
+  }
+
+  private static <T> void start(T settings, Starter<T> starter) {
+    boolean verbose = "fine".equals(System.getenv("SEQUOIA_LOG_LEVEL"));
+    LineFormatter.install(verbose ? Level.FINE : Level.INFO);
+    try {
+      Running running = starter.start(settings);
+      CountDownLatch stopped = new CountDownLatch(1);
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running, stopped), "shutdown"));
+      stopped.await();
+    } catch (IOException e) {
+      System.err.println("cannot listen: " + e.getMessage());
+      System.exit(CANNOT_BIND);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (Exception e) {
+      e.printStackTrace();
+      System.exit(DEFECT);
+    }
+  }
+
+  private static void stop(Running running, CountDownLatch stopped) {
+    try {
+      running.stopGracefully();
+    } catch (Exception e) {
+      e.printStackTrace();
+    } finally {
+      stopped.countDown();
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/process/package-info.java
@@ -0,0 +1,5 @@
+/** Start, graceful stop and exit codes of a process. */
+@NullMarked
+package org.sequoiahub.runtime.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/ConfigurationStandin.java
@@ -0,0 +1,148 @@
+package org.sequoiahub.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A configuration service that can be read and watched, and that operators write through {@code PUT
+ * /operator/KEY}. It can be down, and it can answer from an older replica.
+ */
+public final class ConfigurationStandin extends StandinServer {
+
+  private static final long POLL_MILLIS = 20;
+  private static final int MAX_VALUE_BYTES = 1 << 20;
+
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          work -> {
+            Thread thread = new Thread(work, "configuration-timer");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private final Map<String, Stored> records = new TreeMap<>();
+  private final List<Map<String, Stored>> replicas = new ArrayList<>();
+  private final AtomicLong calls = new AtomicLong();
+  private long revision;
+  private boolean down;
+  private long staleRevision;
+
+  /** Creates an empty service on {@code port}. */
+  public ConfigurationStandin(int port) {
+    super(port);
+  }
+
+  @Override
+  void handle(Exchange exchange) throws IOException {
+    String path = exchange.path();
+    if (path.startsWith("/operator/")) {
+      write(exchange, path.substring("/operator/".length()));
+    } else if (path.equals("/faults")) {
+      JsonNode wanted = exchange.json();
+      synchronized (this) {
+        down = wanted.path("down").asBoolean(down);
+        staleRevision = wanted.path("stale_revision").asLong(staleRevision);
+      }
+      exchange.answer(200, Map.of());
+    } else if (path.equals("/counters")) {
+      exchange.answer(200, Map.of("calls", calls.get()));
+    } else if (isDown()) {
+      exchange.cut();
+    } else if (path.equals("/v1/records")) {
+      calls.incrementAndGet();
+      exchange.answer(200, listing(0, true));
+    } else if (path.equals("/v1/watch")) {
+      calls.incrementAndGet();
+      long after = Long.parseLong(exchange.query("after", "0"));
+      long wait = Long.parseLong(exchange.query("wait_ms", "0"));
+      watch(exchange, after, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(wait));
+    } else {
+      exchange.error(404, "no such path");
+    }
+  }
+
+  /** Writes a record, as an operator does; an empty value deletes it. Returns its revision. */
+  public synchronized long put(String key, byte[] value) {
+    revision++;
+    records.put(key, new Stored(revision, value.length == 0, value));
+    replicas.add(new TreeMap<>(records));
+    return revision;
+  }
+
+  @Override
+  public void close() throws Exception {
+    timer.shutdownNow();
+    super.close();
+  }
+
+  private void write(Exchange exchange, String key) throws IOException {
+    byte[] value = exchange.method().equals("DELETE") ? new byte[0] : exchange.body();
+    if (value.length > MAX_VALUE_BYTES) {
+      exchange.error(413, "a value is at most a megabyte");
+      return;
+    }
+    exchange.answer(200, Map.of("revision", put(key, value)));
+  }
+
+  private void watch(Exchange exchange, long after, long deadlineNanos) throws IOException {
+    if (isDown()) {
+      exchange.cut();
+    } else if (servedRevision() != after || System.nanoTime() >= deadlineNanos) {
+      exchange.answer(200, listing(after, false));
+    } else {
+      timer.schedule(
+          () -> {
+            try {
+              watch(exchange, after, deadlineNanos);
+            } catch (IOException e) {
+              exchange.cut();
+            }
+          },
+          POLL_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private synchronized boolean isDown() {
+    return down;
+  }
+
+  private synchronized long servedRevision() {
+    return staleRevision > 0 ? Math.min(staleRevision, revision) : revision;
+  }
+
+  private synchronized byte[] listing(long after, boolean complete) throws IOException {
+    long served = servedRevision();
+    Map<String, Stored> replica = served == 0 ? Map.of() : replicas.get((int) served - 1);
+    List<Map<String, Object>> items = new ArrayList<>();
+    for (Map.Entry<String, Stored> entry : replica.entrySet()) {
+      Stored stored = entry.getValue();
+      if (stored.revision > after && !(complete && stored.deleted)) {
+        Map<String, Object> item = new LinkedHashMap<>();
+        item.put("key", entry.getKey());
+        item.put("revision", stored.revision);
+        item.put("deleted", stored.deleted);
+        if (!stored.deleted) {
+          item.put("value", MAPPER.readTree(stored.value));
+        }
+        items.add(item);
+      }
+    }
+    Map<String, Object> listing = new LinkedHashMap<>();
+    listing.put("revision", served);
+    listing.put("complete", complete);
+    listing.put("records", items);
+    return MAPPER.writeValueAsBytes(listing);
+  }
+
+  @SuppressWarnings("ArrayRecordComponent") // never compared
+  private record Stored(long revision, boolean deleted, byte[] value) {}
+}
--- /dev/null
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/HostListStandin.java
@@ -0,0 +1,93 @@
+package org.sequoiahub.standins;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A host list whose readers see each change only after a while. */
+public final class HostListStandin extends StandinServer {
+
+  private final long lagMillis;
+  private final Deque<Version> versions = new ArrayDeque<>();
+  private ObjectNode latest = MAPPER.createObjectNode();
+  private long revision;
+
+  /** Creates an empty list on {@code port} that lags by {@code lagMillis}. */
+  public HostListStandin(int port, long lagMillis) {
+    super(port);
+    this.lagMillis = lagMillis;
+    for (String kind : new String[] {"hosts", "runners", "upstreams"}) {
+      latest.putArray(kind);
+    }
+    publish();
+  }
+
+  @Override
+  void handle(Exchange exchange) throws IOException {
+    if (exchange.path().equals("/v1/hosts")) {
+      exchange.answer(200, visible());
+    } else if (exchange.path().startsWith("/operator/state/")) {
+      String id = exchange.path().substring("/operator/state/".length());
+      state(id, exchange.query("state", "leaving"));
+      exchange.answer(200, Map.of());
+    } else {
+      exchange.error(404, "no such path");
+    }
+  }
+
+  /** Adds a host, runner or upstream. */
+  synchronized void add(String kind, ObjectNode item) {
+    ((ArrayNode) latest.get(kind)).add(item);
+    publish();
+  }
+
+  /** Sets the state of whatever is named {@code id}; {@code gone} removes it. */
+  synchronized void state(String id, String state) {
+    for (JsonNode kind : latest) {
+      if (kind instanceof ArrayNode items) {
+        for (int i = items.size() - 1; i >= 0; i--) {
+          if (items.get(i).path("id").asText().equals(id)) {
+            if (state.equals("gone")) {
+              items.remove(i);
+            } else {
+              ((ObjectNode) items.get(i)).put("state", state);
+            }
+          }
+        }
+      }
+    }
+    publish();
+  }
+
+  private synchronized void publish() {
+    revision++;
+    ObjectNode copy = latest.deepCopy();
+    copy.put("revision", revision);
+    versions.add(new Version(copy.toString(), now() + (revision <= 1 ? 0 : lagMillis)));
+    latest = copy.deepCopy();
+  }
+
+  private synchronized byte[] visible() {
+    while (versions.size() > 1 && secondIsVisible()) {
+      versions.removeFirst();
+    }
+    return versions.getFirst().json.getBytes(UTF_8);
+  }
+
+  private boolean secondIsVisible() {
+    return versions.stream().skip(1).findFirst().filter(v -> v.visibleMillis <= now()).isPresent();
+  }
+
+  private static long now() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private record Version(String json, long visibleMillis) {}
+}
--- /dev/null
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/ServiceStandin.java
@@ -0,0 +1,68 @@
+package org.sequoiahub.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A plain booking service whose POST must not be repeated; it counts what ran. */
+public final class ServiceStandin extends StandinServer {
+
+  private final String id;
+  private final Map<String, Integer> bookings = new TreeMap<>();
+  private int dropAnswers;
+  private long slowMillis;
+
+  /** Creates a service upstream on {@code port}. */
+  public ServiceStandin(String id, int port) {
+    super(port);
+    this.id = id;
+  }
+
+  @Override
+  void handle(Exchange exchange) throws IOException {
+    if (exchange.path().equals("/faults")) {
+      JsonNode wanted = exchange.json();
+      synchronized (this) {
+        dropAnswers = wanted.path("drop_answers").asInt(dropAnswers);
+        slowMillis = wanted.path("slow_ms").asLong(slowMillis);
+      }
+      exchange.answer(200, Map.of());
+    } else if (exchange.path().equals("/counters")) {
+      exchange.answer(200, counters());
+    } else if (exchange.method().equals("POST")) {
+      book(exchange);
+    } else {
+      exchange.answer(200, Map.of("upstream", id, "path", exchange.path()));
+    }
+  }
+
+  private void book(Exchange exchange) throws IOException {
+    String booking = exchange.json().path("booking").asText("none");
+    int times;
+    boolean drop;
+    long pause;
+    synchronized (this) {
+      times = bookings.merge(booking, 1, Integer::sum);
+      drop = dropAnswers > 0 && dropAnswers-- > 0;
+      pause = slowMillis;
+    }
+    if (pause > 0) {
+      try {
+        Thread.sleep(pause);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    if (drop) {
+      exchange.cut();
+    } else {
+      exchange.answer(201, Map.of("booking", booking, "times", times, "upstream", id));
+    }
+  }
+
+  private synchronized Map<String, Object> counters() {
+    long doubled = bookings.values().stream().filter(times -> times > 1).count();
+    return Map.of("upstream", id, "bookings", bookings.size(), "doubled", doubled);
+  }
+}
--- /dev/null
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/StandinsMain.java
@@ -0,0 +1,103 @@
+package org.sequoiahub.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.sequoiahub.runtime.log.LineFormatter;
+
+/** The binary {@code sequoia-standins}: a small platform for the demo and experiments. */
+public final class StandinsMain {
+
+  private static final int ENTRY_OFFSET = 200;
+  private static final int PORTS_PER_HOST = 10;
+
+  private StandinsMain() {}
+
+  /** Starts the stand-ins and runs until it is ended. */
+  public static void main(String[] arguments) throws Exception {
+    Options options = new Options();
+    option(options, "port-base", "first port; hosts start " + ENTRY_OFFSET + " above");
+    option(options, "hosts", "entry hosts to list");
+    option(options, "runners", "engines of base model m1");
+    option(options, "adapters", "adapters to configure");
+    option(options, "slots", "slots of each engine");
+    option(options, "batch", "batch of each engine");
+    option(options, "load-ms", "time of one load");
+    option(options, "prefill-ms", "time to the first token");
+    option(options, "token-ms", "time between tokens");
+    option(options, "unfenced", "how many engines do not check fencing numbers");
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(options, arguments);
+    } catch (ParseException e) {
+      System.err.println("sequoia-standins: " + e.getMessage());
+      System.exit(2);
+      return;
+    }
+    LineFormatter.install(Level.INFO);
+    start(line);
+    System.out.println("ready");
+    new CountDownLatch(1).await();
+  }
+
+  private static void start(CommandLine line) throws Exception {
+    int base = number(line, "port-base", 18_000);
+    Standins standins = new Standins(base, 1_000, 20);
+    int runners = number(line, "runners", 4);
+    int unfenced = number(line, "unfenced", 1);
+    for (int i = 1; i <= runners; i++) {
+      standins.engine(
+          new EngineOptions(
+              "runner-" + i,
+              base + 10 + i,
+              number(line, "slots", 3),
+              number(line, "batch", 8),
+              number(line, "load-ms", 200),
+              number(line, "prefill-ms", 10),
+              number(line, "token-ms", 5),
+              200,
+              i > unfenced),
+          "m1");
+    }
+    standins.service("bookings-1", "bookings", base + 4);
+    standins.service("bookings-2", "bookings", base + 5);
+    int hosts = number(line, "hosts", 3);
+    for (int i = 1; i <= hosts; i++) {
+      int first = base + ENTRY_OFFSET + i * PORTS_PER_HOST;
+      standins.host("host-" + i, first, first + 1, first + 2, i);
+    }
+    configure(standins, number(line, "adapters", 6));
+  }
+
+  /** Configures adapters, in schema 1 and schema 2 in turn, and a booking service. */
+  private static void configure(Standins standins, int adapters) {
+    for (int i = 1; i <= adapters; i++) {
+      String name = "adapter-" + i;
+      String record =
+          i % 2 == 1
+              ? "{\"schema\":1,\"adapter\":\"%s\",\"version\":\"1\",\"base_model\":\"m1\"}"
+              : "{\"schema\":2,\"name\":\"%s\",\"base_model\":\"m1\",\"versions\":["
+                  + "{\"version\":\"1\",\"weight\":90},{\"version\":\"2\",\"weight\":10}]}";
+      put(standins, "adapters/" + name, String.format(Locale.ROOT, record, name));
+    }
+    put(standins, "services/bookings", "{\"schema\":1,\"name\":\"bookings\"}");
+  }
+
+  private static void put(Standins standins, String key, String value) {
+    standins.configuration().put(key, value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void option(Options options, String name, String help) {
+    options.addOption(Option.builder().longOpt(name).hasArg().desc(help).build());
+  }
+
+  private static int number(CommandLine line, String name, int absent) {
+    return line.hasOption(name) ? Integer.parseInt(line.getOptionValue(name)) : absent;
+  }
+}
--- /dev/null
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/WeightStoreStandin.java
@@ -0,0 +1,52 @@
+package org.sequoiahub.standins;
+
+import java.io.IOException;
+import java.util.Map;
+
+/** A weight store that gives full speed to one load at a time and allows a few loads a second. */
+public final class WeightStoreStandin extends StandinServer {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final long spacingMillis;
+  private int active;
+  private long nextStartMillis = Long.MIN_VALUE;
+  private double slowness = 1;
+
+  /** Creates a store on {@code port} that allows {@code loadsPerSecond}. */
+  public WeightStoreStandin(int port, int loadsPerSecond) {
+    super(port);
+    this.spacingMillis = MILLIS_PER_SECOND / loadsPerSecond;
+  }
+
+  @Override
+  void handle(Exchange exchange) throws IOException {
+    if (exchange.path().equals("/faults")) {
+      double wanted = exchange.json().path("slowness").asDouble(1);
+      synchronized (this) {
+        slowness = wanted;
+      }
+      exchange.answer(200, Map.of());
+    } else {
+      exchange.answer(200, status());
+    }
+  }
+
+  /** Begins a load and returns how long it takes: longer beside others and above the rate. */
+  synchronized long begin(long fullSpeedMillis) {
+    active++;
+    long now = System.nanoTime() / NANOS_PER_MILLI;
+    long start = Math.max(now, nextStartMillis);
+    nextStartMillis = start + spacingMillis;
+    return start - now + Math.round(fullSpeedMillis * active * slowness);
+  }
+
+  synchronized void end() {
+    active--;
+  }
+
+  private synchronized Map<String, Object> status() {
+    return Map.of("active", active);
+  }
+}
--- /dev/null
+++ b/sequoia-watcher/src/main/java/org/sequoiahub/watcher/package-info.java
@@ -0,0 +1,5 @@
+/** The one reader of the configuration service and of the host list on its host. */
+@NullMarked
+package org.sequoiahub.watcher;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/Pipelines.java
@@ -0,0 +1,36 @@
+package org.sequoiahub.wire;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import org.sequoiahub.schema.wire.Envelope;
+
+/** The handlers that both ends of a connection share. */
+final class Pipelines {
+
+  /** Largest frame: a full set of records in one update, with room to spare. */
+  private static final int MAX_FRAME_BYTES = 64 << 20;
+
+  private static final int LENGTH_BYTES = 4;
+
+  private Pipelines() {}
+
+  static void addCodec(ChannelPipeline pipeline, long readerIdleMillis) {
+    pipeline.addLast(new IdleStateHandler(readerIdleMillis, 0, 0, TimeUnit.MILLISECONDS));
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
+    pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    pipeline.addLast(new ProtobufEncoder());
+  }
+
+  static boolean isReaderIdle(Object event) {
+    return event instanceof IdleStateEvent idle && idle.state() == IdleState.READER_IDLE;
+  }
+}
--- /dev/null
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/ViewFeed.java
@@ -0,0 +1,66 @@
+package org.sequoiahub.wire;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.function.Consumer;
+import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.schema.wire.Subscribe;
+import org.sequoiahub.schema.wire.Update;
+
+/**
+ * Keeps a process subscribed to its host's watcher.
+ *
+ * <p>While the watcher is away, the process goes on with what it has; {@link #tick} subscribes
+ * again.
+ */
+public final class ViewFeed {
+
+  private static final long RETRY_MILLIS = 300;
+
+  private final WireClient watcher;
+  private final Consumer<Update> updates;
+  private long nextTryMillis = Long.MIN_VALUE;
+  private boolean subscribed;
+
+  /**
+   * Creates a feed.
+   *
+   * @param watcher the watcher of this host
+   * @param updates receives each update on a network thread
+   */
+  public ViewFeed(WireClient watcher, Consumer<Update> updates) {
+    this.watcher = requireNonNull(watcher, "watcher must not be null");
+    this.updates = requireNonNull(updates, "updates must not be null");
+  }
+
+  /** Subscribes if that is due. */
+  public void tick(long nowMillis) {
+    synchronized (this) {
+      if (subscribed || nowMillis < nextTryMillis) {
+        return;
+      }
+      subscribed = true;
+      nextTryMillis = nowMillis + RETRY_MILLIS;
+    }
+    watcher.call(
+        Envelope.newBuilder().setSubscribe(Subscribe.getDefaultInstance()), new Listener());
+  }
+
+  private synchronized void unsubscribed() {
+    subscribed = false;
+  }
+
+  private final class Listener implements CallListener {
+    @Override
+    public void message(Envelope message) {
+      if (message.hasUpdate()) {
+        updates.accept(message.getUpdate());
+      }
+    }
+
+    @Override
+    public void lost(boolean handedOn) {
+      unsubscribed();
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireServer.java
@@ -0,0 +1,115 @@
+package org.sequoiahub.wire;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.schema.wire.Pong;
+
+/** Accepts connections from our own processes. */
+public final class WireServer implements AutoCloseable {
+
+  /** A client probes twice in its silence time; a server waits longer before it gives up. */
+  private static final int SILENCES_BEFORE_CLOSE = 3;
+
+  private final Channel channel;
+
+  private WireServer(Channel channel) {
+    this.channel = channel;
+  }
+
+  /** Receives messages; called on a network thread. */
+  public interface Handler {
+    /** Receives one message. */
+    void message(WireConnection connection, Envelope message);
+
+    /** Told once that a connection is gone. */
+    void closed(WireConnection connection);
+  }
+
+  /**
+   * Opens a port.
+   *
+   * @throws IOException if the address and port cannot be used
+   */
+  public static WireServer open(
+      EventLoopGroup group, String address, int port, long silenceMillis, Handler handler)
+      throws IOException {
+    requireNonNull(handler, "handler must not be null");
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel child) {
+                    long idle = silenceMillis * SILENCES_BEFORE_CLOSE;
+                    Pipelines.addCodec(child.pipeline(), idle);
+                    child.pipeline().addLast(new Inbound(new WireConnection(child), handler));
+                  }
+                });
+    var bound = bootstrap.bind(new InetSocketAddress(address, port)).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException(address + ":" + port + ": " + bound.cause(), bound.cause());
+    }
+    return new WireServer(bound.channel());
+  }
+
+  /** Returns the open port. */
+  public int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  @Override
+  public void close() {
+    channel.close().awaitUninterruptibly();
+  }
+
+  private static final class Inbound extends SimpleChannelInboundHandler<Envelope> {
+    private final WireConnection connection;
+    private final Handler handler;
+
+    Inbound(WireConnection connection, Handler handler) {
+      this.connection = connection;
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+      if (message.hasPing()) {
+        Pong pong = Pong.newBuilder().setToken(message.getPing().getToken()).build();
+        connection.send(0, Envelope.newBuilder().setPong(pong));
+      } else {
+        handler.message(connection, message);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (Pipelines.isReaderIdle(event)) {
+        context.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      handler.closed(connection);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
