Stateful properties over the decision core; two evictions under a running request found and mended

Cause: the promises rested on argument only. Two dispatchers that both believe they own a runner, a network that delays, loses and reorders, pauses, kills, cold restarts and forgotten leases now drive the real RunnerController and authorities against an engine of a few dozen lines.

Red first, engine that checks fencing numbers: 1. try 17: "evicted under a running request". Both dispatchers had chosen fencing number 1; the engine accepts its highest number again, as renewals need, so both held authority. Shrunk to offer(0, 3) offer(0, 0) offer(1, 0) offer(1, 3) offer(0, 1) offer(0, 3) tick(0) deliver(0) offer(0, 0) deliver(0) deliver(0). Now the low half of a number is a tag drawn by its holder. 2. try 1,052: the same symptom. A new owner took what it had loaded itself as its own at once; the former owner, still inside its authority, saw the adapter in a report and started on it. Shrunk to 21 events. Now a slot counts as proven only if it was loaded, or reported idle, after the former owner's authority and the lifetime of what it sent are over. Also found: a refused eviction was tried again at once, for ever (a run without an end, stopped after ten minutes); it now waits for the time of a load.

Ruled out on the way: two faults of the fixture (a lost end marker left no doubt; an ended stream was not heard by a paused process), which had shown as leaked pins.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/FencedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/FencedAuthority.java
@@ -12,9 +12,11 @@
 public final class FencedAuthority implements Authority {
 
   private static final int RENEWALS_PER_TERM = 3;
+  private static final int TAG_BITS = 32;
 
   private final long durationMillis;
   private final Term term;
+  private final long tag;
   private long number;
   private long nextClaimMillis = Long.MIN_VALUE;
 
@@ -22,14 +24,15 @@
    * Creates an authority that is not held.
    *
    * @param durationMillis how long authority lasts after the sending of an accepted renewal
-   * @param firstNumber the number of the first claim, above 0
+   * @param tag a number drawn at random by this holder; it makes the holder's fencing numbers its
+   *     own
    */
-  public FencedAuthority(long durationMillis, long firstNumber) {
+  public FencedAuthority(long durationMillis, int tag) {
     checkArgument(durationMillis > 0, "durationMillis must be above 0");
-    checkArgument(firstNumber > 0, "firstNumber must be above 0");
     this.durationMillis = durationMillis;
     this.term = new Term(durationMillis);
-    this.number = firstNumber;
+    this.tag = Integer.toUnsignedLong(tag);
+    this.number = numberAbove(0);
   }
 
   @Override
@@ -69,7 +72,7 @@
     }
     boolean preempted = term.held(nowMillis);
     term.end();
-    number = Math.max(number, highest) + 1;
+    number = numberAbove(Math.max(number, highest));
     // A new owner exceeds the number at once. One that was pre-empted waits a term first: otherwise
     // two dispatchers with different host lists would take turns at the engine with every order.
     nextClaimMillis = preempted ? nowMillis + durationMillis : nowMillis;
@@ -83,7 +86,18 @@
   @Override
   public void giveUp() {
     term.end();
-    number++;
+    number = numberAbove(number);
     nextClaimMillis = Long.MIN_VALUE;
   }
+
+  /**
+   * Returns the next number of this holder above {@code other}.
+   *
+   * <p>An engine accepts the highest number again and again, as its owner's renewals need it to.
+   * Were two dispatchers to choose the same number, both would hold authority at once, and one
+   * would evict under the other's request. So the low half of a number is the holder's own tag.
+   */
+  private long numberAbove(long other) {
+    return ((other >>> TAG_BITS) + 1) << TAG_BITS | tag;
+  }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/Rights.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/Rights.java
@@ -6,10 +6,9 @@
  * @param held whether authority is held: work may be started, adapters loaded and evicted
  * @param term counts how often authority was gained; it changes whenever another dispatcher may
  *     have used the runner in between
- * @param soleSinceMillis since when no other dispatcher can have held authority; {@link
- *     Long#MAX_VALUE} if that moment is not known
+ * @param soleSinceMillis since when no other dispatcher can have held authority; may lie ahead
  */
 public record Rights(boolean held, long term, long soleSinceMillis) {
   /** No authority. */
-  public static final Rights NONE = new Rights(false, 0, Long.MAX_VALUE);
+  public static final Rights NONE = new Rights(false, 0, Long.MAX_VALUE / 2);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/Term.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/Term.java
@@ -6,7 +6,7 @@
   private final long durationMillis;
   private long number;
   private long expiresMillis = Long.MIN_VALUE;
-  private long soleSinceMillis = Long.MAX_VALUE;
+  private long soleSinceMillis = Long.MAX_VALUE / 2;
 
   Term(long durationMillis) {
     this.durationMillis = durationMillis;
@@ -24,7 +24,7 @@
 
   void end() {
     expiresMillis = Long.MIN_VALUE;
-    soleSinceMillis = Long.MAX_VALUE;
+    soleSinceMillis = Long.MAX_VALUE / 2;
   }
 
   boolean held(long nowMillis) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
@@ -32,6 +32,9 @@
  */
 public final class RunnerController {
 
+  /** A term that is never held: whose requests may run on the adapter is not known. */
+  private static final long UNPROVEN = 0;
+
   private static final double SMOOTHING = 0.2;
   private static final long FIRST_SERVICE_MILLIS = 1_000;
   private static final long FIRST_LOAD_MILLIS = 1_000;
@@ -180,7 +183,11 @@
     }
     switch (result) {
       case DONE -> slots.remove(adapter);
-      case FAILED -> slot.become(State.READY, nowMillis);
+      case FAILED -> {
+        // Tried again at once, a refusal would come back as fast as the network goes, for ever.
+        slot.become(State.READY, nowMillis);
+        slot.noEvictionBefore(nowMillis + (long) loadMillis);
+      }
       case UNKNOWN -> {
         // The order may still be on its way. Were the adapter used or loaded again now, the late
         // order would evict it under the new request; the symptom is a stream that ends with an
@@ -341,7 +348,11 @@
     }
     if (slots.size() < slotCount) {
       pending.loadOrdered = true;
-      slots.put(adapter, new Slot(adapter, State.LOADING, rights.term(), nowMillis));
+      // A former owner that does not yet know of this term may start requests on what is loaded
+      // now.
+      boolean sole = nowMillis >= nothingArrivesSince(rights);
+      long provenTerm = sole ? rights.term() : UNPROVEN;
+      slots.put(adapter, new Slot(adapter, State.LOADING, provenTerm, nowMillis));
       actions.add(new RunnerAction.Load(adapter));
     } else if (slots.values().stream().noneMatch(s -> s.is(State.UNLOADING))) {
       victim(rights, adapter, nowMillis)
@@ -381,7 +392,7 @@
   private Optional<Slot> victim(Rights rights, AdapterVersion wanted, long nowMillis) {
     boolean starving = queue.oldestWait(wanted, nowMillis) >= policy.drainAfterMillis();
     return slots.values().stream()
-        .filter(slot -> isEvictable(slot, rights))
+        .filter(slot -> isEvictable(slot, rights) && slot.mayTryEviction(nowMillis))
         .filter(slot -> slot.is(State.DRAINING) || queue.waiting(slot.adapter()) == 0)
         .filter(slot -> starving || nowMillis - slot.changedMillis() >= policy.minResidencyMillis())
         .min(leastValuableFirst(nowMillis));
@@ -500,18 +511,15 @@
     for (AdapterVersion adapter : report.resident()) {
       boolean room = slots.size() < slotCount;
       if (room && !slots.containsKey(adapter) && !quarantinedUntil.containsKey(adapter)) {
-        // The term 0 is never held, so a former owner's adapter starts as not proven.
-        slots.put(adapter, new Slot(adapter, State.READY, 0, nowMillis));
+        slots.put(adapter, new Slot(adapter, State.READY, UNPROVEN, nowMillis));
       }
     }
   }
 
   private void proveIdle(EngineReport report, Rights rights, long nowMillis) {
-    boolean soleWhenSampled = report.sampledNotBeforeMillis() >= rights.soleSinceMillis();
-    boolean nothingOutlives =
-        rights.soleSinceMillis() != Long.MAX_VALUE
-            && nowMillis >= rights.soleSinceMillis() + policy.requestLimitMillis();
-    if (!soleWhenSampled && !nothingOutlives) {
+    long since = nothingArrivesSince(rights);
+    boolean nothingOutlives = nowMillis >= since + policy.requestLimitMillis();
+    if (report.sampledNotBeforeMillis() < since && !nothingOutlives) {
       return;
     }
     Set<AdapterVersion> foreign = new HashSet<>();
@@ -530,6 +538,14 @@
     }
   }
 
+  /**
+   * Returns since when nothing that another dispatcher sent can reach the engine: what a former
+   * owner sent just before its authority ended may be on its way for the order lifetime.
+   */
+  private long nothingArrivesSince(Rights rights) {
+    return rights.soleSinceMillis() + policy.orderLifetimeMillis();
+  }
+
   private void usedNow(AdapterVersion adapter, long nowMillis) {
     Slot slot = slots.get(adapter);
     if (slot != null) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runner/Slot.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runner/Slot.java
@@ -23,6 +23,7 @@
   private long changedMillis;
   private long lastUsedMillis;
   private long provenTerm;
+  private long evictableFromMillis = Long.MIN_VALUE;
 
   Slot(AdapterVersion adapter, State state, long provenTerm, long nowMillis) {
     this.adapter = adapter;
@@ -61,6 +62,15 @@
     lastUsedMillis = nowMillis;
   }
 
+  /** Returns whether an eviction may be tried, as far as earlier tries are concerned. */
+  boolean mayTryEviction(long nowMillis) {
+    return nowMillis >= evictableFromMillis;
+  }
+
+  void noEvictionBefore(long millis) {
+    evictableFromMillis = millis;
+  }
+
   /**
    * Returns whether everything that may run on this adapter in {@code term} was started in that
    * term by its holder. Until that is proven a request of a former owner may be running on it.
--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/runner/EngineOracle.java
@@ -0,0 +1,107 @@
+package org.sequoiahub.core.runner;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sequoiahub.core.record.AdapterVersion;
+
+/** The simplest engine, and the judge of what it was made to do. */
+final class EngineOracle {
+
+  private final int slots;
+  private final boolean checksFencing;
+  private final Map<String, AdapterVersion> active = new HashMap<>();
+  private final Set<AdapterVersion> resident = new HashSet<>();
+  private final Set<String> everStarted = new HashSet<>();
+  private final Set<String> toldNotRun = new HashSet<>();
+  private long highestFencing;
+
+  EngineOracle(int slots, boolean checksFencing) {
+    this.slots = slots;
+    this.checksFencing = checksFencing;
+  }
+
+  /** Returns whether the engine took the request. */
+  boolean start(RunnerRequest request) {
+    if (!resident.contains(request.adapter()) || everStarted.contains(request.id())) {
+      return false;
+    }
+    assertWithMessage("started although told not-run: %s", request.id())
+        .that(toldNotRun)
+        .doesNotContain(request.id());
+    everStarted.add(request.id());
+    active.put(request.id(), request.adapter());
+    return true;
+  }
+
+  void toldNotRun(String id) {
+    assertWithMessage("told not-run although started").that(everStarted).doesNotContain(id);
+    toldNotRun.add(id);
+  }
+
+  boolean passesFencing(long number) {
+    if (checksFencing && number < highestFencing) {
+      return false;
+    }
+    highestFencing = Math.max(highestFencing, number);
+    return true;
+  }
+
+  long highestFencing() {
+    return highestFencing;
+  }
+
+  boolean load(AdapterVersion adapter) {
+    if (resident.size() >= slots && !resident.contains(adapter)) {
+      return false;
+    }
+    return resident.add(adapter);
+  }
+
+  void unload(AdapterVersion adapter) {
+    assertWithMessage("evicted under a running request: %s", adapter)
+        .that(active.values())
+        .doesNotContain(adapter);
+    resident.remove(adapter);
+  }
+
+  /** Ends the n-th active request, if there is one, and returns its id. */
+  List<String> finish(int n) {
+    List<String> ids = new ArrayList<>(active.keySet());
+    if (ids.isEmpty()) {
+      return List.of();
+    }
+    String id = ids.get(n % ids.size());
+    active.remove(id);
+    return List.of(id);
+  }
+
+  void cancel(String id) {
+    active.remove(id);
+  }
+
+  /** Forgets everything and returns the ids of the requests that this ended. */
+  List<String> coldRestart() {
+    List<String> ids = List.copyOf(active.keySet());
+    active.clear();
+    resident.clear();
+    return ids;
+  }
+
+  EngineReport report(long sampledMillis) {
+    return new EngineReport(sampledMillis, resident, Set.of(), active);
+  }
+
+  boolean isActive(String id) {
+    return active.containsKey(id);
+  }
+
+  int activeCount() {
+    return active.size();
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/runner/RunnerActions.java
@@ -0,0 +1,71 @@
+package org.sequoiahub.core.runner;
+
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+
+/** The events that the runner's properties interleave. */
+public final class RunnerActions {
+
+  private RunnerActions() {}
+
+  /** Returns chains of events over a world whose engine does or does not check fencing numbers. */
+  public static ActionChainArbitrary<?> chains(boolean fenced) {
+    return ActionChain.startWith(() -> new RunnerWorld(fenced))
+        .withAction(6, two("offer", 1, 3, (w, h, a) -> w.offer(h, a, a == 2)))
+        .withAction(8, one("tick", 1, RunnerWorld::tick))
+        .withAction(16, one("deliver", 20, RunnerWorld::deliver))
+        .withAction(1, one("lose", 20, RunnerWorld::lose))
+        .withAction(1, one("breakConnection", 20, RunnerWorld::breakConnection))
+        .withAction(6, one("pass", 700, RunnerWorld::pass))
+        .withAction(3, one("finish", 5, RunnerWorld::finish))
+        .withAction(1, two("cancel", 1, 20, RunnerWorld::cancel))
+        .withAction(1, one("pause", 1, RunnerWorld::pause))
+        .withAction(2, one("wake", 1, RunnerWorld::wake))
+        .withAction(1, one("kill", 1, RunnerWorld::kill))
+        .withAction(1, one("restartGranter", 2, RunnerWorld::restartGranter))
+        .withAction(1, just("coldRestart", RunnerWorld::coldRestart))
+        .withAction(1, one("loadsFail", 1, (w, n) -> w.loadsFail(n == 1)))
+        .withMaxTransformations(120);
+  }
+
+  private static Action<RunnerWorld> just(String label, Consumer<RunnerWorld> event) {
+    return Action.just(Transformer.mutate(label, event));
+  }
+
+  private static Action<RunnerWorld> one(
+      String label, int max, BiConsumer<RunnerWorld, Integer> event) {
+    Arbitrary<Integer> numbers = Arbitraries.integers().between(0, max);
+    return new Event(
+        numbers.map(n -> Transformer.mutate(label + "(" + n + ")", w -> event.accept(w, n))));
+  }
+
+  private static Action<RunnerWorld> two(String label, int maxA, int maxB, TwoNumbers event) {
+    return new Event(
+        Combinators.combine(
+                Arbitraries.integers().between(0, maxA), Arbitraries.integers().between(0, maxB))
+            .as(
+                (a, b) ->
+                    Transformer.mutate(
+                        label + "(" + a + ", " + b + ")", w -> event.happen(w, a, b))));
+  }
+
+  @FunctionalInterface
+  private interface TwoNumbers {
+    void happen(RunnerWorld world, int a, int b);
+  }
+
+  private record Event(Arbitrary<Transformer<RunnerWorld>> events)
+      implements Action.Independent<RunnerWorld> {
+    @Override
+    public Arbitrary<Transformer<RunnerWorld>> transformer() {
+      return events;
+    }
+  }
+}
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -129,7 +129,8 @@
     LocalView view = new LocalView(new DefaultRecordParser());
     LeaseDesk leases = new LeaseDesk(settings, holder, clients, events, now);
     LoadTurnDesk turns = new LoadTurnDesk(settings, clients, events, metrics);
-    RunnerDesk runners = new RunnerDesk(settings, engines, leases, turns, events, metrics, log);
+    RunnerDesk runners =
+        new RunnerDesk(settings, (int) incarnation, engines, leases, turns, events, metrics, log);
     JobDesk jobs =
         new JobDesk(settings, engines, runners, view.records(), events, tracing, metrics, log);
     ServiceDesk services =
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunner.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunner.java
@@ -22,12 +22,12 @@
   private int failedRounds;
   private boolean wasHeld;
 
-  OwnedRunner(Runner runner, PolicySettings policy, long authorityMillis, long nowMillis) {
+  OwnedRunner(Runner runner, PolicySettings policy, long authorityMillis, int tag, long nowMillis) {
     this.runner = runner;
     this.controller = new RunnerController(runner.slots(), runner.batch(), policy);
     this.authority =
         runner.checksFencing()
-            ? new FencedAuthority(authorityMillis, 1)
+            ? new FencedAuthority(authorityMillis, tag)
             : new LeasedAuthority(authorityMillis);
     this.lastAskedMillis = nowMillis;
   }
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/RunnerDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/RunnerDesk.java
@@ -37,6 +37,7 @@
   private static final long REPORT_TIMEOUT_MILLIS = 2_000;
 
   private final DispatcherSettings settings;
+  private final int fencingTag;
   private final EngineClient engines;
   private final LeaseDesk leases;
   private final LoadTurnDesk turns;
@@ -54,6 +55,7 @@
 
   RunnerDesk(
       DispatcherSettings settings,
+      int fencingTag,
       EngineClient engines,
       LeaseDesk leases,
       LoadTurnDesk turns,
@@ -61,6 +63,7 @@
       MetricRegistry metrics,
       EventLog log) {
     this.settings = settings;
+    this.fencingTag = fencingTag;
     this.engines = engines;
     this.leases = leases;
     this.turns = turns;
@@ -437,7 +440,8 @@
 
   private OwnedRunner own(Runner runner, long nowMillis) {
     return owned.computeIfAbsent(
-        runner.id(), id -> new OwnedRunner(runner, policy, settings.getAuthorityMs(), nowMillis));
+        runner.id(),
+        id -> new OwnedRunner(runner, policy, settings.getAuthorityMs(), fencingTag, nowMillis));
   }
 
   private boolean isComputedOwner(String runnerId) {
--- a/sequoia-standins/src/main/java/org/sequoiahub/standins/DemoMain.java
+++ b/sequoia-standins/src/main/java/org/sequoiahub/standins/DemoMain.java
@@ -17,7 +17,7 @@
   public static void main(String[] arguments) throws Exception {
     LineFormatter.install(Level.WARNING);
     String[] addresses = arguments[0].split(",");
-    int adapters = Integer.parseInt(arguments[1]);
+    final int adapters = Integer.parseInt(arguments[1]);
     List<Path> logs = new ArrayList<>();
     for (String log : Arrays.copyOfRange(arguments, 2, arguments.length)) {
       logs.add(Path.of(log));
