--- a/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/PolicySimulation.java
+++ b/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/PolicySimulation.java
@@ -19,6 +19,8 @@
 import org.sequoiahub.core.load.LoadTurns;
 import org.sequoiahub.core.placement.Placement;
 import org.sequoiahub.core.record.AdapterVersion;
+import org.sequoiahub.core.route.ActivePool;
+import org.sequoiahub.core.route.RouteSettings;
 import org.sequoiahub.core.route.RunnerChooser;
 import org.sequoiahub.core.route.RunnerHints;
 import org.sequoiahub.core.runner.Admission;
@@ -54,6 +56,8 @@
   private final Map<String, List<Runner>> pools = new HashMap<>();
   private final Map<String, Waiting> waiting = new HashMap<>();
   private final List<RunnerHints> hints = new ArrayList<>();
+  private final Map<String, ActivePool> activePools = new HashMap<>();
+  private final RouteSettings routing;
   private final RunnerChooser chooser;
   private final LoadTurns<TurnKey> turns;
   private long sequence;
@@ -65,7 +69,8 @@
     this.variant = variant;
     this.kind = kind;
     this.random = new SplittableRandom(seed + 1);
-    this.chooser = new RunnerChooser(variant.routing(deployment.routing()));
+    this.routing = variant.routing(deployment.routing());
+    this.chooser = new RunnerChooser(routing);
     this.turns = new LoadTurns<>(deployment.loadsPerSecond(), 1, 60_000);
     for (int i = 0; i < ENTRIES; i++) {
       hints.add(new RunnerHints());
@@ -170,14 +175,22 @@
       case CHEAPEST ->
           chooser.choose(
               adapter,
-              Placement.candidates(
-                  adapter, all, variant.routing(deployment.routing()).candidates()),
+              Placement.candidates(adapter, active(request, all), routing.candidates()),
               excluded,
               hints.get(request.entry),
               now);
     };
   }
 
+  private List<Runner> active(Waiting request, List<Runner> all) {
+    RunnerHints own = hints.get(request.entry);
+    int here = own.inFlight(all);
+    String baseModel = request.arrival.pool().baseModel();
+    return activePools
+        .computeIfAbsent(request.entry + baseModel, k -> new ActivePool(routing.leastShare()))
+        .active(baseModel, all, (double) here * ENTRIES, now);
+  }
+
   private void settle(SimulatedRunner runner) {
     for (RunnerAction action : runner.controller.decide(SOLE, now)) {
       perform(runner, action);
--- a/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/SlopesCommand.java
+++ b/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/SlopesCommand.java
@@ -69,34 +69,41 @@
   }
 
   private static void records(int size, PrintStream out) {
-    Supplier<AcceptedRecords> fill =
-        () -> {
-          AcceptedRecords records = new AcceptedRecords(new DefaultRecordParser());
-          for (int i = 0; i < size; i++) {
-            records.offer(record(i, i + 1));
-          }
-          return records;
-        };
-    double bytes = heapOf(fill) / size;
-    AcceptedRecords records = fill.get();
+    double stored = heapOf(() -> filled(size, AcceptedRecords.Keep.VALUES)) / size;
+    double parsed = heapOf(() -> filled(size, AcceptedRecords.Keep.PARSED)) / size;
+    AcceptedRecords records = filled(size, AcceptedRecords.Keep.PARSED);
     double offer = microsOf(20_000, i -> records.offer(record(i % size, size + 1L + i)));
     double resolve =
         microsOf(200_000, i -> ModelResolver.resolve("adapter-" + i % size, records, 0.5));
-    AcceptedRecords other = fill.get();
-    long[] digest = other.digest();
-    double compare = microsOf(50, i -> records.heldWhereDifferent(digest));
+    AcceptedRecords watched = filled(size, AcceptedRecords.Keep.VALUES);
+    long[] digest = watched.digest();
+    double equal = microsOf(2_000, i -> watched.heldWhereDifferent(digest));
+    watched.offer(record(0, 2L * size));
+    double oneDiffers = microsOf(50, i -> watched.heldWhereDifferent(digest));
     line(
         out,
         "record",
         size,
-        "heap_bytes",
-        bytes,
+        "watcher_heap_bytes",
+        stored,
+        "entry_heap_bytes",
+        parsed,
         "accept_us",
         offer,
         "resolve_us",
         resolve,
-        "digest_compare_us",
-        compare);
+        "digest_equal_us",
+        equal,
+        "digest_one_differs_us",
+        oneDiffers);
+  }
+
+  private static AcceptedRecords filled(int size, AcceptedRecords.Keep keep) {
+    AcceptedRecords records = new AcceptedRecords(new DefaultRecordParser(), keep);
+    for (int i = 0; i < size; i++) {
+      records.offer(record(i, i + 1));
+    }
+    return records;
   }
 
   private static void runners(int size, PrintStream out) {
--- a/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/Variant.java
+++ b/sequoia-cli/src/main/java/org/sequoiahub/cli/bench/Variant.java
@@ -16,7 +16,7 @@
 
   /** The mechanisms that can be switched off. */
   static final Set<String> MECHANISMS =
-      Set.of("value-eviction", "ordered-loads", "fill", "draining", "residency", "replicas");
+      Set.of("value-eviction", "fill", "draining", "replicas", "packing");
 
   /** How a runner is chosen. */
   enum Routing {
@@ -57,17 +57,16 @@
         full.queueLimit(),
         full.briefAgeMillis(),
         without.contains("draining") ? Long.MAX_VALUE / 4 : full.drainAfterMillis(),
-        without.contains("residency") ? 0 : full.minResidencyMillis(),
         full.orderLifetimeMillis(),
         full.requestLimitMillis(),
-        !without.contains("value-eviction"),
-        !without.contains("ordered-loads"));
+        !without.contains("value-eviction"));
   }
 
   RouteSettings routing(RouteSettings full) {
     return new RouteSettings(
         without.contains("replicas") ? 1 : full.candidates(),
         full.loadCostMillis(),
-        without.contains("fill") ? 0 : full.fillWeight());
+        without.contains("fill") ? 0 : full.fillWeight(),
+        without.contains("packing") ? 1 : full.leastShare());
   }
 }
--- /dev/null
+++ b/sequoia-cli/src/test/java/org/sequoiahub/cli/bench/HotDecisionBenchmark.java
@@ -0,0 +1,139 @@
+package org.sequoiahub.cli.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.sequoiahub.core.authority.Rights;
+import org.sequoiahub.core.fleet.Fleet;
+import org.sequoiahub.core.fleet.Fleet.Runner;
+import org.sequoiahub.core.placement.Placement;
+import org.sequoiahub.core.record.AdapterVersion;
+import org.sequoiahub.core.record.Priority;
+import org.sequoiahub.core.route.RouteSettings;
+import org.sequoiahub.core.route.RunnerChooser;
+import org.sequoiahub.core.route.RunnerHints;
+import org.sequoiahub.core.runner.EngineReport;
+import org.sequoiahub.core.runner.OrderResult;
+import org.sequoiahub.core.runner.PolicySettings;
+import org.sequoiahub.core.runner.RunnerAction;
+import org.sequoiahub.core.runner.RunnerController;
+import org.sequoiahub.core.runner.RunnerRequest;
+
+/**
+ * Costs of the decisions that every request takes, by adapters and runners; see {@code bin/jmh}.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Fork(1)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+public class HotDecisionBenchmark {
+
+  private static final int MODELS = 8;
+  private static final int SLOTS = 8;
+  private static final int BATCH = 16;
+  private static final Rights SOLE = new Rights(true, 1, Long.MIN_VALUE / 2);
+
+  /** How many adapters there are. */
+  @Param({"3000", "77000"})
+  int adapters;
+
+  /** How many runners the fleet has; a pool is an eighth of them, at least two. */
+  @Param({"16", "2100"})
+  int runners;
+
+  private AdapterVersion[] names = new AdapterVersion[0];
+  private List<Runner> pool = List.of();
+  private List<RunnerController> controllers = List.of();
+  private RunnerChooser chooser = new RunnerChooser(RouteSettings.ashcombe());
+  private RunnerHints hints = new RunnerHints();
+  private long number;
+
+  /** Fills the state. */
+  @Setup
+  public void fill() {
+    names = new AdapterVersion[adapters];
+    for (int i = 0; i < adapters; i++) {
+      names[i] = new AdapterVersion("adapter-" + i, "1");
+    }
+    List<Runner> listed = new ArrayList<>();
+    for (int i = 0; i < Math.max(2, runners / MODELS); i++) {
+      listed.add(
+          new Runner("runner-" + i, "-", "d" + i % 5, Fleet.State.LIVE, "m1", SLOTS, BATCH, true));
+    }
+    pool = listed;
+    controllers = new ArrayList<>();
+    for (int i = 0; i < runners; i++) {
+      RunnerController controller = new RunnerController(SLOTS, BATCH, PolicySettings.ashcombe());
+      controller.reported(
+          new EngineReport(1, Set.of(names[0], names[1]), Set.of(), Map.of()), SOLE, 2);
+      controllers.add(controller);
+    }
+  }
+
+  /** Ranks an adapter's candidates and chooses one. */
+  @Benchmark
+  public Object route() {
+    AdapterVersion adapter = names[(int) (number++ % adapters)];
+    return chooser.choose(adapter, Placement.candidates(adapter, pool, 4), Set.of(), hints, number);
+  }
+
+  /** Admits, starts and ends a request for a loaded adapter. */
+  @Benchmark
+  public Object admit() {
+    long now = 10 + number++;
+    RunnerController controller = controllers.get((int) (number % runners));
+    String id = "r" + number;
+    controller.offer(new RunnerRequest(id, names[0], Priority.INTERACTIVE, now + 60_000), now);
+    List<RunnerAction> started = controller.decide(SOLE, now);
+    controller.ended(id, now + 1);
+    return started;
+  }
+
+  /**
+   * Admits a request for an adapter that is not loaded: a load, an eviction once slots are full.
+   */
+  @Benchmark
+  public Object evict() {
+    long now = 10 + number++ * 10;
+    RunnerController controller = controllers.get((int) (number % runners));
+    AdapterVersion adapter = names[(int) (number % adapters)];
+    String id = "r" + number;
+    controller.offer(new RunnerRequest(id, adapter, Priority.INTERACTIVE, now + 60_000), now);
+    int steps = 0;
+    for (List<RunnerAction> actions = controller.decide(SOLE, now);
+        !actions.isEmpty();
+        actions = controller.decide(SOLE, now)) {
+      for (RunnerAction action : actions) {
+        perform(controller, action, now);
+        steps++;
+      }
+    }
+    controller.ended(id, now + 1);
+    return steps;
+  }
+
+  private static void perform(RunnerController controller, RunnerAction action, long now) {
+    if (action instanceof RunnerAction.AskTurn ask) {
+      controller.turnGranted(ask.adapter());
+    } else if (action instanceof RunnerAction.Load load) {
+      controller.loadAnswered(load.adapter(), OrderResult.DONE, now);
+    } else if (action instanceof RunnerAction.Unload unload) {
+      controller.unloadAnswered(unload.adapter(), OrderResult.DONE, now);
+    }
+  }
+}
--- a/sequoia-core/src/main/java/org/sequoiahub/core/config/AcceptedRecords.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/config/AcceptedRecords.java
@@ -5,6 +5,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -29,19 +30,36 @@
  */
 public final class AcceptedRecords {
 
+  private static final byte[] NO_VALUE = new byte[0];
+
   /** Number of buckets that a digest is made of. */
   public static final int BUCKETS = 256;
 
   private final RecordParser parser;
+  private final Keep keep;
   private final Map<String, Entry> accepted = new TreeMap<>();
   private final Map<String, RefusedRecord> refused = new HashMap<>();
   private final long[] buckets = new long[BUCKETS];
   private long highestRevision;
   private long live;
 
-  /** Creates an empty set that reads values with {@code parser}. */
-  public AcceptedRecords(RecordParser parser) {
+  /**
+   * Creates an empty set.
+   *
+   * @param parser reads values
+   * @param keep what is kept of each record
+   */
+  public AcceptedRecords(RecordParser parser, Keep keep) {
     this.parser = requireNonNull(parser, "parser must not be null");
+    this.keep = requireNonNull(keep, "keep must not be null");
+  }
+
+  /** What is kept of each record; keeping both would double the memory of the largest state. */
+  public enum Keep {
+    /** The stored value, to pass on; {@link #record} finds nothing. */
+    VALUES,
+    /** The parsed record, to use; stored records are empty. */
+    PARSED
   }
 
   /** Offers one record, from the service or from a peer. */
@@ -68,7 +86,7 @@
   /** Returns the parsed record in force under {@code key}. */
   public Optional<PlatformRecord> record(String key) {
     Entry entry = accepted.get(key);
-    return entry == null ? Optional.empty() : entry.parsed;
+    return entry == null ? Optional.empty() : Optional.ofNullable(entry.parsed);
   }
 
   /** Returns the stored record, or tombstone, in force under {@code key}. */
@@ -104,9 +122,11 @@
   /** Returns the keys and revisions held in the buckets whose hash differs from {@code theirs}. */
   public Map<String, Long> heldWhereDifferent(long[] theirs) {
     Map<String, Long> held = new TreeMap<>();
+    if (Arrays.equals(buckets, theirs)) {
+      return held;
+    }
     for (Entry entry : accepted.values()) {
-      int bucket = bucketOf(entry.stored.key());
-      if (buckets[bucket] != theirs[bucket]) {
+      if (buckets[entry.bucket] != theirs[entry.bucket]) {
         held.put(entry.stored.key(), entry.stored.revision());
       }
     }
@@ -146,13 +166,17 @@
 
   private void accept(
       StoredRecord record, @Nullable Entry previous, Optional<PlatformRecord> parsed) {
-    int bucket = bucketOf(record.key());
+    int bucket = previous == null ? bucketOf(record.key()) : previous.bucket;
     if (previous != null) {
       buckets[bucket] ^= hash(previous.stored);
     }
     buckets[bucket] ^= hash(record);
     live += (record.deleted() ? 0 : 1) - (previous == null || previous.stored.deleted() ? 0 : 1);
-    accepted.put(record.key(), new Entry(record, parsed));
+    accepted.put(
+        record.key(),
+        keep == Keep.VALUES
+            ? new Entry(record, null, bucket)
+            : new Entry(withoutValue(record), parsed.orElse(null), bucket));
     highestRevision = Math.max(highestRevision, record.revision());
     RefusedRecord earlier = refused.get(record.key());
     if (earlier != null && earlier.revision() < record.revision()) {
@@ -192,5 +216,9 @@
    */
   public record RefusedRecord(String key, long revision, List<RecordProblem> problems) {}
 
-  private record Entry(StoredRecord stored, Optional<PlatformRecord> parsed) {}
+  private static StoredRecord withoutValue(StoredRecord record) {
+    return new StoredRecord(record.key(), record.revision(), record.deleted(), NO_VALUE);
+  }
+
+  private record Entry(StoredRecord stored, @Nullable PlatformRecord parsed, int bucket) {}
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/route/RunnerHints.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/route/RunnerHints.java
@@ -3,8 +3,10 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.fleet.Fleet.Runner;
 import org.sequoiahub.core.record.AdapterVersion;
 
 /**
@@ -56,6 +58,11 @@
     return inFlight.getOrDefault(runner, 0);
   }
 
+  /** Returns the requests that this entry has in flight at {@code runners} together. */
+  public int inFlight(List<Runner> runners) {
+    return runners.stream().mapToInt(runner -> inFlight(runner.id())).sum();
+  }
+
   /** Returns the last wait of loaded adapters heard of, decayed by its age, in milliseconds. */
   public double waitMillis(String runner, long nowMillis) {
     return decayed(waits.get(runner), nowMillis);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runner/PolicySettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runner/PolicySettings.java
@@ -6,31 +6,27 @@
  * @param queueLimit most requests queued
  * @param briefAgeMillis a brief that waited this long is taken as if it were interactive
  * @param drainAfterMillis an adapter that waited this long for a slot makes a busy slot drain
- * @param minResidencyMillis how long a loaded adapter stays at least, unless nothing else can move
  * @param orderLifetimeMillis how long an order or request of unknown outcome may still reach the
  *     engine after its connection was given up
  * @param requestLimitMillis no request outlives this
  * @param evictByValue whether the least popular adapter is evicted, else the least recently used
- * @param countOrderedLoads whether loads on their way count when the expected wait is estimated
  */
 public record PolicySettings(
     int queueLimit,
     long briefAgeMillis,
     long drainAfterMillis,
-    long minResidencyMillis,
     long orderLifetimeMillis,
     long requestLimitMillis,
-    boolean evictByValue,
-    boolean countOrderedLoads) {
+    boolean evictByValue) {
 
   /** Load stalls weigh most: slots turn over quickly. */
   public static PolicySettings ashcombe() {
-    return new PolicySettings(256, 3_000, 1_500, 0, 5_000, 120_000, true, true);
+    return new PolicySettings(256, 3_000, 1_500, 5_000, 120_000, true);
   }
 
   /** Batch efficiency weighs most: slots stay while their batch is filled. */
   public static PolicySettings dhuwaan() {
-    return new PolicySettings(256, 6_000, 4_000, 1_000, 5_000, 120_000, true, true);
+    return new PolicySettings(256, 6_000, 4_000, 5_000, 120_000, true);
   }
 
   /** Returns these settings with other limits. */
@@ -39,10 +35,8 @@
         newQueueLimit,
         briefAgeMillis,
         drainAfterMillis,
-        minResidencyMillis,
         orderLifetimeMillis,
         newRequestLimitMillis,
-        evictByValue,
-        countOrderedLoads);
+        evictByValue);
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
@@ -305,10 +305,6 @@
         loadsAhead++;
       }
     }
-    boolean ordered = pending != null && slots.containsKey(pending.adapter);
-    if (policy.countOrderedLoads() && ordered) {
-      loadsAhead++;
-    }
     return (loadsAhead + 1) * loadMillis;
   }
 
@@ -359,7 +355,7 @@
       slots.put(adapter, new Slot(adapter, State.LOADING, provenTerm, nowMillis));
       actions.add(new RunnerAction.Load(adapter));
     } else if (slots.values().stream().noneMatch(s -> s.is(State.UNLOADING))) {
-      victim(rights, adapter, nowMillis)
+      victim(rights, nowMillis)
           .ifPresentOrElse(slot -> evict(slot, nowMillis), () -> endPending(adapter));
     }
   }
@@ -374,7 +370,7 @@
       return;
     }
     AdapterVersion adapter = wanted.get();
-    if (slots.size() < slotCount || victim(rights, adapter, nowMillis).isPresent()) {
+    if (slots.size() < slotCount || victim(rights, nowMillis).isPresent()) {
       pending = new PendingLoad(adapter);
       actions.add(
           new RunnerAction.AskTurn(
@@ -394,12 +390,10 @@
                 .thenComparingLong(a -> queue.waiting(a) * (1 + queue.oldestWait(a, nowMillis))));
   }
 
-  private Optional<Slot> victim(Rights rights, AdapterVersion wanted, long nowMillis) {
-    boolean starving = queue.oldestWait(wanted, nowMillis) >= policy.drainAfterMillis();
+  private Optional<Slot> victim(Rights rights, long nowMillis) {
     return slots.values().stream()
         .filter(slot -> isEvictable(slot, rights) && slot.mayTryEviction(nowMillis))
         .filter(slot -> slot.is(State.DRAINING) || queue.waiting(slot.adapter()) == 0)
-        .filter(slot -> starving || nowMillis - slot.changedMillis() >= policy.minResidencyMillis())
         .min(leastValuableFirst(nowMillis));
   }
 
--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/authority/AuthorityTest.java
@@ -0,0 +1,79 @@
+package org.sequoiahub.core.authority;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AuthorityTest {
+
+  private static final long TERM = 1_000;
+
+  @Nested
+  class Fenced {
+
+    private final FencedAuthority authority = new FencedAuthority(TERM, 7);
+
+    /**
+     * Symptom: a dispatcher that was paused acts as owner after another has taken over.
+     *
+     * <p>Events: it sends a renewal, is paused, and reads the engine's acceptance when it wakes.
+     *
+     * <p>Cause guarded against: counting authority from the answer's arrival, not from the sending.
+     */
+    @Test
+    void lateAnswerDoesNotLengthenAuthority() {
+      authority.claimSent(0);
+      authority.claimAccepted(authority.fencingNumber(), 0, 900);
+      assertThat(authority.rights(999).held()).isTrue();
+      assertThat(authority.rights(1_000).held()).isFalse();
+      authority.claimAccepted(authority.fencingNumber(), 0, 5_000);
+      assertThat(authority.rights(5_001).held()).isFalse();
+    }
+
+    @Test
+    void refusalOfAnOlderNumberSaysNothing() {
+      long old = authority.fencingNumber();
+      authority.giveUp();
+      authority.claimAccepted(authority.fencingNumber(), 0, 1);
+      authority.refused(old, Long.MAX_VALUE >> 1, 2);
+      assertThat(authority.rights(3).held()).isTrue();
+    }
+
+    @Test
+    void twoHoldersNeverChooseTheSameNumber() {
+      FencedAuthority other = new FencedAuthority(TERM, 8);
+      assertThat(authority.fencingNumber()).isNotEqualTo(other.fencingNumber());
+      other.refused(other.fencingNumber(), authority.fencingNumber(), 0);
+      assertThat(other.fencingNumber()).isGreaterThan(authority.fencingNumber());
+    }
+  }
+
+  @Nested
+  class Leased {
+
+    private final LeasedAuthority authority = new LeasedAuthority(TERM);
+
+    @Test
+    void needsMajorityOfTheFormerHostsWhileTheChangeIsYoung() {
+      authority.granters(Set.of("a", "b", "c"), 0);
+      authority.granters(Set.of("a", "x", "y"), 10);
+      authority.roundSent(20);
+      authority.granted("x", 20, 21);
+      authority.granted("y", 20, 21);
+      assertThat(authority.rights(22).held()).isFalse();
+      authority.granted("a", 20, 22);
+      authority.granted("b", 20, 22);
+      assertThat(authority.rights(23).held()).isTrue();
+    }
+
+    @Test
+    void restartedGranterAbstainsUntilWhatItForgotHasExpired() {
+      LeaseGranter granter = new LeaseGranter(500, TERM);
+      assertThat(granter.grant("r", "b", TERM, 1_499)).isFalse();
+      assertThat(granter.grant("r", "b", TERM, 1_500)).isTrue();
+      assertThat(granter.grant("r", "c", TERM, 2_499)).isFalse();
+    }
+  }
+}
--- a/sequoia-core/src/test/java/org/sequoiahub/core/config/WatchersActions.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/config/WatchersActions.java
@@ -69,7 +69,7 @@
 
     Watchers() {
       for (int i = 0; i < COUNT; i++) {
-        watchers.add(new AcceptedRecords(new DefaultRecordParser()));
+        watchers.add(new AcceptedRecords(new DefaultRecordParser(), AcceptedRecords.Keep.VALUES));
         seen.add(new HashMap<>());
       }
       replicas.add(Map.of());
@@ -125,7 +125,7 @@
     }
 
     void restart(int n) {
-      watchers.set(n, new AcceptedRecords(new DefaultRecordParser()));
+      watchers.set(n, new AcceptedRecords(new DefaultRecordParser(), AcceptedRecords.Keep.VALUES));
       seen.get(n).clear();
     }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/runner/RunnerWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/runner/RunnerWorld.java
@@ -34,7 +34,7 @@
   private static final int CALM_ROUNDS = 25;
   private static final int SETTLE_ROUNDS = 300;
   private static final PolicySettings POLICY =
-      new PolicySettings(16, 300, 400, 0, ORDER_LIFETIME_MILLIS, DEADLINE_MILLIS, true, true);
+      new PolicySettings(16, 300, 400, ORDER_LIFETIME_MILLIS, DEADLINE_MILLIS, true);
 
   private final boolean fenced;
   private final EngineOracle engine;
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -58,6 +58,7 @@
     ViewFeed feed =
         new ViewFeed(
             clients.to(Endpoint.of(settings.getWatcher())),
+            true,
             update -> events.accept(new DispatcherEvent.Viewed(update)));
     this.duty =
         new Duty<>(
@@ -131,8 +132,7 @@
     LoadTurnDesk turns = new LoadTurnDesk(settings, clients, events, metrics);
     RunnerDesk runners =
         new RunnerDesk(settings, (int) incarnation, engines, leases, turns, events, metrics, log);
-    JobDesk jobs =
-        new JobDesk(settings, engines, runners, view.records(), events, tracing, metrics, log);
+    JobDesk jobs = new JobDesk(settings, engines, runners, events, tracing, metrics, log);
     ServiceDesk services =
         new ServiceDesk(
             settings, incarnation, new ServiceClient(http), events, tracing, metrics, log);
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/DispatcherDuty.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/DispatcherDuty.java
@@ -165,7 +165,6 @@
     next.put("ready", ready);
     next.put("requests", jobs.size());
     next.put("service_calls", services.size());
-    next.put("revision", view.records().highestRevision());
     next.put("hosts_revision", view.fleet().revision());
     next.put("runners", runners.status(nowMillis));
     status = next;
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobDesk.java
@@ -12,11 +12,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.sequoiahub.core.config.AcceptedRecords;
 import org.sequoiahub.core.fleet.Fleet;
 import org.sequoiahub.core.fleet.Fleet.Runner;
 import org.sequoiahub.core.record.AdapterVersion;
-import org.sequoiahub.core.record.PlatformRecord.Adapter;
 import org.sequoiahub.core.record.Priority;
 import org.sequoiahub.core.runner.Admission;
 import org.sequoiahub.core.runner.RunnerRequest;
@@ -48,7 +46,6 @@
   private final DispatcherSettings settings;
   private final EngineClient engines;
   private final RunnerDesk runners;
-  private final AcceptedRecords records;
   private final Consumer<DispatcherEvent> events;
   private final Tracing tracing;
   private final EventLog log;
@@ -67,7 +64,6 @@
       DispatcherSettings settings,
       EngineClient engines,
       RunnerDesk runners,
-      AcceptedRecords records,
       Consumer<DispatcherEvent> events,
       Tracing tracing,
       MetricRegistry metrics,
@@ -75,7 +71,6 @@
     this.settings = settings;
     this.engines = engines;
     this.runners = runners;
-    this.records = records;
     this.events = events;
     this.tracing = tracing;
     this.log = log;
@@ -107,7 +102,7 @@
     }
     AdapterVersion adapter = new AdapterVersion(message.getAdapter(), message.getVersion());
     RunnerRequest asked = asked(message, adapter);
-    Optional<NotRun> limit = overLimit(adapter);
+    Optional<NotRun> limit = overLimit(adapter, message.getMaxInFlight());
     if (limit.isPresent()) {
       refuseCall(connection, call, limit.get(), message.getRunner());
       return;
@@ -306,13 +301,7 @@
    * Says whether the adapter's limit is reached. Entries send every request for a limited adapter
    * to its first candidate runner, so the count here is the fleet's.
    */
-  private Optional<NotRun> overLimit(AdapterVersion adapter) {
-    int limit =
-        records
-            .record("adapters/" + adapter.adapter())
-            .map(Adapter.class::cast)
-            .map(Adapter::maxInFlight)
-            .orElse(0);
+  private Optional<NotRun> overLimit(AdapterVersion adapter, int limit) {
     int inFlight = inFlightByAdapter.getOrDefault(adapter.adapter(), 0);
     return limit > 0 && inFlight >= limit
         ? Optional.of(
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
@@ -64,6 +64,7 @@
     ViewFeed feed =
         new ViewFeed(
             clients.to(Endpoint.of(settings.getWatcher())),
+            false,
             update -> events.accept(new EntryEvent.Viewed(update)));
     this.duty =
         new Duty<>(
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Flight.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Flight.java
@@ -163,6 +163,7 @@
         .setRemainingMs(remainingMillis)
         .setInteractive(resolved.record().priority() == Priority.INTERACTIVE)
         .setFallback(fallback)
+        .setMaxInFlight(resolved.record().maxInFlight())
         .setTraceparent(traceparent);
   }
 
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/FlightDesk.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/FlightDesk.java
@@ -19,6 +19,7 @@
 import org.sequoiahub.core.fleet.Fleet.Runner;
 import org.sequoiahub.core.placement.Placement;
 import org.sequoiahub.core.retry.RetryBudget;
+import org.sequoiahub.core.route.ActivePool;
 import org.sequoiahub.core.route.ModelResolver;
 import org.sequoiahub.core.route.Resolution;
 import org.sequoiahub.core.route.Resolution.Resolved;
@@ -63,6 +64,7 @@
   private final Tracing tracing;
   private final EventLog log;
   private final Map<Long, Flight> flights = new HashMap<>();
+  private final Map<String, ActivePool> activePools = new HashMap<>();
   private final Timer firstChunk;
   private final Counter retries;
   private final Counter resumes;
@@ -191,7 +193,8 @@
     boolean limited = flight.resolved().record().maxInFlight() > 0;
     int count =
         limited ? 1 : Math.min(routing.candidates(), flight.resolved().record().maxReplicas());
-    List<Runner> candidates = Placement.candidates(flight.adapter(), pool, count);
+    List<Runner> candidates =
+        Placement.candidates(flight.adapter(), limited ? pool : active(flight, pool), count);
     Optional<Runner> chosen =
         chooser.choose(flight.adapter(), candidates, flight.excludedRunners(), hints, nowMillis);
     if (chosen.isEmpty()) {
@@ -209,6 +212,14 @@
     reach(flight, false);
   }
 
+  private List<Runner> active(Flight flight, List<Runner> pool) {
+    String baseModel = flight.resolved().record().baseModel();
+    double inFlight = (double) hints.inFlight(pool) * view.fleet().liveHosts().size();
+    return activePools
+        .computeIfAbsent(baseModel, model -> new ActivePool(routing.leastShare()))
+        .active(baseModel, pool, inFlight, nowMillis);
+  }
+
   /** Hands the run to a dispatcher: the runner's owner first, then those that may claim it. */
   private void reach(Flight flight, boolean resume) {
     Runner runner = flight.runner();
--- a/sequoia-watcher/src/main/java/org/sequoiahub/watcher/WatcherDuty.java
+++ b/sequoia-watcher/src/main/java/org/sequoiahub/watcher/WatcherDuty.java
@@ -51,8 +51,9 @@
   private final WireClients clients;
   private final SplittableRandom random;
   private final EventLog log;
-  private final AcceptedRecords records = new AcceptedRecords(new DefaultRecordParser());
-  private final Map<WireConnection, Long> subscribers = new HashMap<>();
+  private final AcceptedRecords records =
+      new AcceptedRecords(new DefaultRecordParser(), AcceptedRecords.Keep.VALUES);
+  private final Map<WireConnection, Subscriber> subscribers = new HashMap<>();
   private final Counter accepted;
   private final Counter refused;
   private @Nullable Duty<WatcherEvent> duty;
@@ -210,8 +211,9 @@
   private void received(WireConnection connection, Envelope message) {
     long call = message.getCall();
     if (message.hasSubscribe()) {
-      subscribers.put(connection, call);
-      sendAll(connection, call);
+      Subscriber subscriber = new Subscriber(call, message.getSubscribe().getHostsOnly());
+      subscribers.put(connection, subscriber);
+      sendAll(connection, subscriber);
     } else if (message.hasDigest()) {
       connection.send(call, Envelope.newBuilder().setDigestAnswer(compare(message.getDigest())));
     } else if (message.hasFetch()) {
@@ -326,26 +328,26 @@
   }
 
   private void tellSubscribers(List<StoredRecord> news, boolean hosts) {
-    for (Map.Entry<WireConnection, Long> subscriber : subscribers.entrySet()) {
-      for (Update part : inParts(news)) {
-        Update.Builder update = part.toBuilder().setCaughtUp(caughtUp);
-        if (hosts) {
-          addHosts(update);
-        }
-        subscriber.getKey().send(subscriber.getValue(), Envelope.newBuilder().setUpdate(update));
-      }
-    }
+    subscribers.forEach(
+        (connection, subscriber) ->
+            send(connection, subscriber, subscriber.hostsOnly ? List.of() : news, hosts));
   }
 
-  private void sendAll(WireConnection connection, long call) {
-    List<Update> parts = inParts(records.all());
+  private void sendAll(WireConnection connection, Subscriber subscriber) {
+    send(connection, subscriber, subscriber.hostsOnly ? List.of() : records.all(), true);
+  }
+
+  /** Sends records in parts; the last one says whether that was all and may bring the host list. */
+  private void send(
+      WireConnection connection, Subscriber subscriber, List<StoredRecord> news, boolean hosts) {
+    List<Update> parts = inParts(news);
     for (int i = 0; i < parts.size(); i++) {
       boolean last = i == parts.size() - 1;
       Update.Builder update = parts.get(i).toBuilder().setCaughtUp(caughtUp && last);
-      if (last) {
+      if (last && hosts) {
         addHosts(update);
       }
-      connection.send(call, Envelope.newBuilder().setUpdate(update));
+      connection.send(subscriber.call, Envelope.newBuilder().setUpdate(update));
     }
   }
 
@@ -410,6 +412,8 @@
     status = next;
   }
 
+  private record Subscriber(long call, boolean hostsOnly) {}
+
   private record PeerCall(String peer, WireClient client, Duty<WatcherEvent> duty)
       implements CallListener {
     @Override
--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/ViewFeed.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/ViewFeed.java
@@ -18,6 +18,7 @@
   private static final long RETRY_MILLIS = 300;
 
   private final WireClient watcher;
+  private final boolean hostsOnly;
   private final Consumer<Update> updates;
   private long nextTryMillis = Long.MIN_VALUE;
   private boolean subscribed;
@@ -26,10 +27,12 @@
    * Creates a feed.
    *
    * @param watcher the watcher of this host
+   * @param hostsOnly whether the host list is enough
    * @param updates receives each update on a network thread
    */
-  public ViewFeed(WireClient watcher, Consumer<Update> updates) {
+  public ViewFeed(WireClient watcher, boolean hostsOnly, Consumer<Update> updates) {
     this.watcher = requireNonNull(watcher, "watcher must not be null");
+    this.hostsOnly = hostsOnly;
     this.updates = requireNonNull(updates, "updates must not be null");
   }
 
@@ -42,8 +45,8 @@
       subscribed = true;
       nextTryMillis = nowMillis + RETRY_MILLIS;
     }
-    watcher.call(
-        Envelope.newBuilder().setSubscribe(Subscribe.getDefaultInstance()), new Listener());
+    Subscribe subscribe = Subscribe.newBuilder().setHostsOnly(hostsOnly).build();
+    watcher.call(Envelope.newBuilder().setSubscribe(subscribe), new Listener());
   }
 
   private synchronized void unsubscribed() {
