--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -32,7 +32,7 @@
 public final class Dispatcher implements AutoCloseable {
 
   private static final int RING = 65_536;
-  private static final long TICK_MILLIS = 10;
+  private static final long TICK_MILLIS = 25;
 
   private final DispatcherSettings settings;
   private final EventLog log;
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
@@ -35,7 +35,7 @@
 public final class Entry implements AutoCloseable {
 
   private static final int RING = 65_536;
-  private static final long TICK_MILLIS = 10;
+  private static final long TICK_MILLIS = 25;
   private static final int MAX_THREADS = 16;
   private static final int MIN_THREADS = 4;
   private static final int MAX_HEADER_BYTES = 16 << 10;
--- a/sequoia-standins/src/test/java/org/sequoiahub/standins/WholePathTest.java
+++ b/sequoia-standins/src/test/java/org/sequoiahub/standins/WholePathTest.java
@@ -252,4 +252,84 @@
       assertThat(host.complete("{\"model\":\"soot\",\"prompt\":\"x\"}").getStatus()).isEqualTo(200);
     }
   }
+
+  @Nested
+  class LeavingAndStopping {
+
+    private ContentResponse ask() throws Exception {
+      return host.complete("{\"model\":\"soot\",\"prompt\":\"x\",\"max_tokens\":2}");
+    }
+
+    private void askUntil(int status) throws Exception {
+      for (int i = 0; i < 1_200 && ask().getStatus() != status; i++) {
+        Thread.sleep(50);
+      }
+      assertThat(ask().getStatus()).isEqualTo(status);
+    }
+
+    /**
+     * Symptom: requests on a runner that is about to be switched off.
+     *
+     * <p>Events: the host list says that the runner leaves; the adapter is loaded there; calls go
+     * on.
+     *
+     * <p>Cause guarded against: a list of runners that was copied when the adapter was placed.
+     */
+    @Test
+    void leavingRunnerGetsNoNewWork() throws Exception {
+      askUntil(200);
+      host.platform.hosts().state("runner-1", "leaving");
+      askUntil(503);
+      final long before = starts();
+      for (int i = 0; i < 20; i++) {
+        assertThat(verdict(ask())).isEqualTo("not-run");
+      }
+      assertThat(starts()).isEqualTo(before);
+      host.platform.hosts().state("runner-1", "live");
+      askUntil(200);
+    }
+
+    /**
+     * Symptom: a call sheet that breaks off when a host is replaced.
+     *
+     * <p>Events: entry and dispatcher are asked to stop while an answer is streaming.
+     *
+     * <p>Cause guarded against: closing connections before what runs on them has ended.
+     */
+    @Test
+    void gracefulStopLetsRunningAnswersEnd() throws Exception {
+      OneHost leaving = new OneHost();
+      leaving.complete("{\"model\":\"soot\",\"prompt\":\"x\",\"max_tokens\":1}");
+      final long before = leaving.engine.starts();
+      CompletableFuture<ContentResponse> answer =
+          CompletableFuture.supplyAsync(
+              () -> {
+                try {
+                  return leaving.complete(
+                      "{\"model\":\"soot\",\"prompt\":\"x\",\"max_tokens\":200}");
+                } catch (Exception e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      while (leaving.engine.starts() == before) {
+        Thread.sleep(5);
+      }
+      Thread stopping =
+          new Thread(
+              () -> {
+                try {
+                  leaving.dispatcher.close();
+                } catch (Exception e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      stopping.start();
+      leaving.entry.close();
+      stopping.join();
+      assertThat(text(answer.get(60, TimeUnit.SECONDS))).isEqualTo(OneHost.whole("soot@1", 200));
+      leaving.watcher.close();
+      leaving.http.stop();
+      leaving.platform.close();
+    }
+  }
 }
--- a/sequoia-watcher/src/main/java/org/sequoiahub/watcher/Watcher.java
+++ b/sequoia-watcher/src/main/java/org/sequoiahub/watcher/Watcher.java
@@ -24,7 +24,7 @@
 public final class Watcher implements AutoCloseable {
 
   private static final int RING = 4_096;
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
 
   private final Duty<WatcherEvent> duty;
   private final SourceReader configuration;
