A deadline that passes in the queue is told as not run, on the dispatcher's word

Cause: at the deadline the entry gave its own verdict, may-have-run, although the request was often still queued. Which of the two processes' ticks came first decided what the caller was told.

Ruled out: answering not-run without the dispatcher's word (it may have started a moment before).

Now the entry asks for a cancel at the deadline and leaves the dispatcher half a second to say that the request was queued (not-run) or not; no retry or resume starts after the deadline.

--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobDesk.java
@@ -369,7 +369,7 @@
     job.cancel();
     OwnedRunner owner = runners.owned(job.request().getRunner());
     if (owner != null && owner.controller().cancel(job.id())) {
-      finish(job, Outcomes.of(new NotRun("cancelled", "cancelled before it started", 0)));
+      finish(job, Outcomes.of(notStarted(job)));
     } else if (owner != null) {
       runners.settle(owner, nowMillis);
     } else {
@@ -379,6 +379,12 @@
     }
   }
 
+  private NotRun notStarted(Job job) {
+    return nowMillis >= job.asked().deadlineMillis()
+        ? new NotRun("deadline-passed", "the deadline passed while the request waited", 1)
+        : new NotRun("cancelled", "cancelled before it started", 0);
+  }
+
   /**
    * Gives a running request up without knowing that it stopped: its pin stays until that is known.
    */
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Flight.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Flight.java
@@ -37,6 +37,7 @@
   private @Nullable WireClient client;
   private long call;
   private boolean started;
+  private boolean cancelAsked;
   private @Nullable Verdict verdict;
 
   Flight(
@@ -136,6 +137,13 @@
     call = number;
   }
 
+  /** Returns true the first time only: one cancel is enough. */
+  boolean tryCancel() {
+    boolean first = !cancelAsked;
+    cancelAsked = true;
+    return first;
+  }
+
   /** Ends the present call: nothing more is wanted of it. */
   void endCall() {
     if (client != null) {
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/FlightDesk.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/FlightDesk.java
@@ -48,6 +48,7 @@
   private static final int OWNERS_TRIED = 3;
   private static final int MAX_RESUMES = 4;
   private static final long RETRY_AFTER_MILLIS = 1_000;
+  private static final long CONFIRM_MILLIS = 500;
   private static final Set<String> RUNNER_REFUSALS =
       Set.of("queue-full", "too-late", "runner-leaving", "adapter-not-loaded", "engine-refused");
   private static final Set<String> HOST_REFUSALS =
@@ -176,12 +177,14 @@
     for (Flight flight : List.copyOf(flights.values())) {
       if (flight.caller().reply().isBroken()) {
         callerGone(flight);
-      } else if (nowMillis >= flight.deadlineMillis()) {
+      } else if (nowMillis >= flight.deadlineMillis() + CONFIRM_MILLIS) {
         cancel(flight);
         finish(
             flight,
             flight.combine(new MayHaveRun("deadline-passed", "the deadline passed")),
             HttpStatus.GATEWAY_TIMEOUT_504);
+      } else if (nowMillis >= flight.deadlineMillis()) {
+        askToCancel(flight);
       }
     }
   }
@@ -346,7 +349,8 @@
    * inference changes nothing outside the engine, so a second run can do no harm.
    */
   private void retryRun(Flight flight, String reason) {
-    if (flight.delivered() > 0 || !budget.tryRetry()) {
+    boolean late = nowMillis >= flight.deadlineMillis();
+    if (flight.delivered() > 0 || late || !budget.tryRetry()) {
       Verdict verdict = flight.combine(new MayHaveRun(reason, "the request was lost; repeat it"));
       finish(flight, verdict, HttpStatus.BAD_GATEWAY_502);
       return;
@@ -358,7 +362,7 @@
 
   private void resume(Flight flight, String reason) {
     flight.countResume();
-    if (flight.resumes() > MAX_RESUMES) {
+    if (flight.resumes() > MAX_RESUMES || nowMillis >= flight.deadlineMillis()) {
       Verdict verdict = flight.combine(new MayHaveRun("stream-lost", reason));
       finish(flight, verdict, HttpStatus.BAD_GATEWAY_502);
       return;
@@ -381,11 +385,20 @@
     endSpan(flight, RunVerdict.MAY_HAVE_RUN, false);
   }
 
-  private void cancel(Flight flight) {
+  /**
+   * Asks the dispatcher to cancel, and leaves it a moment to say what became of the request. Only
+   * the dispatcher can tell that it was still queued; without its word a caller whose deadline
+   * passed would have to be told that the request may have run.
+   */
+  private void askToCancel(Flight flight) {
     WireClient client = flight.client();
-    if (client != null) {
+    if (client != null && flight.tryCancel()) {
       client.send(flight.call(), Envelope.newBuilder().setCancel(Cancel.getDefaultInstance()));
     }
+  }
+
+  private void cancel(Flight flight) {
+    askToCancel(flight);
     Runner runner = flight.runner();
     if (runner != null) {
       hints.ended(runner.id());
--- a/sequoia-standins/src/test/java/org/sequoiahub/standins/WholePathTest.java
+++ b/sequoia-standins/src/test/java/org/sequoiahub/standins/WholePathTest.java
@@ -181,6 +181,37 @@
       assertThat(response.getContentAsString()).doesNotContain("other@1:");
     }
 
+    /**
+     * Symptom: a caller whose request never started is told that it may have run.
+     *
+     * <p>Events: the adapter cannot be loaded; the request waits until its deadline passes.
+     *
+     * <p>Cause: the entry gave its own verdict at the deadline, without the dispatcher's word that
+     * the request was still queued.
+     */
+    @Test
+    void requestThatWaitedUntilItsDeadlineHasNotRun() throws Exception {
+      host.fault(host.engine.address(), "{\"load_failures\":100000}");
+      host.put(
+          "adapters/stuck",
+          "{\"schema\":1,\"adapter\":\"stuck\",\"version\":\"1\",\"base_model\":\"m1\"}");
+      ContentResponse response = late();
+      for (int i = 0; response.getStatus() == 404 && i < 600; i++) {
+        Thread.sleep(50);
+        response = late();
+      }
+      host.fault(host.engine.address(), "{\"load_failures\":0}");
+      assertThat(response.getStatus()).isEqualTo(504);
+      assertThat(verdict(response)).isEqualTo("not-run");
+    }
+
+    private ContentResponse late() throws Exception {
+      return host.post(
+          host.url("/v1/completions"),
+          "{\"model\":\"stuck\",\"prompt\":\"x\"}",
+          Map.of("Sequoia-Timeout-Ms", "1500"));
+    }
+
     @Test
     void duplicatesAreDropped() throws Exception {
       host.fault(host.engine.address(), "{\"duplicate\":true}");
@@ -199,7 +230,7 @@
      */
     @Test
     void silentConnectionIsReplacedAndTheAnswerIsWhole() throws Exception {
-      CompletableFuture<ContentResponse> answer =
+      final CompletableFuture<ContentResponse> answer =
           CompletableFuture.supplyAsync(
               () -> {
                 try {
@@ -301,7 +332,7 @@
       OneHost leaving = new OneHost();
       leaving.complete("{\"model\":\"soot\",\"prompt\":\"x\",\"max_tokens\":1}");
       final long before = leaving.engine.starts();
-      CompletableFuture<ContentResponse> answer =
+      final CompletableFuture<ContentResponse> answer =
           CompletableFuture.supplyAsync(
               () -> {
                 try {
