Claims are not given up while freshly started lease granters abstain

Cause: one run of bin/demo answered its first call, on the runner whose engine checks no fencing numbers, with no-authority: after a start of the whole fleet every granter abstains for one term (4 s), and claims were given up after three rounds, which is the same 4 s. All three hosts refused in turn.

Ruled out: a fault of the fallback order (the spans show all three hosts asked, 3.3 to 4.0 s each).

Now six rounds, two terms. The price: a host on the small side of a partition refuses such a runner's requests after 8 s instead of 4, as not run. The new test is red with three rounds by its fourth.

--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunner.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunner.java
@@ -11,7 +11,11 @@
 /** One runner that this dispatcher owns or claims: its decisions, its authority, its report. */
 final class OwnedRunner {
 
-  private static final int FAILED_ROUNDS_BEFORE_REFUSAL = 3;
+  /**
+   * Two terms of claims. Granters that were just started abstain for one term, so after a start of
+   * the whole fleet the first claims fail although nothing is wrong.
+   */
+  private static final int FAILED_ROUNDS_BEFORE_REFUSAL = 6;
 
   private Runner runner;
   private final RunnerController controller;
--- a/sequoia-dispatcher/src/test/java/org/sequoiahub/dispatcher/OwnedRunnerTest.java
+++ b/sequoia-dispatcher/src/test/java/org/sequoiahub/dispatcher/OwnedRunnerTest.java
@@ -40,6 +40,25 @@
     }
   }
 
+  /**
+   * Symptom: right after the whole fleet was started, a request is refused with no-authority.
+   *
+   * <p>Events: every lease granter has just started and abstains for one term, which is three
+   * rounds of claims; all three hosts that may have the runner refuse in turn.
+   *
+   * <p>Cause: claims were given up after as many rounds as the granters abstain for.
+   */
+  @Test
+  void claimsAreNotGivenUpWhileNewGrantersAbstain() {
+    for (int round = 0; round < 5; round++) {
+      owned.claimRoundStarted();
+      assertThat(owned.cannotGainAuthority()).isFalse();
+    }
+    owned.claimRoundStarted();
+    owned.claimRoundStarted();
+    assertThat(owned.cannotGainAuthority()).isTrue();
+  }
+
   @Test
   void wishToClaimLapses() {
     assertThat(owned.wishClaim(0, 4_000)).isTrue();
