Routing: a cache that nothing read is gone; an unpacked pool costs no decay

RunnerHints kept the wait for each adapter's load in a cache of 20,000 pairs, written with every answer and read by nothing since the two waits were told apart. Two comments were broken by the formatter.

Ruled out: changing what is chosen; nothing read either value.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/route/ActivePool.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/route/ActivePool.java
@@ -47,12 +47,12 @@
    * @param inFlight the estimated requests in flight in the whole pool
    */
   public List<Runner> active(String baseModel, List<Runner> pool, double inFlight, long nowMillis) {
-    double decay = Math.pow(0.5, (nowMillis - loadMillis) / SHRINK_HALF_LIFE_MILLIS);
-    load = Math.max(inFlight, inFlight + (load - inFlight) * decay);
-    loadMillis = nowMillis;
     if (leastShare == 1 || pool.isEmpty()) {
       return pool;
     }
+    double decay = Math.pow(0.5, (nowMillis - loadMillis) / SHRINK_HALF_LIFE_MILLIS);
+    load = Math.max(inFlight, inFlight + (load - inFlight) * decay);
+    loadMillis = nowMillis;
     int batch = pool.get(0).batch();
     int forLoad = (int) Math.ceil(load * HEADROOM / batch);
     int least = (int) Math.ceil(pool.size() * leastShare);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/route/RunnerHints.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/route/RunnerHints.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.fleet.Fleet.Runner;
 import org.sequoiahub.core.record.AdapterVersion;
 
@@ -25,8 +24,6 @@
   private final Map<String, Integer> inFlight = new HashMap<>();
   private final Cache<Pair, Long> residentSince =
       CacheBuilder.newBuilder().maximumSize(MAX_PAIRS).build();
-  private final Cache<Pair, Wait> loadWaits =
-      CacheBuilder.newBuilder().maximumSize(MAX_PAIRS).build();
 
   /** Takes in what a runner's owner said of a request for {@code adapter}. */
   public void heard(
@@ -35,11 +32,9 @@
     if (isResident) {
       residentSince.put(pair, nowMillis);
       waits.put(runner, new Wait(waitMillis, nowMillis));
-      loadWaits.invalidate(pair);
     } else {
+      // The wait for a load says nothing about adapters that are loaded there, so it is not kept.
       residentSince.invalidate(pair);
-      // The wait for a load says nothing about adapters that are loaded there.
-      loadWaits.put(pair, new Wait(waitMillis, nowMillis));
     }
   }
 
@@ -65,12 +60,10 @@
 
   /** Returns the last wait of loaded adapters heard of, decayed by its age, in milliseconds. */
   public double waitMillis(String runner, long nowMillis) {
-    return decayed(waits.get(runner), nowMillis);
-  }
-
-  /** Returns the last wait for a load of {@code adapter} heard of, decayed, in milliseconds. */
-  public double loadWaitMillis(String runner, AdapterVersion adapter, long nowMillis) {
-    return decayed(loadWaits.getIfPresent(new Pair(runner, adapter)), nowMillis);
+    Wait wait = waits.get(runner);
+    return wait == null
+        ? 0
+        : wait.millis * Math.pow(0.5, (nowMillis - wait.atMillis) / HALF_LIFE_MILLIS);
   }
 
   /**
@@ -84,12 +77,6 @@
     return since != null && nowMillis - since < RESIDENT_MILLIS;
   }
 
-  private static double decayed(@Nullable Wait wait, long nowMillis) {
-    return wait == null
-        ? 0
-        : wait.millis * Math.pow(0.5, (nowMillis - wait.atMillis) / HALF_LIFE_MILLIS);
-  }
-
   private record Wait(double millis, long atMillis) {}
 
   private record Pair(String runner, AdapterVersion adapter) {}
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runner/RunnerController.java
@@ -167,8 +167,7 @@
         slot.become(State.READY, nowMillis);
       }
       case FAILED -> {
-        // Only the next load waits. The engine may have refused because it holds the adapter
-        // already,
+        // Only the next load waits. The engine may have refused because it holds the adapter,
         // loaded by a former owner; the next report then shows it, and it must be taken into use.
         slots.remove(adapter);
         loadAgainFrom.put(adapter, nowMillis + (long) loadMillis);
@@ -348,8 +347,7 @@
     }
     if (slots.size() < slotCount) {
       pending.loadOrdered = true;
-      // A former owner that does not yet know of this term may start requests on what is loaded
-      // now.
+      // A former owner that does not know of this term yet may start requests on this adapter.
       boolean sole = nowMillis >= nothingArrivesSince(rights);
       long provenTerm = sole ? rights.term() : UNPROVEN;
       slots.put(adapter, new Slot(adapter, State.LOADING, provenTerm, nowMillis));
