--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/call/Generation.java
@@ -0,0 +1,37 @@
+package org.sequoiahub.core.call;
+
+import java.util.List;
+
+/**
+ * What a model request asks of a runner.
+ *
+ * @param model the base model
+ * @param adapter the adapter's name within the model, empty for the base model itself
+ * @param promptTokens length of the prompt
+ * @param maxOutputTokens most tokens to generate
+ * @param expectedOutputTokens the caller's guess of the output's length; the most if it made none
+ * @param parts the prompt's pieces in order; the last one is the request's or its session's own
+ */
+public record Generation(
+    String model,
+    String adapter,
+    int promptTokens,
+    int maxOutputTokens,
+    int expectedOutputTokens,
+    List<PromptPart> parts) {
+
+  /** Copies the list. */
+  public Generation {
+    parts = List.copyOf(parts);
+  }
+
+  /** Returns the model and the adapter as one name, such as {@code m0/a17}, or the model alone. */
+  public String target() {
+    return adapter.isEmpty() ? model : model + "/" + adapter;
+  }
+
+  /** Returns whether an adapter is needed. */
+  public boolean usesAdapter() {
+    return !adapter.isEmpty();
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
@@ -0,0 +1,33 @@
+package org.sequoiahub.core.dispatch;
+
+import org.sequoiahub.core.upstream.RunnerEntry;
+
+/**
+ * A runner that may get a request, with all that the choice depends on.
+ *
+ * @param runner the runner
+ * @param inFlight requests there now, from all hosts
+ * @param unreadAheadTokens prompt tokens of these that are still to be read
+ * @param unreadTokens prompt tokens of the request that are still to be read there
+ * @param adapterWaitMillis until the adapter can serve there; 0 if it does or none is needed
+ * @param present whether the model and the adapter are there or on their way
+ * @param roomForAdapter whether the adapter could be loaded at once
+ * @param ordered whether some host may order the runner now
+ * @param failureRate part of recent requests that failed there
+ * @param latencyMillis how long requests took there lately; 0 if unknown
+ * @param vanished whether its entry disappeared just now
+ * @param near whether it is in this host's failure domain
+ */
+public record Candidate(
+    RunnerEntry runner,
+    int inFlight,
+    long unreadAheadTokens,
+    int unreadTokens,
+    long adapterWaitMillis,
+    boolean present,
+    boolean roomForAdapter,
+    boolean ordered,
+    double failureRate,
+    double latencyMillis,
+    boolean vanished,
+    boolean near) {}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -0,0 +1,121 @@
+package org.sequoiahub.core.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What all hosts have in flight at the runners: this host's own to the last request, the others' as
+ * they told it last.
+ *
+ * <p>Runners' own figures are some hundred milliseconds old and don't know what was sent since;
+ * hosts that relied on them would all choose the same runner at the same moment.
+ */
+public final class FleetLoad {
+
+  /** What another host told is forgotten after this (ms): it is dead or cut off. */
+  private static final long MAX_AGE_MILLIS = 2_500;
+
+  private static final Use NONE = new Use(0, 0, Map.of());
+
+  private final Map<String, Told> others = new HashMap<>();
+  private final Map<String, Own> own = new HashMap<>();
+
+  /**
+   * What one host has in flight at one runner.
+   *
+   * @param requests requests sent, and those that wait for an adapter there
+   * @param unreadTokens prompt tokens of these that the runner has still to read
+   * @param adapters how many of the requests use each adapter
+   */
+  public record Use(int requests, long unreadTokens, Map<String, Integer> adapters) {
+    /** Copies the map. */
+    public Use {
+      adapters = Map.copyOf(adapters);
+    }
+  }
+
+  private record Told(Map<String, Use> uses, long toldMillis) {}
+
+  private static final class Own {
+    int requests;
+    long unreadTokens;
+    final Map<String, Integer> adapters = new HashMap<>();
+  }
+
+  /** Takes in what another host told; it replaces all that it told before. */
+  public void told(String host, Map<String, Use> uses, long nowMillis) {
+    others.put(host, new Told(Map.copyOf(uses), nowMillis));
+  }
+
+  /**
+   * Adds to this host's own part.
+   *
+   * @param requests 1 for a request that starts or waits there, -1 for one that ends, else 0
+   * @param tokens prompt tokens to be read, negative once they were
+   * @param target the adapter that the request uses; empty for none
+   */
+  public void add(String runner, int requests, long tokens, String target) {
+    Own use = own.computeIfAbsent(runner, id -> new Own());
+    use.requests += requests;
+    use.unreadTokens += tokens;
+    if (!target.isEmpty() && requests != 0) {
+      int left = use.adapters.merge(target, requests, Integer::sum);
+      if (left <= 0) {
+        use.adapters.remove(target);
+      }
+    }
+    if (use.requests == 0) {
+      own.remove(runner);
+    }
+  }
+
+  /** Returns how many requests are at a runner. */
+  public int requests(String runner, long nowMillis) {
+    int sum = own(runner).requests();
+    for (Told told : others.values()) {
+      sum += nowMillis - told.toldMillis < MAX_AGE_MILLIS ? use(told, runner).requests : 0;
+    }
+    return sum;
+  }
+
+  /** Returns how many prompt tokens a runner has still to read. */
+  public long unreadTokens(String runner, long nowMillis) {
+    long sum = own(runner).unreadTokens();
+    for (Told told : others.values()) {
+      sum += nowMillis - told.toldMillis < MAX_AGE_MILLIS ? use(told, runner).unreadTokens : 0;
+    }
+    return Math.max(0, sum);
+  }
+
+  /** Returns how many requests use an adapter at a runner or wait for it there. */
+  public int uses(String runner, String target, long nowMillis) {
+    int sum = own(runner).adapters().getOrDefault(target, 0);
+    for (Told told : others.values()) {
+      if (nowMillis - told.toldMillis < MAX_AGE_MILLIS) {
+        sum += use(told, runner).adapters.getOrDefault(target, 0);
+      }
+    }
+    return sum;
+  }
+
+  /** Returns how many requests this host itself has at a runner. */
+  public int ownRequests(String runner) {
+    return own(runner).requests();
+  }
+
+  /** Returns this host's own part, for the others. */
+  public Map<String, Use> own() {
+    Map<String, Use> copy = new HashMap<>();
+    own.keySet().forEach(runner -> copy.put(runner, own(runner)));
+    return copy;
+  }
+
+  private Use own(String runner) {
+    Own use = own.get(runner);
+    return use == null ? NONE : new Use(use.requests, Math.max(0, use.unreadTokens), use.adapters);
+  }
+
+  private static Use use(Told told, String runner) {
+    return told.uses.getOrDefault(runner, NONE);
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -0,0 +1,34 @@
+package org.sequoiahub.core.dispatch;
+
+/**
+ * What a choice of a runner weighs, all in milliseconds of expected delay.
+ *
+ * @param readTokensPerMilli prompt tokens that a runner reads in a millisecond
+ * @param slotWaitMillis wait for each request that is ahead beyond the runner's slots
+ * @param perRequestMillis how much each request that runs there slows the others
+ * @param noRoomMillis wait for a place when all adapters of a runner are in use
+ * @param unorderedMillis wait for a host that may order the runner
+ * @param failureMillis cost of a request that certainly fails
+ * @param vanishedMillis cost of a runner that may be gone
+ * @param farMillis cost of leaving the failure domain; bytes between domains are dear
+ * @param spreadMillis hosts that decide at the same moment agree within this margin
+ */
+public record PlacementSettings(
+    double readTokensPerMilli,
+    long slotWaitMillis,
+    double perRequestMillis,
+    long noRoomMillis,
+    long unorderedMillis,
+    long failureMillis,
+    long vanishedMillis,
+    long farMillis,
+    long spreadMillis) {
+
+  /**
+   * Reading speed from the users' sheets (38.7 and 38.4 tokens a millisecond, less a tenth for the
+   * steps between); the rest are the delays seen when the case occurs: half a second for a place, a
+   * lease and a half for a new holder.
+   */
+  public static final PlacementSettings DEFAULT =
+      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 20);
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PromptMemory.java
@@ -0,0 +1,74 @@
+package org.sequoiahub.core.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.call.PromptPart;
+
+/**
+ * What this host believes one runner keeps of prompts that it sent there.
+ *
+ * <p>A part is reused only for the same model and adapter and if all parts before it are kept too,
+ * so a part is known by everything up to its end. The least recently used parts yield.
+ */
+public final class PromptMemory {
+
+  private final long capacityTokens;
+  private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
+  private long tokens;
+
+  /**
+   * Creates an empty memory.
+   *
+   * @param capacityTokens how many tokens to believe in
+   */
+  public PromptMemory(long capacityTokens) {
+    checkArgument(capacityTokens > 0, "capacityTokens must be above 0, was %s", capacityTokens);
+    this.capacityTokens = capacityTokens;
+  }
+
+  /** Returns how many of the prompt's tokens the runner has probably still to read. */
+  public int unreadTokens(Generation generation) {
+    int known = 0;
+    StringBuilder key = new StringBuilder(generation.target());
+    for (PromptPart part : generation.parts()) {
+      key.append('|').append(part.id());
+      if (!parts.containsKey(key.toString())) {
+        break;
+      }
+      known += part.tokens();
+    }
+    return Math.max(0, generation.promptTokens() - known);
+  }
+
+  /** Records that the runner reads this prompt. */
+  public void read(Generation generation) {
+    StringBuilder key = new StringBuilder(generation.target());
+    for (PromptPart part : generation.parts()) {
+      key.append('|').append(part.id());
+      if (parts.put(key.toString(), part.tokens()) == null) {
+        tokens += part.tokens();
+      }
+    }
+    Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
+    while (tokens > capacityTokens && oldest.hasNext()) {
+      tokens -= oldest.next().getValue();
+      oldest.remove();
+    }
+  }
+
+  /** Forgets what was kept for a model or adapter that the runner dropped. */
+  public void drop(String target) {
+    Iterator<Map.Entry<String, Integer>> each = parts.entrySet().iterator();
+    while (each.hasNext()) {
+      Map.Entry<String, Integer> part = each.next();
+      if (part.getKey().startsWith(target + "|")) {
+        tokens -= part.getValue();
+        each.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Order.java
@@ -0,0 +1,25 @@
+package org.sequoiahub.core.holding;
+
+/**
+ * An order to a runner.
+ *
+ * @param operation what to do
+ * @param model the base model
+ * @param adapter the adapter, empty for the base model itself
+ * @param version the adapter's version to load; 0 for the newest
+ */
+public record Order(Operation operation, String model, String adapter, int version) {
+
+  /** What an order does. */
+  public enum Operation {
+    /** Loads a model or an adapter, or replaces the adapter's version. */
+    LOAD,
+    /** Drops a model or an adapter once no request uses it. */
+    UNLOAD
+  }
+
+  /** Returns model and adapter as one name. */
+  public String target() {
+    return adapter.isEmpty() ? model : model + "/" + adapter;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerReport.java
@@ -0,0 +1,20 @@
+package org.sequoiahub.core.holding;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A runner's own account of what it holds, some hundred milliseconds old.
+ *
+ * @param sequence orders that it accepted since its start
+ * @param busy whether an order for a base model is in progress
+ * @param models base models that it holds
+ * @param adapters adapters that it holds, as model/adapter, with their versions
+ * @param coming adapters on their way, with their versions
+ */
+public record RunnerReport(
+    long sequence,
+    boolean busy,
+    Set<String> models,
+    Map<String, Integer> adapters,
+    Map<String, Integer> coming) {}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -0,0 +1,390 @@
+package org.sequoiahub.core.holding;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.holding.Order.Operation;
+import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.routing.ModelSpec;
+
+/**
+ * What one runner holds, as known by the only host that orders it, and the next order to give.
+ *
+ * <p>A runner that is ordered to load more than it has places for crashes. So a place counts as
+ * taken from the sending of a load until an unload is confirmed or a report, sampled after the last
+ * uncertain order, shows it empty. Orders are given one at a time.
+ */
+public final class RunnerShelf {
+
+  /** Demand halves in this time (ms): popularity moves within seconds. */
+  private static final double HALF_LIFE_MILLIS = 4_000;
+
+  private final EngineSpec engine;
+  private final ShelfSettings settings;
+  private final Map<String, Item> items = new LinkedHashMap<>();
+  private final Set<String> models = new HashSet<>();
+  private final LinkedHashMap<String, Boolean> dropped = new LinkedHashMap<>();
+  private long sequence = -1;
+  private @Nullable Order outstanding;
+  private long uncertainMillis = Long.MIN_VALUE / 2;
+  private boolean uncertain = true;
+  private long modelOrderMillis = Long.MIN_VALUE / 2;
+
+  /** Creates a shelf of which nothing is known until {@link #adopt}. */
+  public RunnerShelf(EngineSpec engine, ShelfSettings settings) {
+    this.engine = requireNonNull(engine, "engine must not be null");
+    this.settings = requireNonNull(settings, "settings must not be null");
+  }
+
+  private enum State {
+    COMING,
+    READY,
+    LEAVING
+  }
+
+  private static final class Item {
+    final String target;
+    final int version;
+    State state;
+    long readyMillis;
+    long usedMillis;
+    double demand;
+    long demandMillis;
+
+    Item(String target, int version, State state, long readyMillis, long nowMillis) {
+      this.target = target;
+      this.version = version;
+      this.state = state;
+      this.readyMillis = readyMillis;
+      this.usedMillis = nowMillis;
+      this.demandMillis = nowMillis;
+    }
+
+    void used(int requests, long nowMillis) {
+      double decay = Math.pow(0.5, (nowMillis - demandMillis) / HALF_LIFE_MILLIS);
+      demand = demand * decay + requests * (nowMillis - demandMillis) / HALF_LIFE_MILLIS;
+      demandMillis = nowMillis;
+      if (requests > 0) {
+        usedMillis = nowMillis;
+      }
+    }
+  }
+
+  /** Returns whether a report is needed before further orders, and would be new enough now. */
+  public boolean reportDue(long nowMillis) {
+    return uncertain
+        && outstanding == null
+        && nowMillis - uncertainMillis >= settings.reportAgeMillis();
+  }
+
+  /** Takes in a report that was asked for when {@link #reportDue} held. */
+  public void adopt(RunnerReport report, long nowMillis) {
+    sequence = report.sequence();
+    models.clear();
+    models.addAll(report.models());
+    Map<String, Item> former = new LinkedHashMap<>(items);
+    items.clear();
+    report
+        .adapters()
+        .forEach((target, version) -> adopt(former, target, version, State.READY, nowMillis));
+    report
+        .coming()
+        .forEach((target, version) -> adopt(former, target, version, State.COMING, nowMillis));
+    boolean leaving = false;
+    for (Item item : former.values()) {
+      Item still = items.get(item.target);
+      if (still == null) {
+        remember(item.target);
+      } else if (item.state == State.LEAVING) {
+        still.state = State.LEAVING;
+        leaving = true;
+      }
+    }
+    // While a drop waits for its requests, or a model loads, only reports tell when it is done.
+    uncertain = leaving || report.busy();
+    uncertainMillis = nowMillis;
+  }
+
+  private void adopt(
+      Map<String, Item> former, String target, int version, State state, long nowMillis) {
+    Item before = former.get(target);
+    long ready = state == State.COMING ? nowMillis + settings.loadMillis() : nowMillis;
+    Item item = new Item(target, version, state, ready, nowMillis);
+    if (before != null) {
+      item.usedMillis = before.usedMillis;
+      item.demand = before.demand;
+      item.demandMillis = before.demandMillis;
+    }
+    items.put(target, item);
+  }
+
+  /**
+   * Returns the order to give now.
+   *
+   * @param wishes what requests wait for, at this runner
+   * @param uses how many requests of all hosts use an adapter here
+   * @param newest the newest published version of an adapter, 0 if none was published
+   * @param transitElsewhere adapters on their way to other runners
+   */
+  public Optional<Order> next(
+      Collection<Wish> wishes,
+      ToIntFunction<String> uses,
+      ToIntFunction<String> newest,
+      int transitElsewhere,
+      long nowMillis) {
+    settle(uses, nowMillis);
+    if (outstanding != null || uncertain) {
+      return Optional.empty();
+    }
+    Optional<Order> outdated = outdated(newest);
+    if (outdated.isPresent()) {
+      return outdated;
+    }
+    List<Wish> ordered = new ArrayList<>(wishes);
+    ordered.sort(Comparator.comparingInt(Wish::priority).thenComparingInt(wish -> -wish.waiting()));
+    for (Wish wish : ordered) {
+      Optional<Order> order = serve(wish, ordered, uses, newest, nowMillis);
+      if (order.isPresent()) {
+        return order;
+      }
+    }
+    return models.isEmpty()
+        ? loadModel(engine.models().get(0).name(), nowMillis)
+        : Optional.empty();
+  }
+
+  private void settle(ToIntFunction<String> uses, long nowMillis) {
+    for (Item item : items.values()) {
+      item.used(uses.applyAsInt(item.target), nowMillis);
+      if (item.state == State.COMING && nowMillis >= item.readyMillis) {
+        item.state = State.READY;
+      }
+    }
+  }
+
+  private Optional<Order> outdated(ToIntFunction<String> newest) {
+    for (Item item : items.values()) {
+      if (item.state == State.READY && item.version < newest.applyAsInt(item.target)) {
+        return Optional.of(order(Operation.UNLOAD, item.target, 0));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Order> serve(
+      Wish wish,
+      List<Wish> wishes,
+      ToIntFunction<String> uses,
+      ToIntFunction<String> newest,
+      long nowMillis) {
+    if (!models.contains(wish.model())) {
+      return loadModel(wish.model(), nowMillis);
+    }
+    if (wish.adapter().isEmpty() || items.containsKey(wish.target())) {
+      return Optional.empty();
+    }
+    long coming = items.values().stream().filter(item -> item.state == State.COMING).count();
+    if (coming >= settings.transitPerRunner()) {
+      return Optional.empty();
+    }
+    if (hasRoom(wish.model())) {
+      return Optional.of(order(Operation.LOAD, wish.target(), newest.applyAsInt(wish.target())));
+    }
+    return leastWorth(wishes, uses, nowMillis).map(item -> order(Operation.UNLOAD, item.target, 0));
+  }
+
+  private boolean hasRoom(String model) {
+    if (items.size() >= engine.adapterSlots()) {
+      return false;
+    }
+    double used = 0;
+    for (String held : models) {
+      used += spec(held).map(ModelSpec::weightsMb).orElse(0.0);
+    }
+    for (Item item : items.values()) {
+      used += spec(modelOf(item.target)).map(ModelSpec::adapterMb).orElse(0.0);
+    }
+    return used + spec(model).map(ModelSpec::adapterMb).orElse(0.0) <= engine.weightsMb();
+  }
+
+  private Optional<Item> leastWorth(List<Wish> wishes, ToIntFunction<String> uses, long nowMillis) {
+    Set<String> wished = new HashSet<>();
+    wishes.forEach(wish -> wished.add(wish.target()));
+    return items.values().stream()
+        .filter(item -> item.state == State.READY && !wished.contains(item.target))
+        .filter(item -> uses.applyAsInt(item.target) == 0)
+        .filter(item -> nowMillis - item.usedMillis >= settings.idleMillis())
+        .min(
+            Comparator.comparingDouble((Item item) -> item.demand)
+                .thenComparingLong(item -> item.usedMillis));
+  }
+
+  /**
+   * Loads a model if its weights fit. Models are not swapped for each other: a swap costs seconds
+   * and a scarce load, and a runner that holds one serves it meanwhile.
+   */
+  private Optional<Order> loadModel(String model, long nowMillis) {
+    double used = 0;
+    for (String held : models) {
+      used += spec(held).map(ModelSpec::weightsMb).orElse(0.0);
+    }
+    Optional<ModelSpec> wanted = spec(model);
+    boolean recent = nowMillis - modelOrderMillis < settings.modelRetryMillis();
+    if (models.contains(model) || wanted.isEmpty() || recent) {
+      return Optional.empty();
+    }
+    if (used + wanted.get().weightsMb() > engine.weightsMb()) {
+      return Optional.empty();
+    }
+    return Optional.of(new Order(Operation.LOAD, model, "", 0));
+  }
+
+  /** Records that an order is being sent. */
+  public void sent(Order order, long nowMillis) {
+    outstanding = order;
+    if (order.adapter().isEmpty()) {
+      modelOrderMillis = nowMillis;
+    } else if (order.operation() == Operation.LOAD) {
+      long ready = nowMillis + settings.loadMillis();
+      items.put(
+          order.target(),
+          new Item(order.target(), Math.max(1, order.version()), State.COMING, ready, nowMillis));
+    } else {
+      Item item = items.get(order.target());
+      if (item != null) {
+        item.state = State.LEAVING;
+      }
+    }
+  }
+
+  /** Records the reply to the order that was sent last. */
+  public void replied(Order order, OrderReply reply, int transitElsewhere, long nowMillis) {
+    if (!order.equals(outstanding)) {
+      return;
+    }
+    outstanding = null;
+    switch (reply) {
+      case ACCEPTED, DONE -> accepted(order, reply, transitElsewhere, nowMillis);
+      default -> {
+        uncertain = true;
+        uncertainMillis = nowMillis;
+      }
+    }
+  }
+
+  private void accepted(Order order, OrderReply reply, int transitElsewhere, long nowMillis) {
+    boolean changed = reply == OrderReply.ACCEPTED || order.operation() == Operation.UNLOAD;
+    sequence += changed ? 1 : 0;
+    if (order.adapter().isEmpty()) {
+      uncertain = true;
+      uncertainMillis = nowMillis;
+      return;
+    }
+    Item item = items.get(order.target());
+    if (item == null) {
+      return;
+    }
+    if (order.operation() == Operation.LOAD) {
+      item.readyMillis = nowMillis + (changed ? loadMillis(order.target(), transitElsewhere) : 0);
+      dropped.remove(order.target());
+    } else if (reply == OrderReply.DONE) {
+      items.remove(order.target());
+      remember(order.target());
+    } else {
+      uncertain = true;
+      uncertainMillis = nowMillis;
+    }
+  }
+
+  /** Returns how long an adapter is expected to take if its load starts now. */
+  public long loadMillis(String target, int transitElsewhere) {
+    if (dropped.containsKey(target)) {
+      return settings.reloadMillis();
+    }
+    int transit = transitElsewhere + coming();
+    return settings.loadMillis()
+        * Math.max(transit, settings.freeTransit())
+        / settings.freeTransit();
+  }
+
+  /** Records that a runner refused a request for an adapter that should be there. */
+  public void missing(String target, long againMillis) {
+    Item item = items.get(target);
+    if (item != null && item.state != State.LEAVING) {
+      item.state = State.COMING;
+      item.readyMillis = Math.max(item.readyMillis, againMillis);
+    }
+  }
+
+  private void remember(String target) {
+    dropped.put(target, true);
+    while (dropped.size() > settings.remembered()) {
+      dropped.remove(dropped.keySet().iterator().next());
+    }
+  }
+
+  /** Returns how many adapters are on their way. */
+  public int coming() {
+    return (int) items.values().stream().filter(item -> item.state == State.COMING).count();
+  }
+
+  /** Returns the adapters that serve requests or soon will. */
+  public List<HeldItem> held() {
+    List<HeldItem> held = new ArrayList<>();
+    for (Item item : items.values()) {
+      if (item.state != State.LEAVING) {
+        held.add(new HeldItem(item.target, item.version, item.readyMillis));
+      }
+    }
+    return held;
+  }
+
+  /** Returns the base models that the runner holds. */
+  public Set<String> models() {
+    return Set.copyOf(models);
+  }
+
+  /** Returns how many places are empty or could be emptied at once. */
+  public int freePlaces(ToIntFunction<String> uses) {
+    int taken = 0;
+    for (Item item : items.values()) {
+      boolean idle = item.state == State.READY && uses.applyAsInt(item.target) == 0;
+      taken += idle ? 0 : 1;
+    }
+    return Math.max(0, engine.adapterSlots() - taken);
+  }
+
+  /** Returns the number of orders that the runner has accepted; negative if not known. */
+  public long sequence() {
+    return sequence;
+  }
+
+  /** Returns whether the runner's state is known and no order is under way. */
+  public boolean isSettled() {
+    return !uncertain && outstanding == null;
+  }
+
+  private Optional<ModelSpec> spec(String model) {
+    return engine.models().stream().filter(spec -> spec.name().equals(model)).findFirst();
+  }
+
+  private static Order order(Operation operation, String target, int version) {
+    String model = modelOf(target);
+    return new Order(operation, model, target.substring(model.length() + 1), version);
+  }
+
+  private static String modelOf(String target) {
+    int slash = target.indexOf('/');
+    return slash < 0 ? target : target.substring(0, slash);
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
@@ -0,0 +1,17 @@
+package org.sequoiahub.core.holding;
+
+/**
+ * Requests that wait for an adapter or a model at one runner.
+ *
+ * @param model the base model
+ * @param adapter the adapter, empty for the model itself
+ * @param waiting how many requests wait
+ * @param priority the most urgent one's priority, 0 first
+ */
+public record Wish(String model, String adapter, int waiting, int priority) {
+
+  /** Returns model and adapter as one name. */
+  public String target() {
+    return adapter.isEmpty() ? model : model + "/" + adapter;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
@@ -0,0 +1,150 @@
+package org.sequoiahub.core.upstream;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The runners as the store publishes them, merged from whole readings, single changes and what
+ * other hosts pass on.
+ *
+ * <p>For each runner the newest store revision wins, wherever it came from, so a reading that is
+ * late or stale never brings a runner back that has left since.
+ */
+public final class RunnerBook {
+
+  /**
+   * How long a runner whose entry vanished is still used when nothing better is there (ms). Entries
+   * also vanish while the store is away and come back within 2 s of its return; without this grace
+   * a store that lost all entries would leave a host with no runner at all. Half of the shortest
+   * time that operators give for emptying a runner (2 s), which leaves the other half for reading.
+   */
+  public static final long VANISHED_GRACE_MILLIS = 1_000;
+
+  private final Map<String, Known> known = new HashMap<>();
+  private long revision;
+
+  /** A change of one runner. */
+  public record Change(String id, long revision, @Nullable RunnerEntry entry) {}
+
+  /** Returns the store revision up to which this book is complete. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Takes in one change; returns whether it is news. */
+  public boolean apply(Change change, long nowMillis) {
+    Known current = known.get(change.id);
+    if (current != null && current.revision >= change.revision) {
+      return false;
+    }
+    RunnerEntry entry = change.entry;
+    if (entry == null) {
+      if (current == null) {
+        known.put(change.id, new Known(change.revision, null, nowMillis, Long.MAX_VALUE));
+        return false;
+      }
+      known.put(
+          change.id, new Known(change.revision, current.entry, nowMillis, current.goneAtMillis));
+      return true;
+    }
+    long goneAt =
+        entry.remainingMillis() >= 0 ? nowMillis + entry.remainingMillis() : Long.MAX_VALUE;
+    if (current != null) {
+      goneAt = Math.min(goneAt, current.goneAtMillis);
+    }
+    known.put(change.id, new Known(change.revision, entry, -1, goneAt));
+    return true;
+  }
+
+  /** Records that all changes up to {@code upTo} have been applied. */
+  public void completeTo(long upTo) {
+    revision = Math.max(revision, upTo);
+  }
+
+  /** Takes in a whole reading at {@code atRevision}: what it lacks has left. */
+  public void replace(Collection<Change> entries, long atRevision, long nowMillis) {
+    if (atRevision < revision) {
+      return;
+    }
+    Set<String> present = new HashSet<>();
+    for (Change entry : entries) {
+      present.add(entry.id);
+      apply(entry, nowMillis);
+    }
+    for (String id : List.copyOf(known.keySet())) {
+      Known current = known.get(id);
+      if (current != null
+          && !present.contains(id)
+          && current.vanishedMillis < 0
+          && current.revision <= atRevision) {
+        apply(new Change(id, atRevision, null), nowMillis);
+      }
+    }
+    completeTo(atRevision);
+  }
+
+  /** Returns the runners that may be given new requests, those that vanished just now included. */
+  public List<RunnerEntry> usable(long nowMillis) {
+    List<RunnerEntry> usable = new ArrayList<>();
+    for (Known runner : known.values()) {
+      RunnerEntry entry = runner.entry;
+      if (entry != null
+          && !entry.leaving()
+          && nowMillis < runner.goneAtMillis
+          && (runner.vanishedMillis < 0
+              || nowMillis - runner.vanishedMillis < VANISHED_GRACE_MILLIS)) {
+        usable.add(entry);
+      }
+    }
+    return usable;
+  }
+
+  /** Returns whether a runner's entry vanished. */
+  public boolean vanished(String id) {
+    Known runner = known.get(id);
+    return runner == null || runner.vanishedMillis >= 0;
+  }
+
+  /** Returns a runner's latest entry, also if it is leaving or vanished. */
+  public Optional<RunnerEntry> find(String id) {
+    Known runner = known.get(id);
+    return Optional.ofNullable(runner == null ? null : runner.entry);
+  }
+
+  /** Returns all that is known, for another host. */
+  public List<Change> changes() {
+    List<Change> changes = new ArrayList<>();
+    known.forEach(
+        (id, runner) ->
+            changes.add(
+                new Change(id, runner.revision, runner.vanishedMillis < 0 ? runner.entry : null)));
+    return changes;
+  }
+
+  /** Forgets runners that vanished long ago. */
+  public void forget(long nowMillis, long afterMillis) {
+    known
+        .values()
+        .removeIf(
+            runner ->
+                runner.vanishedMillis >= 0 && nowMillis - runner.vanishedMillis > afterMillis);
+  }
+
+  /**
+   * One runner.
+   *
+   * @param revision the store revision of the latest change
+   * @param entry its latest entry
+   * @param vanishedMillis when its entry vanished; negative if it is there
+   * @param goneAtMillis when it said that it will be gone
+   */
+  private record Known(
+      long revision, @Nullable RunnerEntry entry, long vanishedMillis, long goneAtMillis) {}
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -0,0 +1,469 @@
+package org.sequoiahub.node;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.member.MemberSettings;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.retry.SharedRetryBudget;
+import org.sequoiahub.core.routing.CallerLimits;
+import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.upstream.RunnerBook;
+import org.sequoiahub.node.call.CallDesk;
+import org.sequoiahub.node.call.FleetView;
+import org.sequoiahub.node.caller.CallerDoor;
+import org.sequoiahub.node.holder.HolderDesk;
+import org.sequoiahub.node.peer.DatagramPort;
+import org.sequoiahub.node.peer.PeerDesk;
+import org.sequoiahub.node.peer.RecordExchange;
+import org.sequoiahub.node.peer.StateCodec;
+import org.sequoiahub.node.store.StoreDesk;
+import org.sequoiahub.node.store.StoreFollower;
+import org.sequoiahub.node.upstream.UpstreamClient;
+import org.sequoiahub.runtime.duty.Duty;
+import org.sequoiahub.runtime.duty.MonotonicClock;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.AdapterDemand;
+import org.sequoiahub.schema.peer.AdapterWish;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.schema.settings.NodeSettings;
+import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.usersplatform.HostSettings;
+import org.sequoiahub.usersplatform.OrderClient;
+import org.sequoiahub.usersplatform.RecordDecoder;
+import org.sequoiahub.usersplatform.SettingsFile;
+import org.sequoiahub.usersplatform.StoreClient;
+import org.sequoiahub.usersplatform.StoredItem;
+import org.sequoiahub.usersplatform.StoredKeys;
+import org.sequoiahub.wire.WireClients;
+import org.sequoiahub.wire.WireConnection;
+import org.sequoiahub.wire.WireServer;
+import org.sequoiahub.wire.WireThreads;
+
+/**
+ * A running host: its ports, its clients, and the one thread that decides.
+ *
+ * <p>Network threads hand everything that takes a decision to that thread through a bounded ring;
+ * only the pieces of a stream go straight from the runner's connection to the caller's.
+ */
+public final class Node {
+
+  private static final int RING = 65_536;
+
+  /** The decision thread looks after what is due this often (ms). */
+  private static final long TICK_MILLIS = 10;
+
+  /** Leases, orders and the store are looked after this often (ms). */
+  private static final long SLOW_TICK_MILLIS = 20;
+
+  /** Wishes for adapters are told to their runners' holders again this often (ms). */
+  private static final long WISH_PERIOD_MILLIS = 60;
+
+  /** A connection between hosts that answers no probe for this long is dropped (ms). */
+  private static final long SILENCE_MILLIS = 1_500;
+
+  /** How long the store may hold a watch of the operators' records (ms). */
+  private static final long OPERATOR_WAIT_MILLIS = 4_000;
+
+  /**
+   * Watches of the runners start this far apart (ms): runners write all the time, each call has a
+   * price, and one that leaves must be known within the 2 s that it goes on serving.
+   */
+  private static final long RUNNER_SPACING_MILLIS = 600;
+
+  private static final long RUNNER_WAIT_MILLIS = 1_000;
+
+  /** Runners that vanished this long ago are forgotten (ms). */
+  private static final long FORGET_MILLIS = 60_000;
+
+  /** After the request to stop, new requests are still taken for this part of the time. */
+  private static final double TAKE_PART = 0.45;
+
+  /** The process ends after this part of the time until the kill, whatever is in progress. */
+  private static final double END_PART = 0.92;
+
+  private static final int ANSWER_ADDRESSES = 64;
+
+  private final HostSettings host;
+  private final NodeSettings own;
+  private final EventLog log;
+  private final Random random = new Random(new SecureRandom().nextLong());
+  private final EventLoopGroup network = WireThreads.one("peers");
+  private final HttpClient storeHttp;
+  private final HttpClient runnerHttp;
+  private final Duty<Runnable> duty;
+  private final Members<HostState> members;
+  private final Holdings holdings = new Holdings();
+  private final FleetLoad loads = new FleetLoad();
+  private final RunnerBook book = new RunnerBook();
+  private final StoreDesk store;
+  private final StoreFollower operators;
+  private final StoreFollower runners;
+  private final FleetView fleet;
+  private final CallDesk calls;
+  private final HolderDesk holder;
+  private final PeerDesk peers;
+  private final RecordExchange exchange;
+  private final CallerDoor door;
+  private final DatagramPort datagrams;
+  private final WireServer wireServer;
+  private final WireClients wireClients;
+  private volatile CallerLimits limits = CallerLimits.UNKNOWN;
+  private volatile boolean ready;
+  private volatile boolean leaving;
+  private volatile List<String> addresses = List.of();
+  private long slowTickMillis;
+  private long wishedMillis;
+
+  private Node(HostSettings host, NodeSettings own) throws Exception {
+    this.host = host;
+    this.own = own;
+    this.log = new EventLog("node", host.host());
+    this.members = new Members<>(host.host(), MemberSettings.DEFAULT);
+    this.storeHttp = UpstreamClient.start();
+    this.runnerHttp = UpstreamClient.start();
+    this.duty =
+        new Duty<>(
+            "decisions",
+            RING,
+            TICK_MILLIS,
+            Runnable::run,
+            this::tick,
+            this::defect,
+            MonotonicClock.SYSTEM);
+    RecordDecoder decoder = new RecordDecoder();
+    this.store = new StoreDesk(decoder, book, this::inForce, this::changed, log);
+    StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
+    this.operators = follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0);
+    this.runners =
+        follower(storeClient, StoredKeys.RUNNER_PREFIX, RUNNER_WAIT_MILLIS, RUNNER_SPACING_MILLIS);
+    this.fleet =
+        new FleetView(
+            book,
+            holdings,
+            loads,
+            host.failureDomain(),
+            (name, now) -> name.equals(host.host()) || members.isSound(name, now),
+            now -> 1 + members.reachable(now).size(),
+            store::newestVersion,
+            this::missing);
+    SharedRetryBudget budget =
+        new SharedRetryBudget(host.retryRatio(), host.retryAllowance(), host.retryWindowMillis());
+    this.calls =
+        new CallDesk(
+            fleet,
+            new UpstreamClient(runnerHttp),
+            budget,
+            duty::put,
+            MonotonicClock.SYSTEM::nowMillis,
+            this::changed,
+            random,
+            log);
+    this.datagrams =
+        DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
+    this.peers =
+        new PeerDesk(
+            host,
+            System.currentTimeMillis(),
+            members,
+            datagrams::send,
+            this::ownState,
+            this::stateOf,
+            random,
+            log);
+    this.holder =
+        new HolderDesk(
+            host,
+            members,
+            holdings,
+            loads,
+            new OrderClient(runnerHttp, decoder),
+            peers::datagram,
+            datagrams::send,
+            duty::put,
+            MonotonicClock.SYSTEM::nowMillis,
+            System::currentTimeMillis,
+            store::newestVersion,
+            peers::changed,
+            log);
+    this.wireClients = new WireClients(network, SILENCE_MILLIS);
+    this.exchange =
+        new RecordExchange(wireClients, host.peerPort(), items -> duty.put(() -> passedOn(items)));
+    this.wireServer =
+        WireServer.open(network, host.ip(), host.peerPort(), SILENCE_MILLIS, new PeerHandler());
+    this.door =
+        new CallerDoor(
+            host.ip(),
+            host.callerPort(),
+            host.readinessPort(),
+            host.addressPort(),
+            Math.min(own.getAddressTtlMs(), host.addressTtlMillis()),
+            () -> addresses,
+            () -> ready && !leaving,
+            () -> limits,
+            request -> duty.put(() -> calls.arrived(request)));
+  }
+
+  /**
+   * Starts a host's program.
+   *
+   * @param settingsFile path of the platform's settings file
+   * @throws IOException if the file cannot be used or a port cannot be opened
+   */
+  public static Node start(NodeSettings own, String settingsFile) throws Exception {
+    HostSettings host;
+    try {
+      host = SettingsFile.read(Path.of(settingsFile));
+    } catch (SettingsFile.InvalidSettingsException e) {
+      throw new IOException("settings file " + settingsFile + ": " + e.getMessage(), e);
+    }
+    Node node = new Node(host, own);
+    node.duty.start();
+    node.door.start();
+    Signals.onHangup(() -> node.log.info("settings-signal"));
+    node.log.info(
+        "started",
+        "domain",
+        host.failureDomain(),
+        "first_start",
+        host.firstStart(),
+        "seeds",
+        host.seeds().size());
+    return node;
+  }
+
+  /** Leaves the fleet, finishes what is in progress, and stops. */
+  public void stop() throws Exception {
+    long stopMillis = MonotonicClock.SYSTEM.nowMillis();
+    leaving = true;
+    log.info("stopping");
+    duty.put(
+        () -> {
+          long now = MonotonicClock.SYSTEM.nowMillis();
+          refreshAddresses(now);
+          holder.stop();
+          peers.tellAll(now);
+          calls.stop();
+        });
+    long takeUntil = stopMillis + (long) (host.shutdownMillis() * TAKE_PART);
+    long end = stopMillis + (long) (host.shutdownMillis() * END_PART);
+    boolean idle = false;
+    while (MonotonicClock.SYSTEM.nowMillis() < end && !idle) {
+      TimeUnit.MILLISECONDS.sleep(50);
+      idle = MonotonicClock.SYSTEM.nowMillis() > takeUntil && inProgress() == 0;
+    }
+    log.info("stopped", "in_progress", inProgress());
+  }
+
+  private int inProgress() throws InterruptedException {
+    int[] count = new int[1];
+    CountDownLatch counted = new CountDownLatch(1);
+    duty.put(
+        () -> {
+          count[0] = calls.size();
+          counted.countDown();
+        });
+    counted.await();
+    return count[0];
+  }
+
+  private StoreFollower follower(
+      StoreClient client, String prefix, long waitMillis, long spacingMillis) {
+    return new StoreFollower(
+        client,
+        prefix,
+        waitMillis,
+        spacingMillis,
+        store,
+        duty::put,
+        MonotonicClock.SYSTEM::nowMillis);
+  }
+
+  private void tick(long nowMillis) {
+    calls.tick(nowMillis);
+    passWishes(nowMillis);
+    if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
+      slowTickMillis = nowMillis;
+      operators.tick(nowMillis);
+      runners.tick(nowMillis);
+      holder.tick(fleet.engines(nowMillis), nowMillis);
+      refreshAddresses(nowMillis);
+      members.forget(nowMillis);
+      book.forget(nowMillis, FORGET_MILLIS);
+    }
+    peers.tick(nowMillis);
+  }
+
+  private void changed() {
+    peers.changed();
+  }
+
+  private void missing(String runner, String target, long againMillis) {
+    holder.missing(runner, target, againMillis);
+  }
+
+  private void inForce(RoutingTable table) {
+    fleet.table(table);
+    limits = table.limits();
+    door.apply(table.limits());
+  }
+
+  private void refreshAddresses(long nowMillis) {
+    ready = fleet.table().isPresent() && book.revision() > 0;
+    List<String> present = new ArrayList<>();
+    if (ready && !leaving) {
+      present.add(host.ip() + ":" + host.callerPort());
+    }
+    for (Member<HostState> member : members.alive(nowMillis)) {
+      HostState state = member.state();
+      if (state != null && state.getReady() && present.size() < ANSWER_ADDRESSES) {
+        present.add(state.getCallerAddress());
+      }
+    }
+    addresses = List.copyOf(present);
+  }
+
+  /** Tells the holders of runners what requests of this host wait for. */
+  private void passWishes(long nowMillis) {
+    Map<String, List<Wish>> wishes = calls.wishes();
+    boolean due = nowMillis - wishedMillis >= WISH_PERIOD_MILLIS;
+    if (due) {
+      wishedMillis = nowMillis;
+    }
+    holder.localWishes(wishes, nowMillis);
+    if (!due || wishes.isEmpty()) {
+      return;
+    }
+    Map<String, AdapterDemand.Builder> byHost = new HashMap<>();
+    wishes.forEach(
+        (runner, list) ->
+            holdings
+                .find(runner)
+                .filter(holding -> !holding.host().equals(host.host()))
+                .ifPresent(
+                    holding ->
+                        list.forEach(
+                            wish ->
+                                byHost
+                                    .computeIfAbsent(
+                                        holding.host(), name -> AdapterDemand.newBuilder())
+                                    .addWishes(StateCodec.encode(runner, wish)))));
+    byHost.forEach(
+        (name, demand) ->
+            members
+                .find(name)
+                .ifPresent(
+                    member ->
+                        datagrams.send(
+                            member.ip(),
+                            peers.datagram().setDemand(demand).build().toByteArray())));
+  }
+
+  private void datagram(String ip, PeerDatagram datagram) {
+    duty.offer(() -> received(ip, datagram));
+  }
+
+  private void received(String ip, PeerDatagram datagram) {
+    long now = MonotonicClock.SYSTEM.nowMillis();
+    String from = datagram.getHost();
+    switch (datagram.getBodyCase()) {
+      case STATE -> peers.received(ip, datagram, now);
+      case CLAIM -> holder.claimed(from, ip, datagram.getClaim(), now);
+      case GRANT -> holder.granted(from, datagram.getGrant(), now);
+      case RELEASE -> holder.released(from, datagram.getRelease());
+      case DEMAND -> {
+        for (AdapterWish wish : datagram.getDemand().getWishesList()) {
+          holder.remoteWish(from, wish.getRunner(), StateCodec.decode(wish), now);
+        }
+      }
+      case BODY_NOT_SET -> log.warning("datagram-dropped", "from", from, "why", "unknown body");
+    }
+  }
+
+  private void stateOf(String from, HostState state) {
+    long now = MonotonicClock.SYSTEM.nowMillis();
+    loads.told(from, StateCodec.uses(state), now);
+    StateCodec.holdings(from, state, now).forEach(holdings::told);
+    boolean behind = state.getConfigRevision() > store.newestOperatorRevision();
+    boolean runnersBehind = !runners.isReachable() && state.getRunnersRevision() > book.revision();
+    if (behind || runnersBehind) {
+      Optional<Member<HostState>> member = members.find(from);
+      member.ifPresent(
+          m -> exchange.pull(m.ip(), store.newestOperatorRevision(), book.revision(), now));
+    }
+  }
+
+  private void passedOn(List<StoredItem> items) {
+    long now = MonotonicClock.SYSTEM.nowMillis();
+    int news = 0;
+    for (StoredItem item : items) {
+      news += store.passedOn(item, now) ? 1 : 0;
+    }
+    if (news > 0) {
+      log.info("records-from-peer", "news", news);
+      changed();
+    }
+  }
+
+  private HostState.Builder ownState() {
+    long now = MonotonicClock.SYSTEM.nowMillis();
+    HostState.Builder state =
+        HostState.newBuilder()
+            .setIp(host.ip())
+            .setFailureDomain(host.failureDomain())
+            .setCallerAddress(host.ip() + ":" + host.callerPort())
+            .setReady(ready && !leaving)
+            .setLeaving(leaving)
+            .setConfigRevision(store.newestOperatorRevision())
+            .setRunnersRevision(book.revision());
+    StateCodec.addUses(state, loads.own());
+    Set<String> ordered = leaving ? Set.of() : new HashSet<>(holder.ordered(now));
+    for (String runner : ordered) {
+      holdings.find(runner).ifPresent(h -> StateCodec.addHolding(state, runner, h, now));
+    }
+    return state;
+  }
+
+  private void defect(Throwable failure) {
+    log.warning("defect", "failure", failure, "at", firstFrame(failure));
+  }
+
+  private static String firstFrame(Throwable failure) {
+    StackTraceElement[] frames = failure.getStackTrace();
+    return frames.length == 0 ? "unknown" : frames[0].toString();
+  }
+
+  private final class PeerHandler implements WireServer.Handler {
+    @Override
+    public void message(WireConnection connection, Envelope message) {
+      if (message.hasStorePull()) {
+        duty.put(
+            () ->
+                connection.send(
+                    message.getCall(), RecordExchange.answer(message.getStorePull(), store)));
+      }
+    }
+
+    @Override
+    public void closed(WireConnection connection) {
+      // Nothing is kept for a connection.
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/NodeMain.java
@@ -0,0 +1,32 @@
+package org.sequoiahub.node;
+
+import java.util.Optional;
+import org.sequoiahub.runtime.process.ProcessMain;
+import org.sequoiahub.schema.settings.NodeSettings;
+import org.sequoiahub.usersplatform.SettingsFile;
+
+/** The binary {@code sequoia-node}. */
+public final class NodeMain {
+
+  private static final String UNSET = "-";
+
+  private NodeMain() {}
+
+  /** Runs the host's program until SIGTERM. */
+  public static void main(String[] arguments) {
+    ProcessMain.run(
+        "sequoia-node",
+        NodeSettings.getDefaultInstance(),
+        arguments,
+        settings -> {
+          Node node = Node.start(settings, file(settings));
+          return node::stop;
+        });
+  }
+
+  private static String file(NodeSettings settings) {
+    return settings.getSettingsFile().equals(UNSET)
+        ? Optional.ofNullable(System.getenv(SettingsFile.VARIABLE)).orElse("")
+        : settings.getSettingsFile();
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -0,0 +1,97 @@
+package org.sequoiahub.node.call;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.routing.Route;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.upstream.Attempt;
+import org.sequoiahub.usersplatform.CallerDialect.CallerHeaders;
+
+/** One caller's request while it is in progress; touched by the decision thread only. */
+final class Call {
+
+  final CallerExchange exchange;
+  final CallerHeaders headers;
+  final Route route;
+  final String service;
+
+  /** What a model request asks for; null for a request of a plain service. */
+  final @Nullable Generation generation;
+
+  final long arrivedMillis;
+
+  /** When nobody wants the answer any more. */
+  final long endMillis;
+
+  final StreamRelay relay;
+  final List<Running> running = new ArrayList<>();
+
+  /** Runners that failed or refused this request. */
+  final Set<String> tried = new HashSet<>();
+
+  /** Where the request waits for an adapter; null if it does not wait. */
+  @Nullable RunnerEntry waitingAt;
+
+  /** Prompt tokens that were counted at {@link #waitingAt}. */
+  int waitingTokens;
+
+  /** Do not place it before this. */
+  long placeFromMillis;
+
+  /** Requests sent to runners, those that were refused included. */
+  int sends;
+
+  /** Attempts that may have run. */
+  int runs;
+
+  boolean done;
+
+  Call(
+      CallerExchange exchange,
+      CallerHeaders headers,
+      Route route,
+      String service,
+      @Nullable Generation generation,
+      long arrivedMillis,
+      long endMillis) {
+    this.exchange = exchange;
+    this.headers = headers;
+    this.route = route;
+    this.service = service;
+    this.generation = generation;
+    this.arrivedMillis = arrivedMillis;
+    this.endMillis = endMillis;
+    this.relay = new StreamRelay(exchange);
+  }
+
+  /** An attempt in progress. */
+  static final class Running {
+    final int number;
+    final RunnerEntry runner;
+    final long startedMillis;
+    int unreadTokens;
+    boolean firstEventSeen;
+    @Nullable Attempt attempt;
+
+    Running(int number, RunnerEntry runner, long startedMillis, int unreadTokens) {
+      this.number = number;
+      this.runner = runner;
+      this.startedMillis = startedMillis;
+      this.unreadTokens = unreadTokens;
+    }
+  }
+
+  String id() {
+    return headers.requestId();
+  }
+
+  /** Returns the adapter that the request uses, as model/adapter; empty for none. */
+  String adapter() {
+    return generation != null && generation.usesAdapter() ? generation.target() : "";
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -0,0 +1,661 @@
+package org.sequoiahub.node.call;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.dispatch.Candidate;
+import org.sequoiahub.core.dispatch.GenerationPlacement;
+import org.sequoiahub.core.dispatch.PlacementSettings;
+import org.sequoiahub.core.dispatch.RetryRule;
+import org.sequoiahub.core.dispatch.RetryRule.Ending;
+import org.sequoiahub.core.dispatch.ServicePlacement;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.retry.SharedRetryBudget;
+import org.sequoiahub.core.routing.Repetition;
+import org.sequoiahub.core.routing.Route;
+import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.routing.ServiceSpec;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.upstream.AttemptListener;
+import org.sequoiahub.node.upstream.Outcome;
+import org.sequoiahub.node.upstream.UpstreamClient;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.usersplatform.CallerDialect;
+import org.sequoiahub.usersplatform.CallerDialect.CallerHeaders;
+import org.sequoiahub.usersplatform.CallerDialect.RunnerHeaders;
+
+/** Takes requests from their arrival to their last byte; runs on the decision thread. */
+public final class CallDesk {
+
+  /** How often callers are looked after that may have gone (ms). */
+  private static final long LOOK_MILLIS = 100;
+
+  /** Wait until an adapter that a runner refused for is tried again (ms). */
+  private static final long MISSING_MILLIS = 40;
+
+  /** A waiting request moves to another runner only if it gains this much (ms). */
+  private static final double MOVE_GAIN_MILLIS = 120;
+
+  /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
+  private static final long NO_RUNNER_RETRY_MILLIS = 500;
+
+  /** Shortest Retry-After of a refusal for want of room (ms). */
+  private static final long BUSY_RETRY_MILLIS = 100;
+
+  /** A second runner gets an idempotent request after this part of its target latency. */
+  private static final double HEDGE_PART = 0.5;
+
+  /** A resumable stream without an event for this long goes on elsewhere (ms). */
+  private static final long STREAM_SILENCE_MILLIS = 1_500;
+
+  /** Deadline of a request that names none and whose route is generous (ms). */
+  private static final long MAX_DEADLINE_MILLIS = 120_000;
+
+  private static final double MILLIS = 1_000;
+
+  private final FleetView fleet;
+  private final UpstreamClient upstreams;
+  private final SharedRetryBudget budget;
+  private final GenerationPlacement generations =
+      new GenerationPlacement(PlacementSettings.DEFAULT);
+  private final ServicePlacement services = new ServicePlacement(PlacementSettings.DEFAULT);
+  private final Consumer<Runnable> decisions;
+  private final LongSupplier clock;
+  private final Runnable changed;
+  private final Random random;
+  private final EventLog log;
+  private final Set<Call> calls = new LinkedHashSet<>();
+  private long lookedMillis;
+  private boolean stopping;
+
+  /**
+   * Creates a desk.
+   *
+   * @param changed told when what this host has in flight has changed
+   */
+  public CallDesk(
+      FleetView fleet,
+      UpstreamClient upstreams,
+      SharedRetryBudget budget,
+      Consumer<Runnable> decisions,
+      LongSupplier clock,
+      Runnable changed,
+      Random random,
+      EventLog log) {
+    this.fleet = fleet;
+    this.upstreams = upstreams;
+    this.budget = budget;
+    this.decisions = decisions;
+    this.clock = clock;
+    this.changed = changed;
+    this.random = random;
+    this.log = log;
+  }
+
+  /** Takes a request whose body has been read. */
+  public void arrived(CallerExchange exchange) {
+    long now = clock.getAsLong();
+    CallerHeaders headers = CallerDialect.decode(exchange.headers());
+    if (stopping) {
+      exchange.closeAfterwards();
+    }
+    Optional<RoutingTable> table = fleet.table();
+    if (table.isEmpty()) {
+      refuse(exchange, headers, "no configuration yet", NO_RUNNER_RETRY_MILLIS);
+      return;
+    }
+    Optional<Route> route = table.get().find(exchange.host(), exchange.path());
+    if (route.isEmpty()) {
+      finishOwn(exchange, headers, HttpStatus.NOT_FOUND_404, "no route", -1);
+      return;
+    }
+    if (headers.requestId().isEmpty()) {
+      finishOwn(exchange, headers, HttpStatus.BAD_REQUEST_400, "the request has no id", -1);
+      return;
+    }
+    accept(exchange, headers, table.get(), route.get(), now);
+  }
+
+  private void accept(
+      CallerExchange exchange, CallerHeaders headers, RoutingTable table, Route route, long now) {
+    String service = route.service(random.nextDouble());
+    Optional<ServiceSpec> spec = table.service(service);
+    boolean engine = spec.isPresent() && spec.get().engine() != null;
+    long wanted = headers.deadlineMillis() > 0 ? headers.deadlineMillis() : MAX_DEADLINE_MILLIS;
+    Call call =
+        new Call(
+            exchange,
+            headers,
+            route,
+            service,
+            engine ? headers.generation() : null,
+            now,
+            now + Math.min(wanted, route.timeoutMillis()));
+    calls.add(call);
+    budget.request(service, now);
+    place(call, now);
+  }
+
+  /** Does what is due: waiting requests, deadlines, silent runners, callers that left. */
+  public void tick(long nowMillis) {
+    boolean look = nowMillis - lookedMillis >= LOOK_MILLIS;
+    if (look) {
+      lookedMillis = nowMillis;
+    }
+    for (Call call : List.copyOf(calls)) {
+      if (call.done) {
+        continue;
+      }
+      if (look && call.exchange.callerGone()) {
+        log.debug("caller-gone", "request", call.id());
+        cancelAll(call, "the caller has gone");
+        call.exchange.breakOff("the caller has gone");
+        finished(call);
+      } else if (nowMillis >= call.endMillis) {
+        expired(call);
+      } else if (call.running.isEmpty()) {
+        if (nowMillis >= call.placeFromMillis) {
+          place(call, nowMillis);
+        }
+      } else {
+        watchRunning(call, nowMillis);
+      }
+    }
+  }
+
+  /** Returns what requests wait for, by runner. */
+  public Map<String, List<Wish>> wishes() {
+    Map<String, Map<String, Wish>> byRunner = new HashMap<>();
+    for (Call call : calls) {
+      RunnerEntry runner = call.waitingAt;
+      Generation generation = call.generation;
+      if (runner != null && generation != null) {
+        Wish wish = new Wish(generation.model(), generation.adapter(), 1, call.route.priority());
+        byRunner
+            .computeIfAbsent(runner.id(), id -> new HashMap<>())
+            .merge(wish.target(), wish, CallDesk::joined);
+      }
+    }
+    Map<String, List<Wish>> wishes = new HashMap<>();
+    byRunner.forEach((runner, list) -> wishes.put(runner, List.copyOf(list.values())));
+    return wishes;
+  }
+
+  private static Wish joined(Wish first, Wish second) {
+    return new Wish(
+        first.model(),
+        first.adapter(),
+        first.waiting() + second.waiting(),
+        Math.min(first.priority(), second.priority()));
+  }
+
+  /** Asks callers to close their connections from now on. */
+  public void stop() {
+    stopping = true;
+    calls.forEach(call -> call.exchange.closeAfterwards());
+  }
+
+  /** Returns how many requests are in progress. */
+  public int size() {
+    return calls.size();
+  }
+
+  private void place(Call call, long nowMillis) {
+    if (call.generation == null) {
+      placePlain(call, nowMillis);
+    } else {
+      placeGeneration(call, call.generation, nowMillis);
+    }
+  }
+
+  private void placePlain(Call call, long nowMillis) {
+    List<Candidate> candidates = candidates(call, null, nowMillis);
+    Optional<Candidate> chosen = services.choose(candidates, random.nextDouble());
+    if (chosen.isEmpty()) {
+      giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
+      return;
+    }
+    start(call, chosen.get().runner(), 0, nowMillis);
+  }
+
+  private void placeGeneration(Call call, Generation generation, long nowMillis) {
+    List<Candidate> candidates = candidates(call, generation, nowMillis);
+    Optional<GenerationPlacement.Choice> chosen = generations.choose(generation, candidates);
+    if (chosen.isEmpty()) {
+      giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
+      return;
+    }
+    GenerationPlacement.Choice choice = stay(call, candidates, chosen.get());
+    Candidate candidate = choice.candidate();
+    if (nowMillis + choice.firstTokenMillis() > call.endMillis) {
+      giveUp(call, "would be late", (long) choice.firstTokenMillis() / 2);
+      return;
+    }
+    if (candidate.present() && candidate.adapterWaitMillis() <= 0) {
+      start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
+    } else {
+      waitAt(call, candidate);
+    }
+  }
+
+  /** Keeps a waiting request where it waits, unless moving gains enough. */
+  private GenerationPlacement.Choice stay(
+      Call call, Collection<Candidate> candidates, GenerationPlacement.Choice chosen) {
+    RunnerEntry waitingAt = call.waitingAt;
+    if (waitingAt == null) {
+      return chosen;
+    }
+    for (Candidate candidate : candidates) {
+      if (candidate.runner().id().equals(waitingAt.id())) {
+        double here = generations.expectedMillis(candidate);
+        boolean move = here - chosen.firstTokenMillis() > MOVE_GAIN_MILLIS;
+        return move ? chosen : new GenerationPlacement.Choice(candidate, here);
+      }
+    }
+    return chosen;
+  }
+
+  private void waitAt(Call call, Candidate candidate) {
+    RunnerEntry before = call.waitingAt;
+    if (before != null && before.id().equals(candidate.runner().id())) {
+      return;
+    }
+    stopWaiting(call);
+    call.waitingAt = candidate.runner();
+    call.waitingTokens = candidate.unreadTokens();
+    fleet.loads().add(candidate.runner().id(), 1, call.waitingTokens, call.adapter());
+    log.debug(
+        "request-waits",
+        "request",
+        call.id(),
+        "runner",
+        candidate.runner().id(),
+        "adapter",
+        call.adapter(),
+        "wait_ms",
+        candidate.adapterWaitMillis(),
+        "present",
+        candidate.present());
+    changed.run();
+  }
+
+  private void stopWaiting(Call call) {
+    RunnerEntry before = call.waitingAt;
+    if (before != null) {
+      fleet.loads().add(before.id(), -1, -call.waitingTokens, call.adapter());
+      call.waitingAt = null;
+    }
+  }
+
+  private List<Candidate> candidates(Call call, @Nullable Generation generation, long nowMillis) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (RunnerEntry runner : fleet.usable(call.service, nowMillis)) {
+      boolean running = call.running.stream().anyMatch(r -> r.runner.id().equals(runner.id()));
+      if (!call.tried.contains(runner.id()) && !running) {
+        boolean counted = call.waitingAt != null && call.waitingAt.id().equals(runner.id());
+        candidates.add(
+            fleet.candidate(runner, generation, counted ? call.waitingTokens : -1, nowMillis));
+      }
+    }
+    return candidates;
+  }
+
+  private void start(Call call, RunnerEntry runner, int unreadTokens, long nowMillis) {
+    stopWaiting(call);
+    call.sends++;
+    Call.Running running = new Call.Running(call.sends, runner, nowMillis, unreadTokens);
+    call.running.add(running);
+    fleet.loads().add(runner.id(), 1, unreadTokens, call.adapter());
+    if (call.generation != null) {
+      fleet.sent(runner, call.generation);
+    }
+    changed.run();
+    String lastEvent = call.relay.lastEventId();
+    RunnerHeaders ours =
+        new RunnerHeaders(
+            runner.id(),
+            call.endMillis - nowMillis,
+            call.generation == null ? -1 : call.route.priority(),
+            fleet.newestVersion(call.adapter()),
+            lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent);
+    log.debug(
+        "request-sent",
+        "request",
+        call.id(),
+        "runner",
+        runner.id(),
+        "send",
+        call.sends,
+        "left_ms",
+        call.endMillis - nowMillis,
+        "unread",
+        unreadTokens,
+        "adapter",
+        call.adapter(),
+        "after_ms",
+        nowMillis - call.arrivedMillis);
+    if (call.route.repetition().isStream()) {
+      call.relay.expect(running.number);
+    }
+    running.attempt =
+        upstreams.start(
+            runner,
+            call.exchange.method(),
+            call.exchange.pathAndQuery(),
+            call.id(),
+            CallerDialect.toRunner(call.exchange.headers(), ours),
+            call.exchange.body(),
+            call.route.repetition().isStream(),
+            new Follower(call, running));
+  }
+
+  /** Passes pieces on at once and everything else to the decision thread. */
+  private final class Follower implements AttemptListener {
+    private final Call call;
+    private final Call.Running running;
+
+    Follower(Call call, Call.Running running) {
+      this.call = call;
+      this.running = running;
+    }
+
+    @Override
+    public void load(int inUse, int waiting) {
+      // The hosts' own counts are newer than the runner's.
+    }
+
+    @Override
+    public void streamStarted(int status, HttpFields headers) {
+      call.relay.head(running.number, status, headers);
+    }
+
+    @Override
+    public void streamPiece(ByteBuffer piece) {
+      if (call.relay.piece(running.number, piece, clock.getAsLong())) {
+        decisions.accept(() -> firstEvent(call, running));
+      }
+    }
+
+    @Override
+    public void ended(Outcome outcome) {
+      decisions.accept(() -> CallDesk.this.ended(call, running, outcome));
+    }
+  }
+
+  private void firstEvent(Call call, Call.Running running) {
+    if (!running.firstEventSeen && call.running.contains(running)) {
+      running.firstEventSeen = true;
+      fleet.loads().add(running.runner.id(), 0, -running.unreadTokens, "");
+      running.unreadTokens = 0;
+      log.debug(
+          "first-event",
+          "request",
+          call.id(),
+          "runner",
+          running.runner.id(),
+          "took_ms",
+          clock.getAsLong() - running.startedMillis);
+      changed.run();
+    }
+  }
+
+  private void ended(Call call, Call.Running running, Outcome outcome) {
+    if (!call.running.remove(running)) {
+      return;
+    }
+    long now = clock.getAsLong();
+    release(call, running);
+    if (call.done) {
+      return;
+    }
+    if (outcome instanceof Outcome.StreamEnded) {
+      fleet.health(running.runner).succeeded(now - running.startedMillis, now);
+      call.relay.end();
+      done(call, HttpStatus.OK_200, "", now);
+    } else if (outcome instanceof Outcome.Answered answered) {
+      answered(call, running, answered, now);
+    } else if (outcome instanceof Outcome.Refused refused) {
+      refused(call, running, refused, now);
+    } else if (outcome instanceof Outcome.NotSent notSent) {
+      fleet.health(running.runner).unreachable(now);
+      failed(call, running, Ending.NOT_SENT, notSent.why(), null, now);
+    } else if (outcome instanceof Outcome.Lost lost) {
+      call.runs++;
+      fleet.health(running.runner).failed(now);
+      failed(call, running, Ending.LOST, lost.why(), null, now);
+    }
+  }
+
+  private void answered(Call call, Call.Running running, Outcome.Answered answered, long now) {
+    call.runs++;
+    if (answered.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
+      fleet.health(running.runner).succeeded(now - running.startedMillis, now);
+      cancelAll(call, "answered");
+      pass(call, answered, now);
+      return;
+    }
+    fleet.health(running.runner).failed(now);
+    failed(call, running, Ending.FAILED, "status " + answered.status(), answered, now);
+  }
+
+  private void refused(Call call, Call.Running running, Outcome.Refused refused, long now) {
+    if (!call.adapter().isEmpty()) {
+      // The adapter was to be there: it comes a little later, or was dropped.
+      fleet.missing(running.runner, call.adapter(), now + MISSING_MILLIS);
+      call.placeFromMillis = now + MISSING_MILLIS / 2;
+    } else {
+      call.tried.add(running.runner.id());
+      fleet.health(running.runner).failed(now);
+    }
+    failed(call, running, Ending.REFUSED, "refused " + refused.status(), null, now);
+  }
+
+  private void failed(
+      Call call,
+      Call.Running running,
+      Ending ending,
+      String why,
+      Outcome.@Nullable Answered answer,
+      long now) {
+    log.info(
+        "attempt-failed",
+        "request",
+        call.id(),
+        "runner",
+        running.runner.id(),
+        "ending",
+        ending,
+        "why",
+        why,
+        "sends",
+        call.sends,
+        "runs",
+        call.runs,
+        "after_ms",
+        now - call.arrivedMillis);
+    if (ending != Ending.REFUSED) {
+      call.tried.add(running.runner.id());
+    }
+    if (!call.running.isEmpty()) {
+      return;
+    }
+    boolean again =
+        RetryRule.mayOfferAgain(
+            ending,
+            call.route.repetition(),
+            call.sends,
+            call.runs,
+            call.route.maxAttempts(),
+            call.endMillis - now);
+    boolean allowed =
+        again
+            && (!RetryRule.drawsOnBudget(ending)
+                || budget.tryRetry(call.service, fleet.hosts(now), now));
+    if (allowed) {
+      if (now >= call.placeFromMillis) {
+        place(call, now);
+      }
+    } else if (answer != null) {
+      pass(call, answer, now);
+    } else {
+      giveUp(call, why, BUSY_RETRY_MILLIS);
+    }
+  }
+
+  /** Gives the caller a runner's whole answer. */
+  private void pass(Call call, Outcome.Answered answered, long now) {
+    if (promisesNotRun(answered.status())) {
+      // The runner does not say that it has not run; the status alone would.
+      finishOwn(call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
+    } else {
+      call.exchange.answer(answered.status(), answered.headers(), answered.body());
+    }
+    done(call, answered.status(), "", now);
+  }
+
+  private static boolean promisesNotRun(int status) {
+    return status == HttpStatus.TOO_MANY_REQUESTS_429
+        || status == HttpStatus.SERVICE_UNAVAILABLE_503
+        || status == HttpStatus.REQUEST_TIMEOUT_408
+        || status == HttpStatus.MISDIRECTED_REQUEST_421;
+  }
+
+  /** Ends a request that cannot be served, with a status that tells the truth. */
+  private void giveUp(Call call, String why, long retryMillis) {
+    cancelAll(call, "given up");
+    boolean started = call.exchange.isStarted();
+    if (started) {
+      call.exchange.breakOff(why);
+    } else if (call.runs > 0) {
+      finishOwn(call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, why, -1);
+    } else {
+      long retry = Math.max(BUSY_RETRY_MILLIS, retryMillis);
+      refuse(call.exchange, call.headers, why, retry);
+    }
+    done(call, started ? 0 : call.runs > 0 ? 502 : 503, why, clock.getAsLong());
+  }
+
+  private void expired(Call call) {
+    boolean handedOn =
+        call.running.stream().anyMatch(r -> r.attempt != null && r.attempt.isHandedOn());
+    cancelAll(call, "deadline");
+    if (call.exchange.isStarted()) {
+      call.exchange.breakOff("deadline");
+    } else if (handedOn || call.runs > 0) {
+      finishOwn(call.exchange, call.headers, HttpStatus.GATEWAY_TIMEOUT_504, "deadline", -1);
+    } else {
+      refuse(call.exchange, call.headers, "deadline", 0);
+    }
+    done(call, HttpStatus.GATEWAY_TIMEOUT_504, "deadline", clock.getAsLong());
+  }
+
+  private void watchRunning(Call call, long nowMillis) {
+    Call.Running newest = call.running.get(call.running.size() - 1);
+    long silent = nowMillis - Math.max(newest.startedMillis, call.relay.lastPieceMillis());
+    Repetition repetition = call.route.repetition();
+    if (repetition == Repetition.IDEMPOTENT) {
+      long patience = (long) (call.route.targetLatencyMillis() * HEDGE_PART);
+      if (call.running.size() == 1 && silent >= patience && mayRunBeside(call, nowMillis)) {
+        hedge(call, nowMillis);
+      }
+    } else if (repetition == Repetition.RESUMABLE_STREAM
+        && silent >= STREAM_SILENCE_MILLIS + call.route.pauseMillis()
+        && call.runs + 1 < call.route.maxAttempts()
+        && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis)) {
+      moveSilent(call, newest, nowMillis);
+    }
+  }
+
+  private boolean mayRunBeside(Call call, long nowMillis) {
+    return call.runs + call.running.size() < call.route.maxAttempts()
+        && call.sends < RetryRule.MAX_SENDS
+        && !candidates(call, null, nowMillis).isEmpty()
+        && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis);
+  }
+
+  private void hedge(Call call, long nowMillis) {
+    log.debug("request-hedged", "request", call.id());
+    services
+        .choose(candidates(call, null, nowMillis), random.nextDouble())
+        .ifPresent(candidate -> start(call, candidate.runner(), 0, nowMillis));
+  }
+
+  private void moveSilent(Call call, Call.Running silent, long nowMillis) {
+    log.info("stream-silent", "request", call.id(), "runner", silent.runner.id());
+    fleet.health(silent.runner).failed(nowMillis);
+    call.tried.add(silent.runner.id());
+    cancelAll(call, "silent");
+    call.runs++;
+    place(call, nowMillis);
+  }
+
+  private void cancelAll(Call call, String why) {
+    for (Call.Running running : List.copyOf(call.running)) {
+      call.running.remove(running);
+      release(call, running);
+      if (running.attempt != null) {
+        running.attempt.cancel(why);
+      }
+    }
+  }
+
+  private void release(Call call, Call.Running running) {
+    fleet.loads().add(running.runner.id(), -1, -running.unreadTokens, call.adapter());
+    running.unreadTokens = 0;
+    changed.run();
+  }
+
+  private void refuse(
+      CallerExchange exchange, CallerHeaders headers, String why, long retryMillis) {
+    finishOwn(exchange, headers, HttpStatus.SERVICE_UNAVAILABLE_503, why, retryMillis);
+  }
+
+  private void finishOwn(
+      CallerExchange exchange, CallerHeaders headers, int status, String why, long retryMillis) {
+    HttpFields.Mutable fields = HttpFields.build();
+    if (!headers.requestId().isEmpty()) {
+      fields.put(CallerDialect.requestId(headers.requestId()));
+    }
+    if (retryMillis >= 0) {
+      fields.put(HttpHeader.RETRY_AFTER, Double.toString(retryMillis / MILLIS));
+    }
+    log.info("own-answer", "request", headers.requestId(), "status", status, "why", why);
+    exchange.answer(status, fields, why);
+  }
+
+  private void done(Call call, int status, String why, long now) {
+    log.debug(
+        "request-done",
+        "request",
+        call.id(),
+        "status",
+        status,
+        "why",
+        why,
+        "took_ms",
+        now - call.arrivedMillis);
+    finished(call);
+  }
+
+  private void finished(Call call) {
+    call.done = true;
+    stopWaiting(call);
+    calls.remove(call);
+    changed.run();
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -0,0 +1,220 @@
+package org.sequoiahub.node.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.LongFunction;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.dispatch.Candidate;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.dispatch.PromptMemory;
+import org.sequoiahub.core.dispatch.RunnerHealth;
+import org.sequoiahub.core.holding.HeldItem;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.upstream.RunnerBook;
+import org.sequoiahub.core.upstream.RunnerEntry;
+
+/** All that this host believes of the fleet, for the choice of a runner; decision thread only. */
+public final class FleetView {
+
+  /** Wait assumed for an adapter that nobody has ordered yet (ms). */
+  private static final long LOAD_MILLIS = 250;
+
+  /** Wait assumed for a base model (ms): the users' models take 0.6 to 1.9 s. */
+  private static final long MODEL_LOAD_MILLIS = 2_000;
+
+  /** Part of a runner's memory that is believed to keep prompts; running requests use the rest. */
+  private static final double KEPT_PART = 0.6;
+
+  private static final long DEFAULT_CACHE_TOKENS = 100_000;
+
+  private final RunnerBook book;
+  private final Holdings holdings;
+  private final FleetLoad loads;
+  private final String failureDomain;
+  private final BiPredicate<String, Long> isSound;
+  private final LongFunction<Integer> hosts;
+  private final ToIntFunction<String> newestVersion;
+  private final MissingListener missing;
+  private final Map<String, RunnerHealth> health = new HashMap<>();
+  private final Map<String, PromptMemory> prompts = new HashMap<>();
+  private @Nullable RoutingTable table;
+
+  /** Told that a runner refused a request for an adapter that it should have. */
+  @FunctionalInterface
+  public interface MissingListener {
+    /** Receives the runner's id, the adapter and when to try again. */
+    void missing(String runner, String target, long againMillis);
+  }
+
+  /**
+   * Creates a view.
+   *
+   * @param isSound whether a host is alive at a time
+   * @param hosts how many hosts share the retry budget at a time
+   * @param newestVersion the newest published version of an adapter; 0 if none was published
+   */
+  public FleetView(
+      RunnerBook book,
+      Holdings holdings,
+      FleetLoad loads,
+      String failureDomain,
+      BiPredicate<String, Long> isSound,
+      LongFunction<Integer> hosts,
+      ToIntFunction<String> newestVersion,
+      MissingListener missing) {
+    this.book = book;
+    this.holdings = holdings;
+    this.loads = loads;
+    this.failureDomain = failureDomain;
+    this.isSound = isSound;
+    this.hosts = hosts;
+    this.newestVersion = newestVersion;
+    this.missing = missing;
+  }
+
+  /** Puts a configuration in force. */
+  public void table(RoutingTable now) {
+    table = now;
+  }
+
+  /** Returns the configuration in force. */
+  public Optional<RoutingTable> table() {
+    return Optional.ofNullable(table);
+  }
+
+  FleetLoad loads() {
+    return loads;
+  }
+
+  int hosts(long nowMillis) {
+    return hosts.apply(nowMillis);
+  }
+
+  int newestVersion(String target) {
+    return target.isEmpty() ? 0 : newestVersion.applyAsInt(target);
+  }
+
+  void missing(RunnerEntry runner, String target, long againMillis) {
+    missing.missing(runner.id(), target, againMillis);
+  }
+
+  RunnerHealth health(RunnerEntry runner) {
+    return health.computeIfAbsent(runner.id(), id -> new RunnerHealth());
+  }
+
+  void sent(RunnerEntry runner, Generation generation) {
+    memory(runner).read(generation);
+  }
+
+  /** Returns the runners of a service that may get requests. */
+  List<RunnerEntry> usable(String service, long nowMillis) {
+    List<RunnerEntry> usable = new ArrayList<>();
+    for (RunnerEntry runner : book.usable(nowMillis)) {
+      if (runner.service().equals(service)) {
+        usable.add(runner);
+      }
+    }
+    return usable;
+  }
+
+  /** Returns the runners that hold models, with what their service says of them. */
+  public Map<RunnerEntry, EngineSpec> engines(long nowMillis) {
+    Map<RunnerEntry, EngineSpec> engines = new HashMap<>();
+    RoutingTable present = table;
+    if (present != null) {
+      for (RunnerEntry runner : book.usable(nowMillis)) {
+        present
+            .service(runner.service())
+            .map(service -> service.engine())
+            .ifPresent(engine -> engines.put(runner, engine));
+      }
+    }
+    return engines;
+  }
+
+  /**
+   * Returns a runner as a candidate for a request.
+   *
+   * @param countedTokens prompt tokens with which the request is counted there already; negative if
+   *     it is not
+   */
+  Candidate candidate(
+      RunnerEntry runner, @Nullable Generation generation, int countedTokens, long nowMillis) {
+    boolean counted = countedTokens >= 0;
+    int inFlight = loads.requests(runner.id(), nowMillis) - (counted ? 1 : 0);
+    long ahead = loads.unreadTokens(runner.id(), nowMillis) - Math.max(0, countedTokens);
+    RunnerHealth results = health(runner);
+    Residency residency = residency(runner, generation, nowMillis);
+    return new Candidate(
+        runner,
+        Math.max(0, inFlight),
+        Math.max(0, ahead),
+        generation == null ? 0 : memory(runner).unreadTokens(generation),
+        residency.waitMillis,
+        residency.present,
+        residency.room,
+        residency.ordered,
+        results.failureRate(nowMillis),
+        results.latencyMillis(),
+        book.vanished(runner.id()),
+        runner.failureDomain().equals(failureDomain));
+  }
+
+  private record Residency(boolean present, long waitMillis, boolean room, boolean ordered) {}
+
+  private Residency residency(RunnerEntry runner, @Nullable Generation generation, long nowMillis) {
+    if (generation == null) {
+      return new Residency(true, 0, true, true);
+    }
+    Optional<Holdings.Holding> told = holdings.find(runner.id());
+    if (told.isEmpty()) {
+      boolean model = runner.heldModels().contains(generation.model());
+      boolean adapter =
+          !generation.usesAdapter() || runner.heldAdapters().containsKey(generation.target());
+      boolean present = model && adapter;
+      long wait = present ? 0 : model ? LOAD_MILLIS : MODEL_LOAD_MILLIS;
+      return new Residency(present, wait, true, false);
+    }
+    Holdings.Holding holding = told.get();
+    boolean ordered = isSound.test(holding.host(), nowMillis);
+    if (!holding.models().contains(generation.model())) {
+      return new Residency(false, MODEL_LOAD_MILLIS, true, ordered);
+    }
+    if (!generation.usesAdapter()) {
+      return new Residency(true, 0, true, ordered);
+    }
+    HeldItem item = holding.items().get(generation.target());
+    int wanted = newestVersion(generation.target());
+    if (item != null && item.version() >= wanted) {
+      return new Residency(true, Math.max(0, item.readyMillis() - nowMillis), true, ordered);
+    }
+    return new Residency(false, LOAD_MILLIS, holding.freePlaces() > 0, ordered);
+  }
+
+  private PromptMemory memory(RunnerEntry runner) {
+    return prompts.computeIfAbsent(
+        runner.id(),
+        id -> {
+          EngineSpec engine =
+              table().flatMap(t -> t.service(runner.service())).map(s -> s.engine()).orElse(null);
+          long tokens = engine == null ? DEFAULT_CACHE_TOKENS : engine.cacheTokens();
+          return new PromptMemory(Math.max(1, (long) (tokens * KEPT_PART)));
+        });
+  }
+
+  /** Forgets runners that are no longer known. */
+  public void retain(Set<String> runners) {
+    health.keySet().retainAll(runners);
+    prompts.keySet().retainAll(runners);
+    holdings.retain(runners);
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerDoor.java
@@ -0,0 +1,200 @@
+package org.sequoiahub.node.caller;
+
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.ConnectionFactory;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahub.core.routing.CallerLimits;
+import org.sequoiahub.usersplatform.AddressDialect;
+
+/** The ports that callers and the platform connect to. */
+public final class CallerDoor implements AutoCloseable {
+
+  private static final int MAX_THREADS = 12;
+  private static final int MIN_THREADS = 3;
+
+  /** Callers use a kept connection until shortly before the limit; ours must not end sooner. */
+  private static final long IDLE_MARGIN_MILLIS = 3_000;
+
+  /** No answer of a route takes longer between two bytes. */
+  private static final long MIN_IDLE_MILLIS = 20_000;
+
+  /** Connections waiting to be accepted; a full queue costs a caller seconds. */
+  private static final int ACCEPT_QUEUE = 1_024;
+
+  private final Server server;
+  private final ServerConnector callers;
+  private final HttpConfiguration callerConfiguration;
+  private final AddressDialect dialect = new AddressDialect();
+  private final Supplier<List<String>> addresses;
+  private final long addressTtlMillis;
+  private final BooleanSupplier ready;
+  private final Supplier<CallerLimits> limits;
+  private final Consumer<CallerExchange> requests;
+  private final int readinessPort;
+  private final int addressPort;
+
+  /**
+   * Creates the ports; {@link #start} opens them.
+   *
+   * @param addresses callers' addresses of all hosts that take requests
+   * @param ready whether this host takes requests
+   * @param limits what callers may send now
+   * @param requests receives each request once its body has been read
+   */
+  public CallerDoor(
+      String ip,
+      int callerPort,
+      int readinessPort,
+      int addressPort,
+      long addressTtlMillis,
+      Supplier<List<String>> addresses,
+      BooleanSupplier ready,
+      Supplier<CallerLimits> limits,
+      Consumer<CallerExchange> requests) {
+    this.addresses = addresses;
+    this.addressTtlMillis = addressTtlMillis;
+    this.ready = ready;
+    this.limits = limits;
+    this.requests = requests;
+    this.readinessPort = readinessPort;
+    this.addressPort = addressPort;
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName("http-server");
+    threads.setDaemon(true);
+    this.server = new Server(threads);
+    this.callerConfiguration = configuration();
+    this.callers = connector(ip, callerPort, callerConfiguration);
+    connector(ip, readinessPort, configuration());
+    connector(ip, addressPort, configuration());
+    server.setErrorHandler(new PlainErrorHandler());
+    server.setHandler(new PortHandler());
+    apply(CallerLimits.UNKNOWN);
+  }
+
+  /** Opens the ports. */
+  public void start() throws Exception {
+    server.start();
+  }
+
+  /** Applies limits to present and future connections. */
+  public void apply(CallerLimits now) {
+    callerConfiguration.setRequestHeaderSize(now.headerBytes());
+    long idle = Math.max(MIN_IDLE_MILLIS, now.idleTimeoutMillis() + IDLE_MARGIN_MILLIS);
+    callers.setIdleTimeout(idle);
+    callers.getConnectedEndPoints().forEach(endPoint -> endPoint.setIdleTimeout(idle));
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+
+  private static HttpConfiguration configuration() {
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    // Paths are passed on as they came; what looks ambiguous to a file server is a plain name here.
+    http.setUriCompliance(UriCompliance.UNSAFE);
+    return http;
+  }
+
+  private ServerConnector connector(String ip, int port, HttpConfiguration http) {
+    ServerConnector connector = new CallerConnector(server, new HttpConnectionFactory(http));
+    connector.setHost(ip);
+    connector.setPort(port);
+    connector.setAcceptQueueSize(ACCEPT_QUEUE);
+    connector.setReuseAddress(true);
+    server.addConnector(connector);
+    return connector;
+  }
+
+  /** Makes connections that can tell whether their caller has gone. */
+  private static final class CallerConnector extends ServerConnector {
+    CallerConnector(Server server, ConnectionFactory http) {
+      super(server, 1, 1, http);
+    }
+
+    @Override
+    protected SocketChannelEndPoint newEndPoint(
+        SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+      CallerEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler());
+      endPoint.setIdleTimeout(getIdleTimeout());
+      return endPoint;
+    }
+  }
+
+  private final class PortHandler extends Handler.Abstract.NonBlocking {
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+      int port = Request.getLocalPort(request);
+      if (port == readinessPort) {
+        readiness(response, callback);
+      } else if (port == addressPort) {
+        addresses(request, response, callback);
+      } else {
+        accept(request, response, callback);
+      }
+      return true;
+    }
+
+    private void readiness(Response response, Callback callback) {
+      boolean isReady = ready.getAsBoolean();
+      response.setStatus(isReady ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
+      response.write(true, ByteBuffer.allocate(0), callback);
+    }
+
+    private void addresses(Request request, Response response, Callback callback) {
+      if (!AddressDialect.ADDRESS_PATH.equals(request.getHttpURI().getPath())) {
+        Response.writeError(request, response, callback, HttpStatus.NOT_FOUND_404);
+        return;
+      }
+      List<String> present = addresses.get();
+      if (present.isEmpty()) {
+        response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+        response.write(true, ByteBuffer.allocate(0), callback);
+        return;
+      }
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+      byte[] body = dialect.addresses(present, addressTtlMillis);
+      response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    private void accept(Request request, Response response, Callback callback) {
+      new BodyReader(
+              request,
+              limits.get().bodyBytes(),
+              body -> requests.accept(new CallerExchange(request, response, callback, body)),
+              () -> tooLong(request, response, callback),
+              callback::failed)
+          .read();
+    }
+
+    private void tooLong(Request request, Response response, Callback callback) {
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      CallerExchange exchange = new CallerExchange(request, response, callback, new byte[0]);
+      exchange.answer(
+          HttpStatus.PAYLOAD_TOO_LARGE_413, HttpFields.EMPTY, "the body is over the limit");
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerEndPoint.java
@@ -0,0 +1,87 @@
+package org.sequoiahub.node.caller;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A caller's connection that can tell whether the caller has gone while its request is in progress.
+ *
+ * <p>The server reads nothing between a request's last byte and the end of its answer, so it does
+ * not notice a caller that closes the connection meanwhile, and the runner goes on working for
+ * nobody. Looking means reading; bytes found that way belong to the caller's next request and are
+ * handed to the server when it reads again.
+ */
+public final class CallerEndPoint extends SocketChannelEndPoint {
+
+  private static final int LOOK_BYTES = 2_048;
+
+  /** Filled by looking, emptied by the server; in write mode. */
+  private final ByteBuffer early = ByteBuffer.allocate(LOOK_BYTES);
+
+  private boolean gone;
+
+  CallerEndPoint(
+      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    super(channel, selector, key, scheduler);
+  }
+
+  /** Returns whether the caller has closed the connection; call it only during a request. */
+  public synchronized boolean callerGone() {
+    if (gone || !isOpen()) {
+      return true;
+    }
+    if (early.position() > 0) {
+      // The next request waits behind this one: its sender is there.
+      return false;
+    }
+    try {
+      gone = getChannel().read(early) < 0;
+    } catch (IOException e) {
+      gone = true;
+    }
+    return gone;
+  }
+
+  @Override
+  public synchronized int fill(ByteBuffer buffer) throws IOException {
+    if (early.position() == 0) {
+      return super.fill(buffer);
+    }
+    early.flip();
+    int position = BufferUtil.flipToFill(buffer);
+    int filled = BufferUtil.put(early, buffer);
+    BufferUtil.flipToFlush(buffer, position);
+    early.compact();
+    return filled;
+  }
+
+  @Override
+  public void fillInterested(Callback callback) {
+    if (hasEarly()) {
+      getScheduler().schedule(callback::succeeded, 0, TimeUnit.MILLISECONDS);
+    } else {
+      super.fillInterested(callback);
+    }
+  }
+
+  @Override
+  public boolean tryFillInterested(Callback callback) {
+    if (hasEarly()) {
+      getScheduler().schedule(callback::succeeded, 0, TimeUnit.MILLISECONDS);
+      return true;
+    }
+    return super.tryFillInterested(callback);
+  }
+
+  private synchronized boolean hasEarly() {
+    return early.position() > 0;
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -0,0 +1,506 @@
+package org.sequoiahub.node.holder;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.authority.LeaseGranter;
+import org.sequoiahub.core.authority.LeasedAuthority;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.HeldItem;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.Order;
+import org.sequoiahub.core.holding.OrderReply;
+import org.sequoiahub.core.holding.RunnerReport;
+import org.sequoiahub.core.holding.RunnerShelf;
+import org.sequoiahub.core.holding.ShelfSettings;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.placement.Rendezvous;
+import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.LeaseClaim;
+import org.sequoiahub.schema.peer.LeaseGrant;
+import org.sequoiahub.schema.peer.LeaseRelease;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.usersplatform.HostSettings;
+import org.sequoiahub.usersplatform.OrderClient;
+
+/**
+ * Gains and keeps the right to order runners, and orders them; runs on the decision thread.
+ *
+ * <p>Runners do not check who orders them. So a host orders a runner only with a lease that a
+ * majority of the hosts granted, and a new holder waits until nothing that the one before ordered
+ * can be younger than the platform's lease time.
+ */
+public final class HolderDesk {
+
+  /** How long a lease lasts after the sending of its last granted claim (ms). */
+  private static final long LEASE_MILLIS = 1_500;
+
+  /** Wait of a new holder beyond the platform's lease time (ms): an order's flight and timers. */
+  private static final long ORDER_FLIGHT_MILLIS = 250;
+
+  /** After its start a host first learns who else there is (ms): two rounds of gossip. */
+  private static final long SETTLE_MILLIS = 1_200;
+
+  /** While nothing of the deployment ran before, no earlier holder can exist (ms after start). */
+  private static final long FIRST_START_MILLIS = 12_000;
+
+  /** An order without a reply for this long is of unknown outcome (ms). */
+  private static final long ORDER_TIMEOUT_MILLIS = 1_000;
+
+  /** An order is sent only if the lease lasts at least this much longer (ms). */
+  private static final long LEASE_MARGIN_MILLIS = 200;
+
+  /** A remote wish counts for this long after it was told (ms); it is repeated every 60 ms. */
+  private static final long WISH_MILLIS = 200;
+
+  /**
+   * The steady clock does not count a suspension of the host; the time of day does. A difference of
+   * more than this between the two (ms) is taken for one, and all leases are given up.
+   */
+  private static final long SUSPENSION_MILLIS = 400;
+
+  private static final int TOKEN_TAG = 1_024;
+
+  private final HostSettings settings;
+  private final Members<HostState> members;
+  private final LeaseGranter granter;
+  private final Holdings holdings;
+  private final FleetLoad loads;
+  private final OrderClient orders;
+  private final Supplier<PeerDatagram.Builder> datagrams;
+  private final BiConsumer<String, byte[]> sender;
+  private final Consumer<Runnable> decisions;
+  private final LongSupplier clock;
+  private final LongSupplier timeOfDay;
+  private final ToIntFunction<String> newestVersion;
+  private final Runnable changed;
+  private final EventLog log;
+  private final long startedMillis;
+  private final Map<String, Held> held = new HashMap<>();
+  private final Map<String, Map<String, RemoteWish>> remoteWishes = new HashMap<>();
+  private Map<String, List<Wish>> localWishes = Map.of();
+  private long clockDifference = Long.MIN_VALUE;
+  private boolean stopping;
+
+  private record RemoteWish(Wish wish, long toldMillis) {}
+
+  /** One runner that this host orders or tries to. */
+  private static final class Held {
+    RunnerEntry runner;
+    final EngineSpec engine;
+    final LeasedAuthority authority = new LeasedAuthority(LEASE_MILLIS);
+    @Nullable RunnerShelf shelf;
+    long term;
+    long orderFromMillis;
+    long token;
+    boolean reporting;
+    long reportedMillis = Long.MIN_VALUE / 2;
+
+    Held(RunnerEntry runner, EngineSpec engine) {
+      this.runner = runner;
+      this.engine = engine;
+    }
+  }
+
+  /**
+   * Creates a desk.
+   *
+   * @param datagrams begins a datagram of this host
+   * @param sender sends bytes to an IP number
+   * @param timeOfDay tells the time of day (ms)
+   * @param newestVersion the newest published version of an adapter; 0 if none was published
+   * @param changed told when what this host tells of its runners has changed
+   */
+  public HolderDesk(
+      HostSettings settings,
+      Members<HostState> members,
+      Holdings holdings,
+      FleetLoad loads,
+      OrderClient orders,
+      Supplier<PeerDatagram.Builder> datagrams,
+      BiConsumer<String, byte[]> sender,
+      Consumer<Runnable> decisions,
+      LongSupplier clock,
+      LongSupplier timeOfDay,
+      ToIntFunction<String> newestVersion,
+      Runnable changed,
+      EventLog log) {
+    this.settings = settings;
+    this.members = members;
+    this.holdings = holdings;
+    this.loads = loads;
+    this.orders = orders;
+    this.datagrams = datagrams;
+    this.sender = sender;
+    this.decisions = decisions;
+    this.clock = clock;
+    this.timeOfDay = timeOfDay;
+    this.newestVersion = newestVersion;
+    this.changed = changed;
+    this.log = log;
+    this.startedMillis = clock.getAsLong();
+    // On the deployment's first start nothing was granted before that could be forgotten.
+    long granterStart = settings.firstStart() ? startedMillis - LEASE_MILLIS : startedMillis;
+    this.granter = new LeaseGranter(granterStart, LEASE_MILLIS);
+  }
+
+  /** Does what is due: claims, renewals, reports and orders. */
+  public void tick(Map<RunnerEntry, EngineSpec> runners, long nowMillis) {
+    watchClocks();
+    if (stopping) {
+      return;
+    }
+    Set<String> present = new HashSet<>();
+    runners.forEach(
+        (runner, engine) -> {
+          present.add(runner.id());
+          Held entry = held.get(runner.id());
+          if (entry != null) {
+            entry.runner = runner;
+          } else if (shouldClaim(runner, nowMillis)) {
+            held.put(runner.id(), new Held(runner, engine));
+          }
+        });
+    held.keySet().retainAll(present);
+    claim(nowMillis);
+    for (Held entry : List.copyOf(held.values())) {
+      advance(entry, nowMillis);
+    }
+  }
+
+  /** Sets what this host's own requests wait for, by runner, and orders at once. */
+  public void localWishes(Map<String, List<Wish>> wishes, long nowMillis) {
+    localWishes = wishes;
+    wishes.keySet().forEach(runner -> pump(runner, nowMillis));
+  }
+
+  /** Takes in what another host's requests wait for. */
+  public void remoteWish(String host, String runner, Wish wish, long nowMillis) {
+    remoteWishes
+        .computeIfAbsent(runner, id -> new HashMap<>())
+        .put(host + " " + wish.target(), new RemoteWish(wish, nowMillis));
+    pump(runner, nowMillis);
+  }
+
+  /** Records that a runner refused a request for an adapter that it should have. */
+  public void missing(String runner, String target, long againMillis) {
+    Held entry = held.get(runner);
+    if (entry != null && entry.shelf != null) {
+      entry.shelf.missing(target, againMillis);
+      tell(entry, clock.getAsLong());
+    }
+  }
+
+  /** Answers another host's claim. */
+  public void claimed(String host, String ip, LeaseClaim claim, long nowMillis) {
+    LeaseGrant.Builder grant = LeaseGrant.newBuilder().setClaimSentMs(claim.getSentMs());
+    if (!stopping) {
+      for (String runner : claim.getRunnersList()) {
+        if (granter.grant(runner, host, claim.getDurationMs(), nowMillis)) {
+          grant.addGranted(runner);
+        }
+      }
+    }
+    if (grant.getGrantedCount() > 0) {
+      sender.accept(ip, datagrams.get().setGrant(grant).build().toByteArray());
+    }
+  }
+
+  /** Takes in another host's grant. */
+  public void granted(String host, LeaseGrant grant, long nowMillis) {
+    for (String runner : grant.getGrantedList()) {
+      Held entry = held.get(runner);
+      if (entry != null) {
+        entry.authority.granted(host, grant.getClaimSentMs(), nowMillis);
+      }
+    }
+  }
+
+  /** Takes in that another host gave its leases up. */
+  public void released(String host, LeaseRelease release) {
+    release.getRunnersList().forEach(runner -> granter.release(runner, host));
+  }
+
+  /** Gives all leases up and orders no more. */
+  public void stop() {
+    stopping = true;
+    LeaseRelease.Builder release = LeaseRelease.newBuilder().addAllRunners(held.keySet());
+    byte[] bytes = datagrams.get().setRelease(release).build().toByteArray();
+    members.alive(clock.getAsLong()).forEach(member -> sender.accept(member.ip(), bytes));
+    held.clear();
+  }
+
+  /** Returns the runners that this host orders now. */
+  public Set<String> ordered(long nowMillis) {
+    Set<String> ordered = new HashSet<>();
+    for (Held entry : held.values()) {
+      if (mayOrder(entry, nowMillis)) {
+        ordered.add(entry.runner.id());
+      }
+    }
+    return ordered;
+  }
+
+  private boolean mayOrder(Held entry, long nowMillis) {
+    return entry.shelf != null
+        && entry.authority.rights(nowMillis + LEASE_MARGIN_MILLIS).held()
+        && nowMillis >= entry.orderFromMillis;
+  }
+
+  private void watchClocks() {
+    long difference = timeOfDay.getAsLong() - clock.getAsLong();
+    boolean suspended =
+        clockDifference != Long.MIN_VALUE && difference - clockDifference > SUSPENSION_MILLIS;
+    clockDifference = difference;
+    if (suspended) {
+      log.warning("leases-given-up", "why", "the host was suspended or its clock stepped");
+      held.clear();
+    }
+  }
+
+  private boolean shouldClaim(RunnerEntry runner, long nowMillis) {
+    boolean alone = members.alive(nowMillis).isEmpty() && hasOtherSeeds();
+    if (nowMillis - startedMillis < SETTLE_MILLIS || alone) {
+      return false;
+    }
+    Optional<Holdings.Holding> holding = holdings.find(runner.id());
+    if (holding.isPresent()
+        && members.isSound(holding.get().host(), nowMillis)
+        && nowMillis - holding.get().toldMillis() < LEASE_MILLIS) {
+      return false;
+    }
+    return firstChoice(runner, nowMillis).equals(settings.host());
+  }
+
+  private boolean hasOtherSeeds() {
+    return settings.seeds().stream().anyMatch(ip -> !ip.equals(settings.ip()));
+  }
+
+  /** The host that should order a runner: one of its failure domain if there is any. */
+  private String firstChoice(RunnerEntry runner, long nowMillis) {
+    List<String> near = new ArrayList<>();
+    List<String> all = new ArrayList<>();
+    all.add(settings.host());
+    if (runner.failureDomain().equals(settings.failureDomain())) {
+      near.add(settings.host());
+    }
+    for (Member<HostState> member : members.alive(nowMillis)) {
+      HostState state = member.state();
+      if (members.isSound(member.host(), nowMillis) && state != null) {
+        all.add(member.host());
+        if (state.getFailureDomain().equals(runner.failureDomain())) {
+          near.add(member.host());
+        }
+      }
+    }
+    Collection<String> candidates = near.isEmpty() ? all : near;
+    return Rendezvous.first(runner.id(), candidates, host -> host).orElse(settings.host());
+  }
+
+  private void claim(long nowMillis) {
+    Set<String> electorate = members.electorate(nowMillis);
+    List<Held> due = new ArrayList<>();
+    for (Held entry : held.values()) {
+      entry.authority.granters(electorate, nowMillis);
+      if (entry.authority.claimDue(nowMillis)) {
+        due.add(entry);
+      }
+    }
+    if (due.isEmpty()) {
+      return;
+    }
+    LeaseClaim.Builder claim =
+        LeaseClaim.newBuilder().setSentMs(nowMillis).setDurationMs((int) LEASE_MILLIS);
+    due.forEach(entry -> claim.addRunners(entry.runner.id()));
+    byte[] bytes = datagrams.get().setClaim(claim).build().toByteArray();
+    members.reachable(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
+    for (Held entry : due) {
+      entry.authority.roundSent(nowMillis);
+      if (granter.grant(entry.runner.id(), settings.host(), LEASE_MILLIS, nowMillis)) {
+        entry.authority.granted(settings.host(), nowMillis, nowMillis);
+      }
+    }
+  }
+
+  private void advance(Held entry, long nowMillis) {
+    var rights = entry.authority.rights(nowMillis);
+    if (!rights.held()) {
+      if (entry.shelf != null) {
+        log.warning("runner-lost", "runner", entry.runner.id());
+        held.remove(entry.runner.id());
+      } else if (!firstChoice(entry.runner, nowMillis).equals(settings.host())) {
+        held.remove(entry.runner.id());
+      }
+      return;
+    }
+    if (entry.shelf == null || rights.term() != entry.term) {
+      gained(entry, rights.term(), nowMillis);
+    }
+    RunnerShelf shelf = entry.shelf;
+    boolean reportWanted = shelf != null && shelf.reportDue(nowMillis);
+    if (reportWanted && nowMillis >= entry.orderFromMillis && !entry.reporting) {
+      report(entry, nowMillis);
+    }
+    pump(entry.runner.id(), nowMillis);
+    tell(entry, nowMillis);
+  }
+
+  private void gained(Held entry, long term, long nowMillis) {
+    entry.term = term;
+    entry.shelf = new RunnerShelf(entry.engine, ShelfSettings.DEFAULT);
+    boolean firstHolder =
+        settings.firstStart()
+            && nowMillis - startedMillis < FIRST_START_MILLIS
+            && holdings.token(entry.runner.id()) == 0;
+    entry.orderFromMillis =
+        firstHolder ? nowMillis : nowMillis + settings.leaseMillis() + ORDER_FLIGHT_MILLIS;
+    long tag = Math.floorMod(settings.host().hashCode(), TOKEN_TAG);
+    long after = holdings.token(entry.runner.id()) / TOKEN_TAG + 1;
+    entry.token = Math.max(timeOfDay.getAsLong(), after) * TOKEN_TAG + tag;
+    log.info(
+        "runner-held",
+        "runner",
+        entry.runner.id(),
+        "first_holder",
+        firstHolder,
+        "token",
+        entry.token);
+  }
+
+  private void report(Held entry, long nowMillis) {
+    entry.reporting = true;
+    orders.report(
+        entry.runner,
+        ORDER_TIMEOUT_MILLIS,
+        report -> decisions.accept(() -> reported(entry, report)));
+  }
+
+  private void reported(Held entry, @Nullable RunnerReport report) {
+    entry.reporting = false;
+    RunnerShelf shelf = entry.shelf;
+    if (shelf == null || held.get(entry.runner.id()) != entry) {
+      return;
+    }
+    long now = clock.getAsLong();
+    if (report == null) {
+      log.info("report-missing", "runner", entry.runner.id());
+      return;
+    }
+    shelf.adopt(report, now);
+    pump(entry.runner.id(), now);
+    tell(entry, now);
+  }
+
+  private void pump(String runnerId, long nowMillis) {
+    Held entry = held.get(runnerId);
+    if (entry == null || !mayOrder(entry, nowMillis)) {
+      return;
+    }
+    RunnerShelf shelf = entry.shelf;
+    if (shelf == null) {
+      return;
+    }
+    int transit = holdings.transitElsewhere(runnerId, nowMillis);
+    Optional<Order> next =
+        shelf.next(
+            wishes(runnerId, nowMillis),
+            target -> loads.uses(runnerId, target, nowMillis),
+            newestVersion,
+            transit,
+            nowMillis);
+    next.ifPresent(order -> send(entry, shelf, order, transit, nowMillis));
+  }
+
+  private Collection<Wish> wishes(String runnerId, long nowMillis) {
+    List<Wish> wishes = new ArrayList<>(localWishes.getOrDefault(runnerId, List.of()));
+    Map<String, RemoteWish> remote = remoteWishes.getOrDefault(runnerId, Map.of());
+    remote.values().removeIf(wish -> nowMillis - wish.toldMillis > WISH_MILLIS);
+    remote.values().forEach(wish -> wishes.add(wish.wish));
+    return wishes;
+  }
+
+  private void send(Held entry, RunnerShelf shelf, Order order, int transit, long nowMillis) {
+    long sequence = shelf.sequence();
+    shelf.sent(order, nowMillis);
+    log.debug(
+        "order",
+        "runner",
+        entry.runner.id(),
+        "operation",
+        order.operation(),
+        "target",
+        order.target(),
+        "version",
+        order.version(),
+        "expect",
+        sequence);
+    orders.order(
+        entry.runner,
+        order,
+        sequence,
+        settings.host(),
+        entry.token,
+        ORDER_TIMEOUT_MILLIS,
+        reply -> decisions.accept(() -> replied(entry, shelf, order, reply, transit)));
+    tell(entry, nowMillis);
+  }
+
+  private void replied(Held entry, RunnerShelf shelf, Order order, OrderReply reply, int transit) {
+    long now = clock.getAsLong();
+    shelf.replied(order, reply, transit, now);
+    if (reply != OrderReply.ACCEPTED && reply != OrderReply.DONE) {
+      log.warning(
+          "order-failed",
+          "runner",
+          entry.runner.id(),
+          "operation",
+          order.operation(),
+          "target",
+          order.target(),
+          "reply",
+          reply);
+    }
+    if (held.get(entry.runner.id()) == entry) {
+      pump(entry.runner.id(), now);
+      tell(entry, now);
+    }
+  }
+
+  private void tell(Held entry, long nowMillis) {
+    RunnerShelf shelf = entry.shelf;
+    if (shelf == null || shelf.sequence() < 0) {
+      return;
+    }
+    String runner = entry.runner.id();
+    Map<String, HeldItem> items = new HashMap<>();
+    shelf.held().forEach(item -> items.put(item.target(), item));
+    int free = shelf.freePlaces(target -> loads.uses(runner, target, nowMillis));
+    Optional<Holdings.Holding> before = holdings.find(runner);
+    holdings.told(
+        runner,
+        new Holdings.Holding(settings.host(), entry.token, nowMillis, items, shelf.models(), free));
+    boolean same =
+        before.isPresent()
+            && before.get().items().equals(items)
+            && before.get().models().equals(shelf.models());
+    if (!same) {
+      changed.run();
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
@@ -0,0 +1,149 @@
+package org.sequoiahub.node.peer;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.HostAddress;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/** Tells the other hosts this host's state and keeps theirs; runs on the decision thread. */
+public final class PeerDesk {
+
+  /** A state is told at least this often (ms). */
+  private static final long HEARTBEAT_MILLIS = 200;
+
+  /** Changes within this time go out together (ms): it bounds datagrams under load. */
+  private static final long MIN_PERIOD_MILLIS = 15;
+
+  /**
+   * States sent a second at most, heartbeats apart: a host's cost must not grow with the fleet, so
+   * in a larger one changes are told less often.
+   */
+  private static final int STATES_PER_SECOND = 400;
+
+  /** Hosts named in each state. */
+  private static final int GOSSIP = 2;
+
+  private static final int MILLIS = 1_000;
+
+  private final HostSettings settings;
+  private final long incarnation;
+  private final Members<HostState> members;
+  private final BiConsumer<String, byte[]> sender;
+  private final Supplier<HostState.Builder> ownState;
+  private final BiConsumer<String, HostState> listener;
+  private final Random random;
+  private final EventLog log;
+  private long number;
+  private long sentMillis = Long.MIN_VALUE / 2;
+  private boolean changed;
+
+  /**
+   * Creates a desk.
+   *
+   * @param sender sends bytes to an IP number
+   * @param ownState builds this host's state without the gossip
+   * @param listener receives each host's newest state
+   */
+  public PeerDesk(
+      HostSettings settings,
+      long incarnation,
+      Members<HostState> members,
+      BiConsumer<String, byte[]> sender,
+      Supplier<HostState.Builder> ownState,
+      BiConsumer<String, HostState> listener,
+      Random random,
+      EventLog log) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.members = members;
+    this.sender = sender;
+    this.ownState = ownState;
+    this.listener = listener;
+    this.random = random;
+    this.log = log;
+  }
+
+  /** Records that this host's state has changed: the others are told soon. */
+  public void changed() {
+    changed = true;
+  }
+
+  /** Tells what is due. */
+  public void tick(long nowMillis) {
+    int peers = members.reachable(nowMillis).size();
+    long period = Math.max(MIN_PERIOD_MILLIS, (long) peers * MILLIS / STATES_PER_SECOND);
+    long since = nowMillis - sentMillis;
+    if (since >= HEARTBEAT_MILLIS || (changed && since >= period)) {
+      tellAll(nowMillis);
+    }
+  }
+
+  /** Tells all hosts at once. */
+  public void tellAll(long nowMillis) {
+    sentMillis = nowMillis;
+    changed = false;
+    settings.seeds().stream()
+        .filter(ip -> !ip.equals(settings.ip()))
+        .forEach(ip -> members.named(ip, nowMillis));
+    List<Member<HostState>> reachable = members.reachable(nowMillis);
+    HostState.Builder state = ownState.get();
+    gossip(reachable, state);
+    byte[] bytes = datagram().setState(state).build().toByteArray();
+    reachable.forEach(member -> sender.accept(member.ip(), bytes));
+    members.toTry(nowMillis).forEach(ip -> sender.accept(ip, bytes));
+  }
+
+  /** Returns a datagram of this host, to be given a body. */
+  public PeerDatagram.Builder datagram() {
+    return PeerDatagram.newBuilder()
+        .setHost(settings.host())
+        .setIncarnation(incarnation)
+        .setNumber(++number);
+  }
+
+  /** Takes in another host's state. */
+  public void received(String ip, PeerDatagram datagram, long nowMillis) {
+    HostState state = datagram.getState();
+    boolean known = members.find(datagram.getHost()).isPresent();
+    boolean wasAlive = members.isSound(datagram.getHost(), nowMillis);
+    boolean news =
+        members.heard(
+            datagram.getHost(),
+            ip,
+            datagram.getIncarnation(),
+            datagram.getNumber(),
+            state.getLeaving(),
+            state,
+            nowMillis);
+    if (!news) {
+      return;
+    }
+    for (HostAddress named : state.getGossipList()) {
+      if (!named.getIp().equals(settings.ip())) {
+        members.named(named.getIp(), nowMillis);
+      }
+    }
+    if (!wasAlive && !state.getLeaving()) {
+      log.info("host-alive", "peer", datagram.getHost(), "known", known);
+      changed = true;
+    }
+    listener.accept(datagram.getHost(), state);
+  }
+
+  private void gossip(List<Member<HostState>> reachable, HostState.Builder state) {
+    List<Member<HostState>> shuffled = new ArrayList<>(reachable);
+    Collections.shuffle(shuffled, random);
+    for (Member<HostState> member : shuffled.subList(0, Math.min(GOSSIP, shuffled.size()))) {
+      state.addGossip(HostAddress.newBuilder().setHost(member.host()).setIp(member.ip()));
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -0,0 +1,114 @@
+package org.sequoiahub.node.peer;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.HeldItem;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.schema.peer.AdapterUse;
+import org.sequoiahub.schema.peer.AdapterWish;
+import org.sequoiahub.schema.peer.HeldAdapter;
+import org.sequoiahub.schema.peer.Holding;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.RunnerLoad;
+
+/** Turns what hosts tell each other into the core's types and back. */
+public final class StateCodec {
+
+  private StateCodec() {}
+
+  /** Adds what a host has in flight. */
+  public static void addUses(HostState.Builder state, Map<String, FleetLoad.Use> uses) {
+    uses.forEach(
+        (runner, use) -> {
+          RunnerLoad.Builder load =
+              RunnerLoad.newBuilder()
+                  .setRunner(runner)
+                  .setRequests(use.requests())
+                  .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, use.unreadTokens()));
+          use.adapters()
+              .forEach(
+                  (adapter, count) ->
+                      load.addAdapters(
+                          AdapterUse.newBuilder().setAdapter(adapter).setRequests(count)));
+          state.addLoads(load);
+        });
+  }
+
+  /** Returns what a host has in flight. */
+  public static Map<String, FleetLoad.Use> uses(HostState state) {
+    Map<String, FleetLoad.Use> uses = new HashMap<>();
+    for (RunnerLoad load : state.getLoadsList()) {
+      Map<String, Integer> adapters = new HashMap<>();
+      load.getAdaptersList().forEach(use -> adapters.put(use.getAdapter(), use.getRequests()));
+      uses.put(
+          load.getRunner(),
+          new FleetLoad.Use(load.getRequests(), load.getUnreadTokens(), adapters));
+    }
+    return uses;
+  }
+
+  /** Adds what a runner holds. */
+  public static void addHolding(
+      HostState.Builder state, String runner, Holdings.Holding holding, long nowMillis) {
+    Holding.Builder message =
+        Holding.newBuilder()
+            .setRunner(runner)
+            .setToken(holding.token())
+            .setFreeSlots(holding.freePlaces())
+            .addAllModels(holding.models());
+    for (HeldItem item : holding.items().values()) {
+      message.addAdapters(
+          HeldAdapter.newBuilder()
+              .setAdapter(item.target())
+              .setVersion(item.version())
+              .setReadyInMs((int) Math.max(0, item.readyMillis() - nowMillis)));
+    }
+    state.addHoldings(message);
+  }
+
+  /** Returns what the runners that a host orders hold. */
+  public static Map<String, Holdings.Holding> holdings(
+      String host, HostState state, long nowMillis) {
+    Map<String, Holdings.Holding> holdings = new HashMap<>();
+    for (Holding message : state.getHoldingsList()) {
+      Map<String, HeldItem> items = new HashMap<>();
+      for (HeldAdapter adapter : message.getAdaptersList()) {
+        items.put(
+            adapter.getAdapter(),
+            new HeldItem(
+                adapter.getAdapter(), adapter.getVersion(), nowMillis + adapter.getReadyInMs()));
+      }
+      holdings.put(
+          message.getRunner(),
+          new Holdings.Holding(
+              host,
+              message.getToken(),
+              nowMillis,
+              items,
+              new HashSet<>(message.getModelsList()),
+              message.getFreeSlots()));
+    }
+    return holdings;
+  }
+
+  /** Encodes a wish for an adapter. */
+  public static AdapterWish encode(String runner, Wish wish) {
+    return AdapterWish.newBuilder()
+        .setRunner(runner)
+        .setAdapter(wish.target())
+        .setWaiting(wish.waiting())
+        .setPriority(wish.priority())
+        .build();
+  }
+
+  /** Decodes a wish for an adapter. */
+  public static Wish decode(AdapterWish wish) {
+    int slash = wish.getAdapter().indexOf('/');
+    String model = slash < 0 ? wish.getAdapter() : wish.getAdapter().substring(0, slash);
+    String adapter = slash < 0 ? "" : wish.getAdapter().substring(slash + 1);
+    return new Wish(model, adapter, wish.getWaiting(), wish.getPriority());
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
@@ -0,0 +1,208 @@
+package org.sequoiahub.node.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.upstream.RunnerBook;
+import org.sequoiahub.core.upstream.RunnerBook.Change;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.usersplatform.DecodeException;
+import org.sequoiahub.usersplatform.RecordDecoder;
+import org.sequoiahub.usersplatform.RecordDecoder.PublishedVersion;
+import org.sequoiahub.usersplatform.StoredItem;
+import org.sequoiahub.usersplatform.StoredKeys;
+
+/**
+ * What the store holds, as this host accepted it; runs on the decision thread.
+ *
+ * <p>For each key the newest revision wins, whether the store or another host told it, so nothing
+ * goes back while the process lives.
+ */
+public final class StoreDesk implements StoreListener {
+
+  private final RecordDecoder decoder;
+  private final RunnerBook book;
+  private final Consumer<RoutingTable> tables;
+  private final Runnable changed;
+  private final EventLog log;
+  private final Map<String, StoredItem> operator = new HashMap<>();
+  private final Map<String, StoredItem> runners = new HashMap<>();
+  private final Map<String, Integer> versions = new HashMap<>();
+  private long operatorRevision;
+
+  /**
+   * Creates a desk.
+   *
+   * @param tables receives each configuration that comes into force
+   * @param changed told when something is news
+   */
+  public StoreDesk(
+      RecordDecoder decoder,
+      RunnerBook book,
+      Consumer<RoutingTable> tables,
+      Runnable changed,
+      EventLog log) {
+    this.decoder = decoder;
+    this.book = book;
+    this.tables = tables;
+    this.changed = changed;
+    this.log = log;
+  }
+
+  @Override
+  public void whole(String prefix, List<StoredItem> items, long revision, long nowMillis) {
+    if (prefix.equals(StoredKeys.RUNNER_PREFIX)) {
+      List<Change> entries = new ArrayList<>();
+      for (StoredItem item : items) {
+        runnerChange(item, entries);
+      }
+      book.replace(entries, revision, nowMillis);
+    } else {
+      items.forEach(item -> operatorChange(item, nowMillis));
+      operatorRevision = Math.max(operatorRevision, revision);
+    }
+    log.info("store-read", "prefix", prefix, "items", items.size(), "revision", revision);
+    changed.run();
+  }
+
+  @Override
+  public void changes(String prefix, List<StoredItem> items, long revision, long nowMillis) {
+    boolean news = false;
+    if (prefix.equals(StoredKeys.RUNNER_PREFIX)) {
+      List<Change> entries = new ArrayList<>();
+      for (StoredItem item : items) {
+        runnerChange(item, entries);
+      }
+      for (Change entry : entries) {
+        news |= apply(entry, nowMillis);
+      }
+      book.completeTo(revision);
+    } else {
+      for (StoredItem item : items) {
+        news |= operatorChange(item, nowMillis);
+      }
+      operatorRevision = Math.max(operatorRevision, revision);
+    }
+    if (news) {
+      changed.run();
+    }
+  }
+
+  @Override
+  public void reachable(String prefix, boolean reachable, String why, long nowMillis) {
+    if (reachable) {
+      log.info("store-regained", "prefix", prefix);
+    } else {
+      log.warning("store-lost", "prefix", prefix, "why", why);
+    }
+  }
+
+  /** Takes in a record that another host passed on; returns whether it was news. */
+  public boolean passedOn(StoredItem item, long nowMillis) {
+    if (!item.key().startsWith(StoredKeys.RUNNER_PREFIX)) {
+      return operatorChange(item, nowMillis);
+    }
+    List<Change> entries = new ArrayList<>();
+    runnerChange(item, entries);
+    boolean news = false;
+    for (Change entry : entries) {
+      news |= apply(entry, nowMillis);
+    }
+    return news;
+  }
+
+  /** Returns the newest published version of an adapter; 0 if none was published. */
+  public int newestVersion(String target) {
+    return versions.getOrDefault(target, 0);
+  }
+
+  /** Returns the revision of the newest record that operators wrote; 0 if none is known. */
+  public long newestOperatorRevision() {
+    return operator.values().stream().mapToLong(StoredItem::revision).max().orElse(0);
+  }
+
+  /** Returns the operators' records that are newer than {@code revision}. */
+  public List<StoredItem> operatorSince(long revision) {
+    return operator.values().stream().filter(item -> item.revision() > revision).toList();
+  }
+
+  /** Returns the runners' records that are newer than {@code revision}. */
+  public List<StoredItem> runnersSince(long revision) {
+    return runners.values().stream().filter(item -> item.revision() > revision).toList();
+  }
+
+  private void runnerChange(StoredItem item, List<Change> entries) {
+    String id = StoredKeys.runnerId(item.key());
+    byte @Nullable [] value = item.value();
+    if (value == null) {
+      entries.add(new Change(id, item.revision(), null));
+    } else {
+      try {
+        RunnerEntry entry = decoder.runner(id, value);
+        entries.add(new Change(id, item.revision(), entry));
+      } catch (DecodeException e) {
+        log.warning("record-ignored", "key", item.key(), "why", e.getMessage());
+        return;
+      }
+    }
+    StoredItem before = runners.get(item.key());
+    if (before == null || before.revision() < item.revision()) {
+      runners.put(item.key(), item);
+    }
+  }
+
+  private boolean apply(Change change, long nowMillis) {
+    RunnerEntry before = book.find(change.id()).orElse(null);
+    boolean news = book.apply(change, nowMillis);
+    RunnerEntry entry = change.entry();
+    if (news && (before == null || entry == null || entry.leaving() != before.leaving())) {
+      log.info(
+          "runner-changed",
+          "runner",
+          change.id(),
+          "revision",
+          change.revision(),
+          "present",
+          entry != null,
+          "leaving",
+          entry != null && entry.leaving());
+    }
+    return news;
+  }
+
+  private boolean operatorChange(StoredItem item, long nowMillis) {
+    StoredItem before = operator.get(item.key());
+    byte @Nullable [] value = item.value();
+    if (value == null || (before != null && before.revision() >= item.revision())) {
+      return false;
+    }
+    try {
+      if (item.key().equals(StoredKeys.CONFIGURATION)) {
+        RoutingTable table = decoder.configuration(value);
+        tables.accept(table);
+        log.info(
+            "configuration-in-force",
+            "version",
+            table.version(),
+            "revision",
+            item.revision(),
+            "routes",
+            table.size());
+      } else if (item.key().startsWith(StoredKeys.VERSION_PREFIX)) {
+        PublishedVersion version = decoder.version(value);
+        versions.merge(version.target(), version.version(), Math::max);
+        log.info("adapter-version", "adapter", version.target(), "version", version.version());
+      }
+    } catch (DecodeException e) {
+      log.warning("record-ignored", "key", item.key(), "why", e.getMessage());
+      return false;
+    }
+    operator.put(item.key(), item);
+    return true;
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
@@ -0,0 +1,26 @@
+package org.sequoiahub.node.upstream;
+
+import org.eclipse.jetty.http.HttpFields;
+
+/** How one attempt at a runner ended. */
+public sealed interface Outcome {
+
+  /** Nothing reached the runner. */
+  record NotSent(String why) implements Outcome {}
+
+  /** The runner said that it did not run the request and will not. */
+  record Refused(int status) implements Outcome {}
+
+  /** The runner gave a whole answer. */
+  record Answered(int status, HttpFields headers, byte[] body) implements Outcome {}
+
+  /** A stream reached its proper end; its pieces were passed on. */
+  record StreamEnded() implements Outcome {}
+
+  /**
+   * The request may have run, and its answer is lost or broken off.
+   *
+   * @param why what was seen
+   */
+  record Lost(String why) implements Outcome {}
+}
