A reset is not the end of an answer without a length

Cause: Jetty's endpoint takes a failed read for the end of input, so an answer that ends with its connection looked whole when the runner crashed. Ruled out: our own framing (the answer had no length; the runner broke it off). RunnerEndPoint reports the reset as a failure.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -208,7 +208,7 @@
   }
 
   private boolean hasRoom(String model) {
-    if (items.size() >= engine.adapterSlots()) {
+    if (items.size() >= engine.adapterPlaces()) {
       return false;
     }
     double used = 0;
@@ -372,7 +372,7 @@
       boolean idle = item.state == State.READY && uses.applyAsInt(item.target) == 0;
       taken += idle ? 0 : 1;
     }
-    return Math.max(0, engine.adapterSlots() - taken);
+    return Math.max(0, engine.adapterPlaces() - taken);
   }
 
   /** Returns the number of orders that the runner has accepted; negative if not known. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/EngineSpec.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/EngineSpec.java
@@ -8,7 +8,7 @@
  * @param slots requests that one runner processes at once
  * @param cacheTokens prompt and output tokens that fit in its memory
  * @param weightsMb memory for weights and adapters (MB)
- * @param adapterSlots adapters that it holds at most, those on their way included
+ * @param adapterPlaces adapters that it holds at most, those on their way included
  * @param loadsPerSecond loads of weights that the weight store allows over all runners
  * @param models the models that it may hold
  */
@@ -16,7 +16,7 @@
     int slots,
     long cacheTokens,
     double weightsMb,
-    int adapterSlots,
+    int adapterPlaces,
     double loadsPerSecond,
     List<ModelSpec> models) {
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -1,5 +1,8 @@
 package org.sequoiahub.node.upstream;
 
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -9,6 +12,8 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahub.core.upstream.RunnerEntry;
 
@@ -39,7 +44,7 @@
 
   /** Returns a started HTTP client that adds nothing to a request and repeats none. */
   public static HttpClient start() throws Exception {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new RunnerConnector();
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-client");
     threads.setDaemon(true);
@@ -92,4 +97,13 @@
     attempt.send();
     return attempt;
   }
+
+  /** Makes connections on which a reset is not taken for an end. */
+  private static final class RunnerConnector extends ClientConnector {
+    @Override
+    protected EndPoint newEndPoint(
+        SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+      return new RunnerEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+  }
 }
