--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
@@ -8,6 +8,7 @@
  * @param runner the runner
  * @param inFlight requests there now, from all hosts
  * @param unreadAheadTokens prompt tokens of these that are still to be read
+ * @param heldAheadTokens prompt tokens of requests that wait to be sent there
  * @param unreadTokens prompt tokens of the request that are still to be read there
  * @param adapterWaitMillis until the adapter can serve there; 0 if it does or none is needed
  * @param present whether the model and the adapter are there or on their way
@@ -22,6 +23,7 @@
     RunnerEntry runner,
     int inFlight,
     long unreadAheadTokens,
+    long heldAheadTokens,
     int unreadTokens,
     long adapterWaitMillis,
     boolean present,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -15,7 +15,8 @@
   /** What another host told is forgotten after this (ms): it is dead or cut off. */
   private static final long MAX_AGE_MILLIS = 2_500;
 
-  private static final Use NONE = new Use(0, 0, Map.of());
+  /** Nothing in flight. */
+  public static final Use NONE = new Use(0, 0, 0, Map.of());
 
   private final Map<String, Told> others = new HashMap<>();
   private final Map<String, Own> own = new HashMap<>();
@@ -23,11 +24,13 @@
   /**
    * What one host has in flight at one runner.
    *
-   * @param requests requests sent, and those that wait for an adapter there
-   * @param unreadTokens prompt tokens of these that the runner has still to read
+   * @param requests requests sent, and those that wait to be sent there
+   * @param unreadTokens prompt tokens of those sent that the runner has still to read
+   * @param heldTokens prompt tokens of those that wait to be sent
    * @param adapters how many of the requests use each adapter
    */
-  public record Use(int requests, long unreadTokens, Map<String, Integer> adapters) {
+  public record Use(
+      int requests, long unreadTokens, long heldTokens, Map<String, Integer> adapters) {
     /** Copies the map. */
     public Use {
       adapters = Map.copyOf(adapters);
@@ -39,25 +42,39 @@
   private static final class Own {
     int requests;
     long unreadTokens;
+    long heldTokens;
     final Map<String, Integer> adapters = new HashMap<>();
   }
 
-  /** Takes in what another host told; it replaces all that it told before. */
-  public void told(String host, Map<String, Use> uses, long nowMillis) {
-    others.put(host, new Told(Map.copyOf(uses), nowMillis));
+  /**
+   * Takes in what another host told.
+   *
+   * @param complete whether it told all; otherwise only what has changed since
+   */
+  public void told(String host, Map<String, Use> uses, boolean complete, long nowMillis) {
+    Map<String, Use> now = new HashMap<>();
+    Told before = others.get(host);
+    if (!complete && before != null) {
+      now.putAll(before.uses);
+    }
+    now.putAll(uses);
+    now.values().removeIf(use -> use.requests == 0);
+    others.put(host, new Told(now, nowMillis));
   }
 
   /**
    * Adds to this host's own part.
    *
    * @param requests 1 for a request that starts or waits there, -1 for one that ends, else 0
-   * @param tokens prompt tokens to be read, negative once they were
+   * @param unread prompt tokens sent and to be read, negative once they were
+   * @param held prompt tokens that wait to be sent, negative once they were
    * @param target the adapter that the request uses; empty for none
    */
-  public void add(String runner, int requests, long tokens, String target) {
+  public void add(String runner, int requests, long unread, long held, String target) {
     Own use = own.computeIfAbsent(runner, id -> new Own());
     use.requests += requests;
-    use.unreadTokens += tokens;
+    use.unreadTokens += unread;
+    use.heldTokens += held;
     if (!target.isEmpty() && requests != 0) {
       int left = use.adapters.merge(target, requests, Integer::sum);
       if (left <= 0) {
@@ -87,6 +104,15 @@
     return Math.max(0, sum);
   }
 
+  /** Returns how many prompt tokens wait to be sent to a runner. */
+  public long heldTokens(String runner, long nowMillis) {
+    long sum = own(runner).heldTokens();
+    for (Told told : others.values()) {
+      sum += nowMillis - told.toldMillis < MAX_AGE_MILLIS ? use(told, runner).heldTokens : 0;
+    }
+    return Math.max(0, sum);
+  }
+
   /** Returns how many requests use an adapter at a runner or wait for it there. */
   public int uses(String runner, String target, long nowMillis) {
     int sum = own(runner).adapters().getOrDefault(target, 0);
@@ -112,7 +138,11 @@
 
   private Use own(String runner) {
     Own use = own.get(runner);
-    return use == null ? NONE : new Use(use.requests, Math.max(0, use.unreadTokens), use.adapters);
+    return use == null ? NONE : new Use(
+            use.requests,
+            Math.max(0, use.unreadTokens),
+            Math.max(0, use.heldTokens),
+            use.adapters);
   }
 
   private static Use use(Told told, String runner) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -57,7 +57,8 @@
   /** Returns the expected time to the first token at one runner (ms). */
   public double expectedMillis(Candidate candidate) {
     double reading =
-        (candidate.unreadAheadTokens() + candidate.unreadTokens()) / settings.readTokensPerMilli();
+        (candidate.unreadAheadTokens() + candidate.heldAheadTokens() + candidate.unreadTokens())
+            / settings.readTokensPerMilli();
     long overSlots = Math.max(0, candidate.inFlight() + 1 - candidate.runner().slots());
     double expected =
         reading
@@ -72,6 +73,30 @@
     return expected;
   }
 
+  /**
+   * Returns whether a runner may start reading a request's prompt now.
+   *
+   * <p>A runner reads prompts in pieces between the steps in which its streams grow, and a step with
+   * a piece takes twenty times as long. While several long prompts are read one after the other,
+   * every stream there pauses for as many such steps as one event takes tokens; callers that accept
+   * a shorter pause get their whole stream too late. So no more is sent than the streams can bear,
+   * and the next prompt waits here until the ones ahead are read.
+   *
+   * @param pauseMillis the longest pause that callers accept; 0 if none said
+   * @param tokensPerEvent tokens of one event of a stream
+   */
+  public boolean mayRead(Candidate candidate, long pauseMillis, int tokensPerEvent) {
+    if (candidate.unreadAheadTokens() == 0 || pauseMillis <= 0) {
+      return true;
+    }
+    double pieceMillis = settings.pieceTokens() / settings.pieceTokensPerMilli();
+    if (tokensPerEvent * pieceMillis < pauseMillis) {
+      return true;
+    }
+    double bearable = (pauseMillis - settings.pauseMarginMillis()) * settings.pieceTokensPerMilli();
+    return candidate.unreadAheadTokens() + candidate.unreadTokens() <= bearable;
+  }
+
   private double penalty(Candidate candidate) {
     return candidate.failureRate() * settings.failureMillis()
         + (candidate.vanished() ? settings.vanishedMillis() : 0)
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -13,6 +13,9 @@
  * @param farMillis cost of leaving the failure domain; bytes between domains are dear
  * @param fetchMillis cost, beyond the wait, of bringing an adapter to a runner
  * @param rankMillis the same for each runner before it in the adapter's order
+ * @param pieceTokens prompt tokens that a runner reads in one step
+ * @param pieceTokensPerMilli how fast it reads them, with what long contexts cost
+ * @param pauseMarginMillis part of a bearable pause that is left for steps and the network
  */
 public record PlacementSettings(
     double readTokensPerMilli,
@@ -24,13 +27,17 @@
     long vanishedMillis,
     long farMillis,
     long fetchMillis,
-    long rankMillis) {
+    long rankMillis,
+    int pieceTokens,
+    double pieceTokensPerMilli,
+    long pauseMarginMillis) {
 
   /**
    * Reading speed from the users' sheets (38.7 and 38.4 tokens a millisecond, less a tenth for the
    * steps between); the rest are the delays seen when the case occurs: half a second for a place, a
-   * lease and a half for a new holder.
+   * lease and a half for a new holder. Pieces of 4,096 tokens take 107 ms and, in contexts of 8,000
+   * tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 400, 100);
+      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 400, 100, 4_096, 31, 80);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -157,7 +157,7 @@
     List<Wish> ordered = new ArrayList<>(wishes);
     ordered.sort(Comparator.comparingInt(Wish::priority).thenComparingInt(wish -> -wish.waiting()));
     for (Wish wish : ordered) {
-      Optional<Order> order = serve(wish, ordered, uses, newest, nowMillis);
+      Optional<Order> order = serve(wish, ordered, uses, newest, transitElsewhere, nowMillis);
       if (order.isPresent()) {
         return order;
       }
@@ -190,6 +190,7 @@
       List<Wish> wishes,
       ToIntFunction<String> uses,
       ToIntFunction<String> newest,
+      int transitElsewhere,
       long nowMillis) {
     if (!models.contains(wish.model())) {
       return loadModel(wish.model(), nowMillis);
@@ -197,8 +198,7 @@
     if (wish.adapter().isEmpty() || items.containsKey(wish.target())) {
       return Optional.empty();
     }
-    long coming = items.values().stream().filter(item -> item.state == State.COMING).count();
-    if (coming >= settings.transitPerRunner()) {
+    if (!mayBring(transitElsewhere)) {
       return Optional.empty();
     }
     if (hasRoom(wish.model())) {
@@ -207,6 +207,18 @@
     return leastWorth(wishes, uses, nowMillis).map(item -> order(Operation.UNLOAD, item.target, 0));
   }
 
+  /**
+   * Beyond a number of adapters on their way over all runners the store brings no more of them a
+   * second, and each only takes longer; so every runner may bring one, and more only below that
+   * number.
+   */
+  private boolean mayBring(int transitElsewhere) {
+    int coming = coming();
+    return coming == 0
+        || (coming < settings.transitPerRunner()
+            && coming + transitElsewhere < settings.freeTransit());
+  }
+
   private boolean hasRoom(String model) {
     if (items.size() >= engine.adapterPlaces()) {
       return false;
@@ -328,12 +340,22 @@
         / settings.freeTransit();
   }
 
-  /** Records that a runner refused a request for an adapter that should be there. */
-  public void missing(String target, long againMillis) {
+  /**
+   * Records that the runner refused a request for an adapter that should be there: it comes later
+   * than expected, or, if it was there for a while, this account of the runner is wrong and a report
+   * must mend it.
+   */
+  public void missing(String target, long nowMillis) {
     Item item = items.get(target);
-    if (item != null && item.state != State.LEAVING) {
+    if (item == null || item.state == State.LEAVING) {
+      return;
+    }
+    if (nowMillis - item.readyMillis >= settings.reportAgeMillis()) {
+      uncertain = true;
+      uncertainMillis = nowMillis - settings.reportAgeMillis();
+    } else {
       item.state = State.COMING;
-      item.readyMillis = Math.max(item.readyMillis, againMillis);
+      item.readyMillis = Math.max(item.readyMillis, nowMillis + settings.lateMillis());
     }
   }
 
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
@@ -10,6 +10,7 @@
  * @param transitPerRunner adapters on their way to one runner at most
  * @param idleMillis how long an adapter must have been unused before it makes way
  * @param modelRetryMillis how long after an order for a model the next one is given
+ * @param lateMillis how much later an adapter is expected that was not there when it should be
  * @param reportAgeMillis how old a report may be; one read sooner after an order may not show it
  */
 public record ShelfSettings(
@@ -20,13 +21,37 @@
     int transitPerRunner,
     long idleMillis,
     long modelRetryMillis,
+    long lateMillis,
     long reportAgeMillis) {
 
+  /** Runners for each adapter that may be on its way at full speed; see {@link #forFleet}. */
+  private static final double TRANSIT_PER_RUNNER = 0.6;
+
+
   /**
    * The figures that the users' sheets give: 250 ms a load, a tenth of it for one held recently, 8
    * at full speed over all runners, 4 at a runner, reports up to 200 ms old. {@code idleMillis} is
    * three times the time in which other hosts tell what they have in flight (20 ms); {@code
    * remembered} is a guess below what runners were seen to keep.
    */
-  public static final ShelfSettings DEFAULT = new ShelfSettings(250, 25, 32, 8, 4, 60, 5_000, 500);
+  public static final ShelfSettings DEFAULT = new ShelfSettings(250, 25, 32, 8, 4, 60, 5_000, 40, 500);
+
+  /**
+   * Returns the settings of a fleet of {@code runners}: the store of a larger one brings more at
+   * once, though no record says how many; the users' sheets have 8 for 8 and 13 runners, 32 for 42
+   * and 40 for 63.
+   */
+  public static ShelfSettings forFleet(int runners) {
+    int transit = Math.max(DEFAULT.freeTransit, (int) (runners * TRANSIT_PER_RUNNER));
+    return new ShelfSettings(
+        DEFAULT.loadMillis,
+        DEFAULT.reloadMillis,
+        DEFAULT.remembered,
+        transit,
+        DEFAULT.transitPerRunner,
+        DEFAULT.idleMillis,
+        DEFAULT.modelRetryMillis,
+        DEFAULT.lateMillis,
+        DEFAULT.reportAgeMillis);
+  }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/EngineSpec.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/EngineSpec.java
@@ -10,6 +10,7 @@
  * @param weightsMb memory for weights and adapters (MB)
  * @param adapterPlaces adapters that it holds at most, those on their way included
  * @param loadsPerSecond loads of weights that the weight store allows over all runners
+ * @param tokensPerEvent tokens that one event of a stream holds
  * @param models the models that it may hold
  */
 public record EngineSpec(
@@ -18,6 +19,7 @@
     double weightsMb,
     int adapterPlaces,
     double loadsPerSecond,
+    int tokensPerEvent,
     List<ModelSpec> models) {
 
   /** Copies the list. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
@@ -31,6 +31,10 @@
     int maxAttempts,
     long pauseMillis) {
 
+  private static final long MIN_PATIENCE_MILLIS = 2_000;
+  private static final long TARGETS_OF_PATIENCE = 4;
+  private static final long PAUSES_OF_PATIENCE = 8;
+
   /** Checks the arguments. */
   public Route {
     checkArgument(prefix.startsWith("/") && prefix.endsWith("/"), "prefix must be /…/: %s", prefix);
@@ -40,6 +44,18 @@
     checkArgument(!services.isEmpty(), "services must not be empty");
   }
 
+  /**
+   * Returns how long a caller waits for the next event of a stream before it leaves (ms).
+   *
+   * <p>The users' callers leave after 2 s, four times the target or eight times the pause, whichever
+   * is longest; a request that cannot start by then is better refused at once.
+   */
+  public long patienceMillis() {
+    return Math.max(
+        MIN_PATIENCE_MILLIS,
+        Math.max(TARGETS_OF_PATIENCE * targetLatencyMillis, PAUSES_OF_PATIENCE * pauseMillis));
+  }
+
   /**
    * Returns the destination of one request.
    *
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/RoutingTable.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/RoutingTable.java
@@ -61,6 +61,11 @@
     return List.copyOf(services.values());
   }
 
+  /** Returns all routes. */
+  public List<Route> routes() {
+    return routes.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Returns how many routes there are. */
   public int size() {
     return routes.values().stream().mapToInt(List::size).sum();
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
@@ -20,7 +20,7 @@
   private static final int PLACES = 4;
   private static final long LOAD_MILLIS = 250;
   private static final EngineSpec ENGINE =
-      new EngineSpec(8, 10_000, 1_000, PLACES, 3, List.of(new ModelSpec("m", 800, 10, 500)));
+      new EngineSpec(8, 10_000, 1_000, PLACES, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
 
   private final RunnerShelf shelf = new RunnerShelf(ENGINE, ShelfSettings.DEFAULT);
   private final Map<String, Long> readyAt = new LinkedHashMap<>();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -47,7 +46,6 @@
 import org.sequoiahub.usersplatform.HostSettings;
 import org.sequoiahub.usersplatform.OrderClient;
 import org.sequoiahub.usersplatform.RecordDecoder;
-import org.sequoiahub.usersplatform.SettingsFile;
 import org.sequoiahub.usersplatform.StoreClient;
 import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.usersplatform.StoredKeys;
@@ -101,7 +99,6 @@
   private static final int ANSWER_ADDRESSES = 64;
 
   private final HostSettings host;
-  private final NodeSettings own;
   private final EventLog log;
   private final Random random = new Random(new SecureRandom().nextLong());
   private final EventLoopGroup network = WireThreads.one("peers");
@@ -128,12 +125,12 @@
   private volatile boolean ready;
   private volatile boolean leaving;
   private volatile List<String> addresses = List.of();
+  private Map<String, FleetLoad.Use> toldUses = Map.of();
   private long slowTickMillis;
   private long wishedMillis;
 
   private Node(HostSettings host, NodeSettings own) throws Exception {
     this.host = host;
-    this.own = own;
     this.log = new EventLog("node", host.host());
     this.members = new Members<>(host.host(), MemberSettings.DEFAULT);
     this.storeHttp = UpstreamClient.start();
@@ -177,10 +174,11 @@
             log);
     this.datagrams =
         DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
+    long incarnation = System.currentTimeMillis();
     this.peers =
         new PeerDesk(
             host,
-            System.currentTimeMillis(),
+            incarnation,
             members,
             datagrams::send,
             this::ownState,
@@ -190,6 +188,7 @@
     this.holder =
         new HolderDesk(
             host,
+            incarnation,
             members,
             holdings,
             loads,
@@ -223,31 +222,31 @@
   /**
    * Starts a host's program.
    *
-   * @param settingsFile path of the platform's settings file
-   * @throws IOException if the file cannot be used or a port cannot be opened
+   * @throws IOException if a port cannot be opened
    */
-  public static Node start(NodeSettings own, String settingsFile) throws Exception {
-    HostSettings host;
-    try {
-      host = SettingsFile.read(Path.of(settingsFile));
-    } catch (SettingsFile.InvalidSettingsException e) {
-      throw new IOException("settings file " + settingsFile + ": " + e.getMessage(), e);
-    }
+  public static Node start(NodeSettings own, HostSettings host) throws Exception {
     Node node = new Node(host, own);
     node.duty.start();
     node.door.start();
-    Signals.onHangup(() -> node.log.info("settings-signal"));
     node.log.info(
-        "started",
-        "domain",
-        host.failureDomain(),
-        "first_start",
-        host.firstStart(),
-        "seeds",
+        "started", "domain", host.failureDomain(), "first_start", host.firstStart(), "seeds",
         host.seeds().size());
     return node;
   }
 
+  /**
+   * Takes in settings that have changed while the process runs.
+   *
+   * <p>Seeds are used at once. Addresses and bounds hold for the life of a process: they are logged
+   * and come into force with its next start.
+   */
+  public void reload(HostSettings changed) {
+    log.info(
+        "settings-reloaded", "seeds", changed.seeds().size(), "needs_restart",
+        !changed.withSeeds(host.seeds()).equals(host));
+    duty.put(() -> peers.seeds(changed.seeds()));
+  }
+
   /** Leaves the fleet, finishes what is in progress, and stops. */
   public void stop() throws Exception {
     long stopMillis = MonotonicClock.SYSTEM.nowMillis();
@@ -269,6 +268,14 @@
       idle = MonotonicClock.SYSTEM.nowMillis() > takeUntil && inProgress() == 0;
     }
     log.info("stopped", "in_progress", inProgress());
+    door.close();
+    duty.close();
+    datagrams.close();
+    wireServer.close();
+    wireClients.close();
+    storeHttp.stop();
+    runnerHttp.stop();
+    network.shutdownGracefully();
   }
 
   private int inProgress() throws InterruptedException {
@@ -306,6 +313,7 @@
       refreshAddresses(nowMillis);
       members.forget(nowMillis);
       book.forget(nowMillis, FORGET_MILLIS);
+      fleet.forgetRefusals(nowMillis);
     }
     peers.tick(nowMillis);
   }
@@ -314,8 +322,25 @@
     peers.changed();
   }
 
-  private void missing(String runner, String target, long againMillis) {
-    holder.missing(runner, target, againMillis);
+  /** Tells the host that orders a runner that an adapter is not there. */
+  private void missing(String runner, String target, long nowMillis) {
+    holder.missing(runner, target, nowMillis);
+    holdings
+        .find(runner)
+        .filter(holding -> !holding.host().equals(host.host()))
+        .flatMap(holding -> members.find(holding.host()))
+        .ifPresent(
+            member -> {
+              AdapterWish wish =
+                  AdapterWish.newBuilder()
+                      .setRunner(runner)
+                      .setAdapter(target)
+                      .setRefused(true)
+                      .build();
+              AdapterDemand demand = AdapterDemand.newBuilder().addWishes(wish).build();
+              datagrams.send(
+                  member.ip(), peers.datagram().setDemand(demand).build().toByteArray());
+            });
   }
 
   private void inForce(RoutingTable table) {
@@ -389,7 +414,11 @@
       case RELEASE -> holder.released(from, datagram.getRelease());
       case DEMAND -> {
         for (AdapterWish wish : datagram.getDemand().getWishesList()) {
-          holder.remoteWish(from, wish.getRunner(), StateCodec.decode(wish), now);
+          if (wish.getRefused()) {
+            holder.missing(wish.getRunner(), wish.getAdapter(), now);
+          } else {
+            holder.remoteWish(from, wish.getRunner(), StateCodec.decode(wish), now);
+          }
         }
       }
       case BODY_NOT_SET -> log.warning("datagram-dropped", "from", from, "why", "unknown body");
@@ -398,7 +427,7 @@
 
   private void stateOf(String from, HostState state) {
     long now = MonotonicClock.SYSTEM.nowMillis();
-    loads.told(from, StateCodec.uses(state), now);
+    loads.told(from, StateCodec.uses(state), state.getLoadsComplete(), now);
     StateCodec.holdings(from, state, now).forEach(holdings::told);
     boolean behind = state.getConfigRevision() > store.newestOperatorRevision();
     boolean runnersBehind = !runners.isReachable() && state.getRunnersRevision() > book.revision();
@@ -421,7 +450,7 @@
     }
   }
 
-  private HostState.Builder ownState(boolean withHoldings) {
+  private HostState.Builder ownState(boolean withHoldings, boolean complete) {
     long now = MonotonicClock.SYSTEM.nowMillis();
     HostState.Builder state =
         HostState.newBuilder()
@@ -432,7 +461,8 @@
             .setLeaving(leaving)
             .setConfigRevision(store.newestOperatorRevision())
             .setRunnersRevision(book.revision());
-    StateCodec.addUses(state, loads.own());
+    state.setLoadsComplete(complete);
+    StateCodec.addUses(state, complete ? allUses() : changedUses());
     Set<String> ordered = leaving || !withHoldings ? Set.of() : holder.ordered(now);
     for (String runner : ordered) {
       holdings.find(runner).ifPresent(h -> StateCodec.addHolding(state, runner, h, now));
@@ -440,6 +470,24 @@
     return state;
   }
 
+  private Map<String, FleetLoad.Use> allUses() {
+    toldUses = loads.own();
+    return toldUses;
+  }
+
+  /** What has changed since it was told last; a runner with nothing left is told as such. */
+  private Map<String, FleetLoad.Use> changedUses() {
+    Map<String, FleetLoad.Use> before = toldUses;
+    Map<String, FleetLoad.Use> changed = new HashMap<>(allUses());
+    changed.entrySet().removeIf(entry -> entry.getValue().equals(before.get(entry.getKey())));
+    for (String runner : before.keySet()) {
+      if (!toldUses.containsKey(runner)) {
+        changed.put(runner, FleetLoad.NONE);
+      }
+    }
+    return changed;
+  }
+
   private void defect(Throwable failure) {
     log.warning("defect", "failure", failure, "at", firstFrame(failure));
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/NodeMain.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/NodeMain.java
@@ -1,19 +1,22 @@
 package org.sequoiahub.node;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Optional;
 import org.sequoiahub.runtime.process.ProcessMain;
+import org.sequoiahub.runtime.process.Signals;
 import org.sequoiahub.schema.settings.NodeSettings;
+import org.sequoiahub.usersplatform.HostSettings;
 import org.sequoiahub.usersplatform.SettingsFile;
 
 /** The binary {@code sequoia-node}. */
 public final class NodeMain {
 
   private static final String UNSET = "-";
+  private static final String SELF_CHECK = "--self-check";
 
   private NodeMain() {}
 
-  private static final String SELF_CHECK = "--self-check";
-
   /** Runs the host's program until SIGTERM; with {@code --self-check}, checks that it can start. */
   public static void main(String[] arguments) throws Exception {
     if (arguments.length == 1 && arguments[0].equals(SELF_CHECK)) {
@@ -24,14 +27,27 @@
         NodeSettings.getDefaultInstance(),
         arguments,
         settings -> {
-          Node node = Node.start(settings, file(settings));
+          Path file = file(settings);
+          Node node = Node.start(settings, read(file));
+          SettingsWatch watch = new SettingsWatch(file, node::reload);
+          watch.start();
+          Signals.onHangup(watch::readNow);
           return node::stop;
         });
   }
 
-  private static String file(NodeSettings settings) {
-    return settings.getSettingsFile().equals(UNSET)
-        ? Optional.ofNullable(System.getenv(SettingsFile.VARIABLE)).orElse("")
-        : settings.getSettingsFile();
+  private static Path file(NodeSettings settings) {
+    return Path.of(
+        settings.getSettingsFile().equals(UNSET)
+            ? Optional.ofNullable(System.getenv(SettingsFile.VARIABLE)).orElse("")
+            : settings.getSettingsFile());
+  }
+
+  private static HostSettings read(Path file) throws IOException {
+    try {
+      return SettingsFile.read(file);
+    } catch (SettingsFile.InvalidSettingsException e) {
+      throw new IOException("settings file " + file + ": " + e.getMessage(), e);
+    }
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -1,11 +1,7 @@
 package org.sequoiahub.node;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import java.io.IOException;
 import java.net.ServerSocket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.eclipse.jetty.client.ContentResponse;
@@ -15,6 +11,7 @@
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.schema.settings.NodeSettings;
 import org.sequoiahub.usersplatform.AddressDialect;
+import org.sequoiahub.usersplatform.HostSettings;
 
 /**
  * Starts a whole node on loopback ports without a fleet, asks it what callers and the platform ask,
@@ -27,15 +24,14 @@
 
   private static final int PORTS = 6;
   private static final int ROUNDS = 20;
+  private static final long STOP_MILLIS = 500;
 
   private SelfCheck() {}
 
   /** Runs the check; returns the process's exit code. */
   static int run(NodeSettings own) throws Exception {
     List<Integer> ports = freePorts();
-    Path file = Files.createTempFile("sequoia-node", ".conf");
-    Files.writeString(file, settings(ports), UTF_8);
-    Node node = Node.start(own, file.toString());
+    Node node = Node.start(own, settings(ports));
     HttpClient client = UpstreamClient.start();
     boolean good = true;
     for (int round = 0; round < ROUNDS; round++) {
@@ -45,7 +41,6 @@
     }
     client.stop();
     node.stop();
-    Files.delete(file);
     System.out.println(good ? "self-check passed" : "self-check failed");
     return good ? 0 : 1;
   }
@@ -77,28 +72,25 @@
     return ports;
   }
 
-  private static String settings(List<Integer> ports) {
-    return """
-        node=self-check
-        zone=none
-        ipAddress=127.0.0.1
-        listenAddresses.front=127.0.0.1:%d
-        listenAddresses.ready=127.0.0.1:%d
-        listenAddresses.directory=127.0.0.1:%d
-        listenAddresses.control=127.0.0.1:%d
-        internalPorts=%d,%<d
-        seeds=127.0.0.1:%4$d
-        firstStart=true
-        platform.address=127.0.0.1:%d
-        bounds.graceS=1
-        bounds.leaseMs=3000
-        bounds.budgetRatio=0.2
-        bounds.budgetSlack=50
-        bounds.budgetWindowS=10
-        bounds.ttl_max_s=5
-        limits.memoryMb=430
-        """
-        .formatted(
-            ports.get(0), ports.get(1), ports.get(2), ports.get(3), ports.get(4), ports.get(5));
+  private static HostSettings settings(List<Integer> ports) {
+    return new HostSettings(
+        "self-check",
+        "none",
+        "127.0.0.1",
+        ports.get(0),
+        ports.get(1),
+        ports.get(2),
+        ports.get(3),
+        ports.get(4),
+        List.of("127.0.0.1"),
+        true,
+        "127.0.0.1:" + ports.get(5),
+        STOP_MILLIS,
+        3_000,
+        0.2,
+        50,
+        10_000,
+        5_000,
+        430);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -40,9 +40,6 @@
   /** Prompt tokens that were counted at {@link #waitingAt}. */
   int waitingTokens;
 
-  /** Do not place it before this. */
-  long placeFromMillis;
-
   /** Requests sent to runners, those that were refused included. */
   int sends;
 
@@ -86,6 +83,11 @@
     }
   }
 
+  /** Returns when the caller leaves if it has had no event until then. */
+  long firstEventByMillis() {
+    return Math.min(endMillis, arrivedMillis + route.patienceMillis());
+  }
+
   String id() {
     return headers.requestId();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -25,6 +25,7 @@
 import org.sequoiahub.core.dispatch.ServicePlacement;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.retry.SharedRetryBudget;
+import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Repetition;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
@@ -45,9 +46,6 @@
   /** How often callers are looked after that may have gone (ms). */
   private static final long LOOK_MILLIS = 100;
 
-  /** Wait until an adapter that a runner refused for is tried again (ms). */
-  private static final long MISSING_MILLIS = 40;
-
   /** A waiting request moves to another runner only if it gains this much (ms). */
   private static final double MOVE_GAIN_MILLIS = 120;
 
@@ -162,16 +160,14 @@
         continue;
       }
       if (look && call.exchange.callerGone()) {
-        log.debug("caller-gone", "request", call.id());
+        log.info("caller-gone", "request", call.id());
         cancelAll(call, "the caller has gone");
         call.exchange.breakOff("the caller has gone");
         finished(call);
       } else if (nowMillis >= call.endMillis) {
         expired(call);
       } else if (call.running.isEmpty()) {
-        if (nowMillis >= call.placeFromMillis) {
-          place(call, nowMillis);
-        }
+        place(call, nowMillis);
       } else {
         watchRunning(call, nowMillis);
       }
@@ -242,17 +238,23 @@
     }
     GenerationPlacement.Choice choice = stay(call, candidates, chosen.get());
     Candidate candidate = choice.candidate();
-    if (nowMillis + choice.firstTokenMillis() > call.endMillis) {
+    if (nowMillis + choice.firstTokenMillis() > call.firstEventByMillis()) {
       giveUp(call, "would be late", (long) choice.firstTokenMillis() / 2);
       return;
     }
-    if (candidate.present() && candidate.adapterWaitMillis() <= 0) {
+    boolean there = candidate.present() && candidate.adapterWaitMillis() <= 0;
+    if (there && mayRead(call, candidate)) {
       start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
       waitAt(call, candidate);
     }
   }
 
+  private boolean mayRead(Call call, Candidate candidate) {
+    int tokensPerEvent = fleet.engine(call.service).map(EngineSpec::tokensPerEvent).orElse(1);
+    return generations.mayRead(candidate, fleet.pauseMillis(call.service), tokensPerEvent);
+  }
+
   /** Keeps a waiting request where it waits, unless moving gains enough. */
   private GenerationPlacement.Choice stay(
       Call call, Collection<Candidate> candidates, GenerationPlacement.Choice chosen) {
@@ -278,8 +280,8 @@
     stopWaiting(call);
     call.waitingAt = candidate.runner();
     call.waitingTokens = candidate.unreadTokens();
-    fleet.loads().add(candidate.runner().id(), 1, call.waitingTokens, call.adapter());
-    log.debug(
+    fleet.loads().add(candidate.runner().id(), 1, 0, call.waitingTokens, call.adapter());
+    log.info(
         "request-waits",
         "request",
         call.id(),
@@ -297,7 +299,7 @@
   private void stopWaiting(Call call) {
     RunnerEntry before = call.waitingAt;
     if (before != null) {
-      fleet.loads().add(before.id(), -1, -call.waitingTokens, call.adapter());
+      fleet.loads().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
       call.waitingAt = null;
     }
   }
@@ -320,7 +322,7 @@
     call.sends++;
     Call.Running running = new Call.Running(call.sends, runner, nowMillis, unreadTokens);
     call.running.add(running);
-    fleet.loads().add(runner.id(), 1, unreadTokens, call.adapter());
+    fleet.loads().add(runner.id(), 1, unreadTokens, 0, call.adapter());
     if (call.generation != null) {
       fleet.sent(runner, call.generation);
     }
@@ -333,7 +335,7 @@
             call.generation == null ? -1 : call.route.priority(),
             fleet.newestVersion(call.adapter()),
             lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent);
-    log.debug(
+    log.info(
         "request-sent",
         "request",
         call.id(),
@@ -400,7 +402,7 @@
   private void firstEvent(Call call, Call.Running running) {
     if (!running.firstEventSeen && call.running.contains(running)) {
       running.firstEventSeen = true;
-      fleet.loads().add(running.runner.id(), 0, -running.unreadTokens, "");
+      fleet.loads().add(running.runner.id(), 0, -running.unreadTokens, 0, "");
       running.unreadTokens = 0;
       log.debug(
           "first-event",
@@ -456,8 +458,7 @@
   private void refused(Call call, Call.Running running, Outcome.Refused refused, long now) {
     if (!call.adapter().isEmpty()) {
       // The adapter was to be there: it comes a little later, or was dropped.
-      fleet.missing(running.runner, call.adapter(), now + MISSING_MILLIS);
-      call.placeFromMillis = now + MISSING_MILLIS / 2;
+      fleet.refused(running.runner, call.adapter(), now);
     } else {
       call.tried.add(running.runner.id());
       fleet.health(running.runner).failed(now);
@@ -507,9 +508,7 @@
             && (!RetryRule.drawsOnBudget(ending)
                 || budget.tryRetry(call.service, fleet.hosts(now), now));
     if (allowed) {
-      if (now >= call.placeFromMillis) {
-        place(call, now);
-      }
+      place(call, now);
     } else if (answer != null) {
       pass(call, answer, now);
     } else {
@@ -589,7 +588,7 @@
   }
 
   private void hedge(Call call, long nowMillis) {
-    log.debug("request-hedged", "request", call.id());
+    log.info("request-hedged", "request", call.id());
     services
         .choose(candidates(call, null, nowMillis), random.nextDouble())
         .ifPresent(candidate -> start(call, candidate.runner(), 0, nowMillis));
@@ -615,7 +614,7 @@
   }
 
   private void release(Call call, Call.Running running) {
-    fleet.loads().add(running.runner.id(), -1, -running.unreadTokens, call.adapter());
+    fleet.loads().add(running.runner.id(), -1, -running.unreadTokens, 0, call.adapter());
     running.unreadTokens = 0;
     changed.run();
   }
@@ -639,7 +638,7 @@
   }
 
   private void done(Call call, int status, String why, long now) {
-    log.debug(
+    log.info(
         "request-done",
         "request",
         call.id(),
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -18,6 +18,7 @@
 import org.sequoiahub.core.holding.HeldItem;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
 import org.sequoiahub.core.upstream.RunnerBook;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -28,6 +29,9 @@
   /** Wait assumed for an adapter that nobody has ordered yet (ms). */
   private static final long LOAD_MILLIS = 250;
 
+  /** Wait after a refusal for an adapter (ms). */
+  private static final long REFUSED_MILLIS = 50;
+
   /** Wait assumed for a base model (ms): the users' models take 0.6 to 1.9 s. */
   private static final long MODEL_LOAD_MILLIS = 2_000;
 
@@ -46,13 +50,15 @@
   private final MissingListener missing;
   private final Map<String, RunnerHealth> health = new HashMap<>();
   private final Map<String, PromptMemory> prompts = new HashMap<>();
+  private final Map<String, Long> pauses = new HashMap<>();
+  private final Map<String, Long> refusedUntil = new HashMap<>();
   private @Nullable RoutingTable table;
 
   /** Told that a runner refused a request for an adapter that it should have. */
   @FunctionalInterface
   public interface MissingListener {
-    /** Receives the runner's id, the adapter and when to try again. */
-    void missing(String runner, String target, long againMillis);
+    /** Receives the runner's id, the adapter and the present time. */
+    void missing(String runner, String target, long nowMillis);
   }
 
   /**
@@ -84,6 +90,14 @@
   /** Puts a configuration in force. */
   public void table(RoutingTable now) {
     table = now;
+    pauses.clear();
+    for (Route route : now.routes()) {
+      if (route.repetition().isStream() && route.pauseMillis() > 0) {
+        route
+            .services()
+            .forEach(to -> pauses.merge(to.service(), route.pauseMillis(), Math::min));
+      }
+    }
   }
 
   /** Returns the configuration in force. */
@@ -103,8 +117,20 @@
     return target.isEmpty() ? 0 : newestVersion.applyAsInt(target);
   }
 
-  void missing(RunnerEntry runner, String target, long againMillis) {
-    missing.missing(runner.id(), target, againMillis);
+  /**
+   * Records that a runner refused a request for an adapter that it should have.
+   *
+   * <p>What its holder told may be a few ms old: the adapter comes a little later, or has just been
+   * dropped. Until the holder's next word, requests wait instead of being refused again.
+   */
+  void refused(RunnerEntry runner, String target, long nowMillis) {
+    refusedUntil.put(runner.id() + " " + target, nowMillis + REFUSED_MILLIS);
+    missing.missing(runner.id(), target, nowMillis);
+  }
+
+  private long refusedMillis(RunnerEntry runner, String target, long nowMillis) {
+    Long until = refusedUntil.get(runner.id() + " " + target);
+    return until == null ? 0 : Math.max(0, until - nowMillis);
   }
 
   RunnerHealth health(RunnerEntry runner) {
@@ -126,6 +152,16 @@
     return usable;
   }
 
+  /** Returns what the runners of a service are; empty for a plain service. */
+  Optional<EngineSpec> engine(String service) {
+    return table().flatMap(t -> t.service(service)).map(s -> s.engine());
+  }
+
+  /** Returns the longest pause that callers of a service's streams accept (ms); 0 for none. */
+  long pauseMillis(String service) {
+    return pauses.getOrDefault(service, 0L);
+  }
+
   /** Returns the runners that hold models, with what their service says of them. */
   public Map<RunnerEntry, EngineSpec> engines(long nowMillis) {
     Map<RunnerEntry, EngineSpec> engines = new HashMap<>();
@@ -151,13 +187,14 @@
       RunnerEntry runner, @Nullable Generation generation, int countedTokens, long nowMillis) {
     boolean counted = countedTokens >= 0;
     int inFlight = loads.requests(runner.id(), nowMillis) - (counted ? 1 : 0);
-    long ahead = loads.unreadTokens(runner.id(), nowMillis) - Math.max(0, countedTokens);
+    long held = loads.heldTokens(runner.id(), nowMillis) - Math.max(0, countedTokens);
     RunnerHealth results = health(runner);
     Residency residency = residency(runner, generation, nowMillis);
     return new Candidate(
         runner,
         Math.max(0, inFlight),
-        Math.max(0, ahead),
+        loads.unreadTokens(runner.id(), nowMillis),
+        Math.max(0, held),
         generation == null ? 0 : memory(runner).unreadTokens(generation),
         residency.waitMillis,
         residency.present,
@@ -195,7 +232,9 @@
     HeldItem item = holding.items().get(generation.target());
     int wanted = newestVersion(generation.target());
     if (item != null && item.version() >= wanted) {
-      return new Residency(true, Math.max(0, item.readyMillis() - nowMillis), true, ordered);
+      long coming = Math.max(0, item.readyMillis() - nowMillis);
+      long refused = refusedMillis(runner, generation.target(), nowMillis);
+      return new Residency(true, Math.max(coming, refused), true, ordered);
     }
     return new Residency(false, LOAD_MILLIS, holding.freePlaces() > 0, ordered);
   }
@@ -204,9 +243,8 @@
     return prompts.computeIfAbsent(
         runner.id(),
         id -> {
-          EngineSpec engine =
-              table().flatMap(t -> t.service(runner.service())).map(s -> s.engine()).orElse(null);
-          long tokens = engine == null ? DEFAULT_CACHE_TOKENS : engine.cacheTokens();
+          long tokens =
+              engine(runner.service()).map(EngineSpec::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
           return new PromptMemory(Math.max(1, (long) (tokens * KEPT_PART)));
         });
   }
@@ -217,4 +255,9 @@
     prompts.keySet().retainAll(runners);
     holdings.retain(runners);
   }
+
+  /** Forgets refusals that no longer matter. */
+  public void forgetRefusals(long nowMillis) {
+    refusedUntil.values().removeIf(until -> until < nowMillis);
+  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -75,6 +75,18 @@
    */
   private static final long SUSPENSION_MILLIS = 400;
 
+  /** Hosts are being restarted in turn if one said this long ago at most that it leaves (ms). */
+  private static final long ROLLING_MILLIS = 10_000;
+
+  /** A host that started this much later than the oldest has been restarted (ms). */
+  private static final long RESTARTED_MILLIS = 5_000;
+
+  /** Reports of one runner are asked for this far apart at least (ms): each has a price. */
+  private static final long REPORT_PERIOD_MILLIS = 400;
+
+  /** A process is young for this long after its start (ms). */
+  private static final long YOUNG_MILLIS = 6_000;
+
   private static final int TOKEN_TAG = 1_024;
 
   private final HostSettings settings;
@@ -92,11 +104,13 @@
   private final Runnable changed;
   private final EventLog log;
   private final long startedMillis;
+  private final long incarnation;
   private final Map<String, Held> held = new HashMap<>();
   private final Map<String, Map<String, RemoteWish>> remoteWishes = new HashMap<>();
   private Map<String, List<Wish>> localWishes = Map.of();
   private long clockDifference = Long.MIN_VALUE;
   private boolean stopping;
+  private int enginesKnown;
 
   private record RemoteWish(Wish wish, long toldMillis) {}
 
@@ -106,11 +120,14 @@
     final EngineSpec engine;
     final LeasedAuthority authority = new LeasedAuthority(LEASE_MILLIS);
     @Nullable RunnerShelf shelf;
-    long term;
     long orderFromMillis;
     long token;
     boolean reporting;
-    long reportedMillis = Long.MIN_VALUE / 2;
+    long reportDueMillis;
+    /** When the lease was last known to be held. */
+    long heldMillis = Long.MIN_VALUE / 2;
+    /** When the oldest process among those that granted started, on this host's clock. */
+    final Map<String, Long> granterStarts = new HashMap<>();
 
     Held(RunnerEntry runner, EngineSpec engine) {
       this.runner = runner;
@@ -121,6 +138,7 @@
   /**
    * Creates a desk.
    *
+   * @param incarnation which process of this host this is, as the others are told
    * @param datagrams begins a datagram of this host
    * @param sender sends bytes to an IP number
    * @param timeOfDay tells the time of day (ms)
@@ -129,6 +147,7 @@
    */
   public HolderDesk(
       HostSettings settings,
+      long incarnation,
       Members<HostState> members,
       Holdings holdings,
       FleetLoad loads,
@@ -142,6 +161,7 @@
       Runnable changed,
       EventLog log) {
     this.settings = settings;
+    this.incarnation = incarnation;
     this.members = members;
     this.holdings = holdings;
     this.loads = loads;
@@ -166,6 +186,7 @@
     if (stopping) {
       return;
     }
+    enginesKnown = runners.size();
     Set<String> present = new HashSet<>();
     runners.forEach(
         (runner, engine) -> {
@@ -199,17 +220,20 @@
   }
 
   /** Records that a runner refused a request for an adapter that it should have. */
-  public void missing(String runner, String target, long againMillis) {
+  public void missing(String runner, String target, long nowMillis) {
     Held entry = held.get(runner);
     if (entry != null && entry.shelf != null) {
-      entry.shelf.missing(target, againMillis);
-      tell(entry, clock.getAsLong());
+      entry.shelf.missing(target, nowMillis);
+      tell(entry, nowMillis);
     }
   }
 
   /** Answers another host's claim. */
   public void claimed(String host, String ip, LeaseClaim claim, long nowMillis) {
-    LeaseGrant.Builder grant = LeaseGrant.newBuilder().setClaimSentMs(claim.getSentMs());
+    LeaseGrant.Builder grant =
+        LeaseGrant.newBuilder()
+            .setClaimSentMs(claim.getSentMs())
+            .setUptimeMs(nowMillis - startedMillis);
     if (!stopping) {
       for (String runner : claim.getRunnersList()) {
         if (granter.grant(runner, host, claim.getDurationMs(), nowMillis)) {
@@ -227,6 +251,7 @@
     for (String runner : grant.getGrantedList()) {
       Held entry = held.get(runner);
       if (entry != null) {
+        entry.granterStarts.put(host, nowMillis - grant.getUptimeMs());
         entry.authority.granted(host, grant.getClaimSentMs(), nowMillis);
       }
     }
@@ -259,6 +284,7 @@
 
   private boolean mayOrder(Held entry, long nowMillis) {
     return entry.shelf != null
+        && nowMillis - entry.heldMillis < LEASE_MILLIS
         && entry.authority.rights(nowMillis + LEASE_MARGIN_MILLIS).held()
         && nowMillis >= entry.orderFromMillis;
   }
@@ -292,25 +318,38 @@
     return settings.seeds().stream().anyMatch(ip -> !ip.equals(settings.ip()));
   }
 
-  /** The host that should order a runner: one of its failure domain if there is any. */
+  /**
+   * The host that should order a runner: one of its failure domain if there is any.
+   *
+   * <p>Hosts are restarted in turn, and each change of the holder costs the runner some seconds
+   * without orders. So while one leaves, those that have been restarted already are preferred: the
+   * others are likely to be next.
+   */
   private String firstChoice(RunnerEntry runner, long nowMillis) {
-    List<String> near = new ArrayList<>();
-    List<String> all = new ArrayList<>();
-    all.add(settings.host());
-    if (runner.failureDomain().equals(settings.failureDomain())) {
-      near.add(settings.host());
-    }
-    for (Member<HostState> member : members.alive(nowMillis)) {
+    Map<String, String> domains = new HashMap<>();
+    domains.put(settings.host(), settings.failureDomain());
+    Map<String, Long> starts = new HashMap<>();
+    starts.put(settings.host(), incarnation);
+    boolean rolling = false;
+    for (Member<HostState> member : members.reachable(nowMillis)) {
       HostState state = member.state();
+      rolling |= member.leaving() && nowMillis - member.heardMillis() < ROLLING_MILLIS;
       if (members.isSound(member.host(), nowMillis) && state != null) {
-        all.add(member.host());
-        if (state.getFailureDomain().equals(runner.failureDomain())) {
-          near.add(member.host());
-        }
+        domains.put(member.host(), state.getFailureDomain());
+        starts.put(member.host(), member.incarnation());
       }
     }
-    Collection<String> candidates = near.isEmpty() ? all : near;
-    return Rendezvous.first(runner.id(), candidates, host -> host).orElse(settings.host());
+    Set<String> candidates = new HashSet<>(domains.keySet());
+    long oldest = starts.values().stream().min(Long::compare).orElse(incarnation);
+    Set<String> restarted = new HashSet<>(candidates);
+    restarted.removeIf(host -> starts.getOrDefault(host, 0L) - oldest < RESTARTED_MILLIS);
+    if (rolling && !restarted.isEmpty()) {
+      candidates = restarted;
+    }
+    Set<String> near = new HashSet<>(candidates);
+    near.removeIf(host -> !runner.failureDomain().equals(domains.get(host)));
+    return Rendezvous.first(runner.id(), near.isEmpty() ? candidates : near, host -> host)
+        .orElse(settings.host());
   }
 
   private void claim(long nowMillis) {
@@ -341,19 +380,19 @@
   private void advance(Held entry, long nowMillis) {
     var rights = entry.authority.rights(nowMillis);
     if (!rights.held()) {
-      if (entry.shelf != null) {
-        log.warning("runner-lost", "runner", entry.runner.id());
-        held.remove(entry.runner.id());
-      } else if (!firstChoice(entry.runner, nowMillis).equals(settings.host())) {
-        held.remove(entry.runner.id());
-      }
+      withoutLease(entry, nowMillis);
       return;
     }
-    if (entry.shelf == null || rights.term() != entry.term) {
-      gained(entry, rights.term(), nowMillis);
+    // Nobody else can have ordered while the gap was shorter than what a new holder waits.
+    boolean uninterrupted =
+        entry.shelf != null && nowMillis - entry.heldMillis < settings.leaseMillis();
+    if (!uninterrupted) {
+      gained(entry, nowMillis);
     }
+    entry.heldMillis = nowMillis;
     RunnerShelf shelf = entry.shelf;
-    boolean reportWanted = shelf != null && shelf.reportDue(nowMillis);
+    boolean reportWanted =
+        shelf != null && shelf.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
     if (reportWanted && nowMillis >= entry.orderFromMillis && !entry.reporting) {
       report(entry, nowMillis);
     }
@@ -361,30 +400,66 @@
     tell(entry, nowMillis);
   }
 
-  private void gained(Held entry, long term, long nowMillis) {
-    entry.term = term;
-    entry.shelf = new RunnerShelf(entry.engine, ShelfSettings.DEFAULT);
-    boolean firstHolder =
-        settings.firstStart()
-            && nowMillis - startedMillis < FIRST_START_MILLIS
-            && holdings.token(entry.runner.id()) == 0;
-    entry.orderFromMillis =
-        firstHolder ? nowMillis : nowMillis + settings.leaseMillis() + ORDER_FLIGHT_MILLIS;
+  private void withoutLease(Held entry, long nowMillis) {
+    boolean lately = nowMillis - entry.heldMillis < settings.leaseMillis();
+    if (!lately && entry.shelf != null) {
+      log.warning("runner-lost", "runner", entry.runner.id());
+      held.remove(entry.runner.id());
+    } else if (!lately && !firstChoice(entry.runner, nowMillis).equals(settings.host())) {
+      held.remove(entry.runner.id());
+    }
+  }
+
+  private void gained(Held entry, long nowMillis) {
+    entry.shelf =
+        new RunnerShelf(entry.engine, ShelfSettings.forFleet(enginesKnown));
+    entry.orderFromMillis = orderFrom(entry, nowMillis);
     long tag = Math.floorMod(settings.host().hashCode(), TOKEN_TAG);
     long after = holdings.token(entry.runner.id()) / TOKEN_TAG + 1;
     entry.token = Math.max(timeOfDay.getAsLong(), after) * TOKEN_TAG + tag;
     log.info(
-        "runner-held",
-        "runner",
-        entry.runner.id(),
-        "first_holder",
-        firstHolder,
-        "token",
-        entry.token);
+        "runner-held", "runner", entry.runner.id(), "orders_in_ms",
+        Math.max(0, entry.orderFromMillis - nowMillis), "token", entry.token);
+  }
+
+  /**
+   * When a new holder may give its first order: when the last order of the one before is older than
+   * the platform's lease time.
+   *
+   * <p>The one before held its lease until now at the latest. Where all hosts have just started, its
+   * process ended before the last of them did, and it is also silent since then.
+   */
+  private long orderFrom(Held entry, long nowMillis) {
+    boolean firstHolder =
+        settings.firstStart()
+            && nowMillis - startedMillis < FIRST_START_MILLIS
+            && holdings.token(entry.runner.id()) == 0;
+    if (firstHolder) {
+      return nowMillis;
+    }
+    long quietFrom = nowMillis;
+    Set<String> electorate = members.electorate(nowMillis);
+    boolean allStartedLately =
+        electorate.size() > 1
+            && holdings.token(entry.runner.id()) == 0
+            && nowMillis - startedMillis < YOUNG_MILLIS;
+    long latestStart = startedMillis;
+    for (String host : electorate) {
+      if (!host.equals(settings.host())) {
+        long start = entry.granterStarts.getOrDefault(host, Long.MIN_VALUE / 2);
+        allStartedLately &= nowMillis - start < YOUNG_MILLIS;
+        latestStart = Math.max(latestStart, start);
+      }
+    }
+    if (allStartedLately) {
+      quietFrom = latestStart;
+    }
+    return Math.max(nowMillis, quietFrom + settings.leaseMillis() + ORDER_FLIGHT_MILLIS);
   }
 
   private void report(Held entry, long nowMillis) {
     entry.reporting = true;
+    entry.reportDueMillis = nowMillis + REPORT_PERIOD_MILLIS;
     orders.report(
         entry.runner,
         ORDER_TIMEOUT_MILLIS,
@@ -438,7 +513,7 @@
   private void send(Held entry, RunnerShelf shelf, Order order, int transit, long nowMillis) {
     long sequence = shelf.sequence();
     shelf.sent(order, nowMillis);
-    log.debug(
+    log.info(
         "order",
         "runner",
         entry.runner.id(),
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.BiConsumer;
-import java.util.function.Function;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.runtime.log.EventLog;
@@ -44,22 +43,35 @@
   private final long incarnation;
   private final Members<HostState> members;
   private final BiConsumer<String, byte[]> sender;
-  private final Function<Boolean, HostState.Builder> ownState;
+  private final StateSource ownState;
   private final BiConsumer<String, HostState> listener;
   private final Random random;
   private final EventLog log;
+  private List<String> seeds;
   private long number;
   private long sentMillis = Long.MIN_VALUE / 2;
+  private long completeMillis = Long.MIN_VALUE / 2;
   private boolean changed;
   private boolean holdingsChanged;
   private long holdingsSentMillis = Long.MIN_VALUE / 2;
 
+  /** Builds this host's state. */
+  @FunctionalInterface
+  public interface StateSource {
+    /**
+     * Returns the state as it is now.
+     *
+     * @param withHoldings whether to tell what the runners that this host orders hold
+     * @param complete whether to tell all that is in flight, or only what has changed
+     */
+    HostState.Builder state(boolean withHoldings, boolean complete);
+  }
+
   /**
    * Creates a desk.
    *
    * @param sender sends bytes to an IP number
-   * @param ownState builds this host's state without the gossip, with or without what the runners
-   *     that it orders hold
+   * @param ownState builds this host's state without the gossip
    * @param listener receives each host's newest state
    */
   public PeerDesk(
@@ -67,11 +79,12 @@
       long incarnation,
       Members<HostState> members,
       BiConsumer<String, byte[]> sender,
-      Function<Boolean, HostState.Builder> ownState,
+      StateSource ownState,
       BiConsumer<String, HostState> listener,
       Random random,
       EventLog log) {
     this.settings = settings;
+    this.seeds = settings.seeds();
     this.incarnation = incarnation;
     this.members = members;
     this.sender = sender;
@@ -81,6 +94,11 @@
     this.log = log;
   }
 
+  /** Sets the IP numbers of hosts that may know the others. */
+  public void seeds(List<String> now) {
+    seeds = List.copyOf(now);
+  }
+
   /** Records that this host's state has changed: the others are told soon. */
   public void changed() {
     changed = true;
@@ -106,7 +124,7 @@
   public void tellAll(long nowMillis) {
     sentMillis = nowMillis;
     changed = false;
-    settings.seeds().stream()
+    seeds.stream()
         .filter(ip -> !ip.equals(settings.ip()))
         .forEach(ip -> members.named(ip, nowMillis));
     List<Member<HostState>> reachable = members.reachable(nowMillis);
@@ -115,8 +133,12 @@
       holdingsChanged = false;
       holdingsSentMillis = nowMillis;
     }
-    HostState.Builder state = ownState.apply(withHoldings);
-    gossip(reachable, state);
+    boolean complete = nowMillis - completeMillis >= HEARTBEAT_MILLIS;
+    HostState.Builder state = ownState.state(withHoldings, complete);
+    if (complete) {
+      completeMillis = nowMillis;
+      gossip(reachable, state);
+    }
     byte[] bytes = datagram().setState(state).build().toByteArray();
     reachable.forEach(member -> sender.accept(member.ip(), bytes));
     members.toTry(nowMillis).forEach(ip -> sender.accept(ip, bytes));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -27,7 +27,8 @@
               RunnerLoad.newBuilder()
                   .setRunner(runner)
                   .setRequests(use.requests())
-                  .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, use.unreadTokens()));
+                  .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, use.unreadTokens()))
+                  .setHeldTokens((int) Math.min(Integer.MAX_VALUE, use.heldTokens()));
           use.adapters()
               .forEach(
                   (adapter, count) ->
@@ -45,7 +46,8 @@
       load.getAdaptersList().forEach(use -> adapters.put(use.getAdapter(), use.getRequests()));
       uses.put(
           load.getRunner(),
-          new FleetLoad.Use(load.getRequests(), load.getUnreadTokens(), adapters));
+          new FleetLoad.Use(
+              load.getRequests(), load.getUnreadTokens(), load.getHeldTokens(), adapters));
     }
     return uses;
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -19,6 +19,9 @@
   /** Largest answer that is held until it is whole (bytes); the users' plain answers are below. */
   private static final int MAX_HELD_BYTES = 8 << 20;
 
+  /** Characters of a library's message that are kept. */
+  private static final int MAX_REASON = 60;
+
   private final Request request;
   private final String requestId;
   private final boolean stream;
@@ -101,7 +104,7 @@
 
   private void complete(Result result) {
     if (result.isFailed()) {
-      String why = String.valueOf(result.getFailure());
+      String why = brief(result.getFailure());
       end(handedOn ? new Outcome.Lost(why) : new Outcome.NotSent(why));
       return;
     }
@@ -118,6 +121,12 @@
     }
   }
 
+  /** The library's messages hold its whole state; the first words say what happened. */
+  private static String brief(Throwable failure) {
+    String text = String.valueOf(failure);
+    return text.length() <= MAX_REASON ? text : text.substring(0, MAX_REASON);
+  }
+
   private void end(Outcome outcome) {
     if (ended.compareAndSet(false, true)) {
       listener.ended(outcome);
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/LineFormatter.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/LineFormatter.java
@@ -1,9 +1,10 @@
 package org.sequoiahub.runtime.log;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -13,13 +14,16 @@
 /** Formats each log record as one line that starts with its time and level. */
 public final class LineFormatter extends Formatter {
 
-  /** Sends all log records of this process to standard error, formatted by this class. */
+  /** Lines that may wait to be written: two seconds of a host at its busiest. */
+  private static final int RING = 8_192;
+
+  /** Sends all log records of this process to standard output, formatted by this class. */
   public static void install(Level level) {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
-    Handler console = new ConsoleHandler();
+    Handler console = new RingHandler(new FileOutputStream(FileDescriptor.out), RING);
     console.setFormatter(new LineFormatter());
     console.setLevel(level);
     root.addHandler(console);
@@ -28,6 +32,13 @@
     Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
   }
 
+  /** Waits until the lines logged so far are written. */
+  public static void flush() {
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.flush();
+    }
+  }
+
   @Override
   public String format(LogRecord record) {
     StringBuilder line = new StringBuilder();
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/process/ProcessMain.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/process/ProcessMain.java
@@ -70,9 +70,12 @@
     LineFormatter.install(verbose ? Level.FINE : Level.INFO);
     try {
       Running running = starter.start(settings);
-      CountDownLatch stopped = new CountDownLatch(1);
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running, stopped), "shutdown"));
-      stopped.await();
+      CountDownLatch stop = new CountDownLatch(1);
+      Signals.onStop(stop::countDown);
+      stop.await();
+      stop(running);
+      LineFormatter.flush();
+      System.exit(0);
     } catch (IOException e) {
       System.err.println("cannot listen: " + e.getMessage());
       System.exit(CANNOT_BIND);
@@ -84,13 +87,11 @@
     }
   }
 
-  private static void stop(Running running, CountDownLatch stopped) {
+  private static void stop(Running running) {
     try {
       running.stopGracefully();
     } catch (Exception e) {
       e.printStackTrace();
-    } finally {
-      stopped.countDown();
     }
   }
 }
--- /dev/null
+++ b/sequoia-runtime/src/test/java/org/sequoiahub/runtime/log/RingHandlerTest.java
@@ -0,0 +1,68 @@
+package org.sequoiahub.runtime.log;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class RingHandlerTest {
+
+  private static LogRecord record(int number) {
+    return new LogRecord(Level.INFO, "line " + number);
+  }
+
+  @Test
+  void writesLinesInTheirOrder() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    RingHandler handler = new RingHandler(out, 64);
+    handler.setFormatter(new LineFormatter());
+    for (int number = 0; number < 10; number++) {
+      handler.publish(record(number));
+    }
+    handler.close();
+    while (out.toString(UTF_8).lines().count() < 10) {
+      Thread.onSpinWait();
+    }
+    assertThat(out.toString(UTF_8).lines().toList().get(9)).contains("line 9");
+  }
+
+  /**
+   * Symptom: all requests of a host stall while somebody looks at its log.
+   *
+   * <p>Events: the reader of the output stops reading; lines go on being logged.
+   *
+   * <p>Cause looked for: a thread that waits for the reader.
+   */
+  @Test
+  void dropsInsteadOfWaiting() throws Exception {
+    CountDownLatch reading = new CountDownLatch(1);
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    OutputStream stalled =
+        new OutputStream() {
+          @Override
+          public void write(int next) {
+            try {
+              reading.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+            read.write(next);
+          }
+        };
+    RingHandler handler = new RingHandler(stalled, 16);
+    handler.setFormatter(new LineFormatter());
+    for (int number = 0; number < 5_000; number++) {
+      handler.publish(record(number));
+    }
+    assertThat(handler.dropped()).isGreaterThan(0);
+    reading.countDown();
+    while (!read.toString(UTF_8).contains("event=log-dropped")) {
+      Thread.onSpinWait();
+    }
+  }
+}
