--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -36,7 +36,8 @@
   public record Choice(Candidate candidate, double firstTokenMillis) {}
 
   /** Returns the best of the candidates. */
-  public Optional<Choice> choose(Generation generation, Collection<Candidate> candidates) {
+  public Optional<Choice> choose(
+      Generation generation, StreamLimits limits, Collection<Candidate> candidates) {
     List<Candidate> ranked =
         Rendezvous.ranking(
             generation.target(), candidates, candidate -> candidate.runner().id());
@@ -46,6 +47,7 @@
       Candidate candidate = ranked.get(rank);
       double expected = expectedMillis(candidate);
       double score = expected + penalty(candidate) + fetchCost(candidate, rank);
+      score += harm(candidate, limits);
       if (score < bestScore) {
         bestScore = score;
         best = new Choice(candidate, expected);
@@ -81,20 +83,31 @@
    * every stream there pauses for as many such steps as one event takes tokens; callers that accept
    * a shorter pause get their whole stream too late. So no more is sent than the streams can bear,
    * and the next prompt waits here until the ones ahead are read.
-   *
-   * @param pauseMillis the longest pause that callers accept; 0 if none said
-   * @param tokensPerEvent tokens of one event of a stream
    */
-  public boolean mayRead(Candidate candidate, long pauseMillis, int tokensPerEvent) {
-    if (candidate.unreadAheadTokens() == 0 || pauseMillis <= 0) {
-      return true;
-    }
+  public boolean mayRead(Candidate candidate, StreamLimits limits) {
+    return candidate.unreadAheadTokens() == 0
+        || !pausesStreams(limits, candidate.unreadAheadTokens() + candidate.unreadTokens());
+  }
+
+  /** Returns whether reading so many tokens at a stretch pauses a runner's streams for too long. */
+  private boolean pausesStreams(StreamLimits limits, long tokens) {
     double pieceMillis = settings.pieceTokens() / settings.pieceTokensPerMilli();
-    if (tokensPerEvent * pieceMillis < pauseMillis) {
-      return true;
+    if (limits.pauseMillis() <= 0 || limits.tokensPerEvent() * pieceMillis < limits.pauseMillis()) {
+      return false;
     }
-    double bearable = (pauseMillis - settings.pauseMarginMillis()) * settings.pieceTokensPerMilli();
-    return candidate.unreadAheadTokens() + candidate.unreadTokens() <= bearable;
+    long bearableMillis = limits.pauseMillis() - settings.pauseMarginMillis();
+    return tokens > bearableMillis * settings.pieceTokensPerMilli();
+  }
+
+  /**
+   * What a prompt that is too long for the streams of a runner costs the callers of these. Sent to
+   * the runner with the fewest streams, such prompts come together on a few runners, and the short
+   * answers on the others.
+   */
+  private double harm(Candidate candidate, StreamLimits limits) {
+    return pausesStreams(limits, candidate.unreadTokens())
+        ? candidate.inFlight() * settings.harmMillis()
+        : 0;
   }
 
   private double penalty(Candidate candidate) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -15,6 +15,7 @@
  * @param rankMillis the same for each runner before it in the adapter's order
  * @param pieceTokens prompt tokens that a runner reads in one step
  * @param pieceTokensPerMilli how fast it reads them, with what long contexts cost
+ * @param harmMillis cost of pausing one stream for too long
  * @param pauseMarginMillis part of a bearable pause that is left for steps and the network
  */
 public record PlacementSettings(
@@ -30,6 +31,7 @@
     long rankMillis,
     int pieceTokens,
     double pieceTokensPerMilli,
+    long harmMillis,
     long pauseMarginMillis) {
 
   /**
@@ -39,5 +41,5 @@
    * tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 400, 100, 4_096, 31, 80);
+      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 400, 100, 4_096, 31, 100, 80);
 }
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/StreamLimits.java
@@ -0,0 +1,9 @@
+package org.sequoiahub.core.dispatch;
+
+/**
+ * What the streams of a service bear.
+ *
+ * @param pauseMillis the longest pause between two events that callers accept; 0 if none said
+ * @param tokensPerEvent tokens of one event, each of which takes a step
+ */
+public record StreamLimits(long pauseMillis, int tokensPerEvent) {}
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -35,7 +35,7 @@
   }
 
   private String choose(Generation generation, List<Candidate> candidates) {
-    return placement.choose(generation, candidates).orElseThrow().candidate().runner().id();
+    return placement.choose(generation, new StreamLimits(500, 5), candidates).orElseThrow().candidate().runner().id();
   }
 
   @Nested
@@ -81,6 +81,37 @@
     }
   }
 
+  @Nested
+  class HugePrompts {
+    private Candidate withStreams(String id, boolean present, int streams) {
+      long wait = present ? 0 : 250;
+      return new Candidate(
+          runner(id), streams, 0, 0, 20_000, wait, present, true, true, 0, 0, false, true);
+    }
+
+    /**
+     * Symptom: half of the short answers pause too long somewhere on their way.
+     *
+     * <p>Events: one prompt in six is longer than streams can bear, and each runner gets one every
+     * few seconds, while its short answers take two.
+     *
+     * <p>Cause: such a prompt went where its adapter was, whoever streamed there.
+     */
+    @Test
+    void goWhereFewStreamsRunEvenIfTheAdapterMustBeBrought() {
+      List<Candidate> candidates =
+          List.of(withStreams("busy", true, 14), withStreams("calm", false, 1));
+      assertThat(choose(generation("a1"), candidates)).isEqualTo("calm");
+    }
+
+    @Test
+    void stayWithTheirAdapterWhereLittleIsDisturbed() {
+      List<Candidate> candidates =
+          List.of(withStreams("has", true, 4), withStreams("calm", false, 1));
+      assertThat(choose(generation("a1"), candidates)).isEqualTo("has");
+    }
+  }
+
   @Nested
   class Reading {
     private static final double READ_TOKENS_PER_MILLI = 38.4;
@@ -91,12 +122,12 @@
 
     @Test
     void isNotHeldBackWhereStreamsBearIt() {
-      assertThat(placement.mayRead(candidate("r", true, 30_000, PROMPT), 600, 4)).isTrue();
+      assertThat(placement.mayRead(candidate("r", true, 30_000, PROMPT), new StreamLimits(600, 4))).isTrue();
     }
 
     @Test
     void isNeverHeldBackAtAnIdleRunner() {
-      assertThat(placement.mayRead(candidate("r", true, 0, 40_000), 500, 5)).isTrue();
+      assertThat(placement.mayRead(candidate("r", true, 0, 40_000), new StreamLimits(500, 5))).isTrue();
     }
 
     /**
@@ -140,7 +171,7 @@
           nextStream += -Math.log(1 - random.nextDouble()) * 1_000 / 2.2;
         }
         while (held > 0
-            && (!pace || placement.mayRead(candidate("r", true, believed, PROMPT), 500, 5))) {
+            && (!pace || placement.mayRead(candidate("r", true, believed, PROMPT), new StreamLimits(500, 5)))) {
           held--;
           unread += PROMPT;
           believed += PROMPT;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -23,6 +23,7 @@
 import org.sequoiahub.core.dispatch.RetryRule;
 import org.sequoiahub.core.dispatch.RetryRule.Ending;
 import org.sequoiahub.core.dispatch.ServicePlacement;
+import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.EngineSpec;
@@ -231,7 +232,7 @@
 
   private void placeGeneration(Call call, Generation generation, long nowMillis) {
     List<Candidate> candidates = candidates(call, generation, nowMillis);
-    Optional<GenerationPlacement.Choice> chosen = generations.choose(generation, candidates);
+    Optional<GenerationPlacement.Choice> chosen = generations.choose(generation, limits(call), candidates);
     if (chosen.isEmpty()) {
       giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
       return;
@@ -243,16 +244,16 @@
       return;
     }
     boolean there = candidate.present() && candidate.adapterWaitMillis() <= 0;
-    if (there && mayRead(call, candidate)) {
+    if (there && generations.mayRead(candidate, limits(call))) {
       start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
       waitAt(call, candidate);
     }
   }
 
-  private boolean mayRead(Call call, Candidate candidate) {
+  private StreamLimits limits(Call call) {
     int tokensPerEvent = fleet.engine(call.service).map(EngineSpec::tokensPerEvent).orElse(1);
-    return generations.mayRead(candidate, fleet.pauseMillis(call.service), tokensPerEvent);
+    return new StreamLimits(fleet.pauseMillis(call.service), tokensPerEvent);
   }
 
   /** Keeps a waiting request where it waits, unless moving gains enough. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -106,6 +106,9 @@
   private final long startedMillis;
   private final long incarnation;
   private final Map<String, Held> held = new HashMap<>();
+  /** When this host last held the runner at an address. */
+  private final Map<String, Long> addressHeldMillis = new HashMap<>();
+
   private final Map<String, Map<String, RemoteWish>> remoteWishes = new HashMap<>();
   private Map<String, List<Wish>> localWishes = Map.of();
   private long clockDifference = Long.MIN_VALUE;
@@ -348,7 +351,8 @@
     }
     Set<String> near = new HashSet<>(candidates);
     near.removeIf(host -> !runner.failureDomain().equals(domains.get(host)));
-    return Rendezvous.first(runner.id(), near.isEmpty() ? candidates : near, host -> host)
+    // By address: a runner that restarts there stays with its holder, which needs no wait.
+    return Rendezvous.first(runner.address(), near.isEmpty() ? candidates : near, host -> host)
         .orElse(settings.host());
   }
 
@@ -390,6 +394,7 @@
       gained(entry, nowMillis);
     }
     entry.heldMillis = nowMillis;
+    addressHeldMillis.put(entry.runner.address(), nowMillis);
     RunnerShelf shelf = entry.shelf;
     boolean reportWanted =
         shelf != null && shelf.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
@@ -430,6 +435,11 @@
    * process ended before the last of them did, and it is also silent since then.
    */
   private long orderFrom(Held entry, long nowMillis) {
+    Long heldBefore = addressHeldMillis.get(entry.runner.address());
+    if (heldBefore != null && nowMillis - heldBefore < settings.leaseMillis()) {
+      // The runner restarted at its address: this host was the last to order the one before it.
+      return nowMillis;
+    }
     boolean firstHolder =
         settings.firstStart()
             && nowMillis - startedMillis < FIRST_START_MILLIS
