A new runner's first holder orders at once; a refused load takes no place; start 0.2 s sooner

A load that the runner had refused was told as on its way for half a second, and requests were refused four times each. Cost of bringing an adapter raised from 400 to 600 ms of delay.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Grants soft leases on runners, from memory only.
@@ -16,6 +18,9 @@
   private final long abstainUntilMillis;
   private final Map<String, Grant> grants = new HashMap<>();
 
+  /** Runners whose lease has been held by more than one holder, or was given up by one. */
+  private final Set<String> shared = new HashSet<>();
+
   /**
    * Creates a granter.
    *
@@ -36,15 +41,34 @@
     if (current != null && !current.holder.equals(holder) && nowMillis < current.expiresMillis) {
       return false;
     }
+    if (current != null && !current.holder.equals(holder)) {
+      shared.add(runner);
+    }
     grants.put(runner, new Grant(holder, nowMillis + durationMillis));
     return true;
   }
 
+  /**
+   * Returns whether {@code holder} is the only one to whom this granter ever granted the runner's
+   * lease, since it started.
+   */
+  public boolean grantedOnlyTo(String runner, String holder) {
+    Grant current = grants.get(runner);
+    return !shared.contains(runner) && (current == null || current.holder.equals(holder));
+  }
+
+  /** Forgets runners that are gone. */
+  public void retain(Set<String> runners) {
+    grants.keySet().retainAll(runners);
+    shared.retainAll(runners);
+  }
+
   /** Ends {@code holder}'s lease on {@code runner}, if it holds one. */
   public void release(String runner, String holder) {
     Grant current = grants.get(runner);
     if (current != null && current.holder.equals(holder)) {
       grants.remove(runner);
+      shared.add(runner);
     }
   }
 
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -41,5 +41,5 @@
    * tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 400, 100, 4_096, 31, 100, 80);
+      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 600, 100, 4_096, 31, 100, 80);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -39,6 +39,8 @@
   private long uncertainMillis = Long.MIN_VALUE / 2;
   private boolean uncertain = true;
   private long modelOrderMillis = Long.MIN_VALUE / 2;
+  private long nextOrderMillis = Long.MIN_VALUE / 2;
+  private int refusals;
 
   /** Creates a shelf of which nothing is known until {@link #adopt}. */
   public RunnerShelf(EngineSpec engine, ShelfSettings settings) {
@@ -147,7 +149,7 @@
       int transitElsewhere,
       long nowMillis) {
     settle(uses, nowMillis);
-    if (outstanding != null || uncertain) {
+    if (outstanding != null || uncertain || nowMillis < nextOrderMillis) {
       return Optional.empty();
     }
     Optional<Order> outdated = outdated(newest);
@@ -291,25 +293,43 @@
     }
     outstanding = null;
     switch (reply) {
-      case ACCEPTED, DONE -> accepted(order, reply, transitElsewhere, nowMillis);
-      default -> {
-        Item item = items.get(order.target());
-        boolean refused = reply != OrderReply.UNKNOWN;
-        if (item != null && item.state == State.LEAVING && refused) {
-          item.state = State.READY;
-        }
-        uncertain = true;
-        uncertainMillis = nowMillis;
+      case ACCEPTED, DONE -> {
+        refusals = 0;
+        accepted(order, reply, transitElsewhere, nowMillis);
       }
+      case UNKNOWN -> doubt(nowMillis);
+      default -> refused(order, nowMillis);
     }
   }
 
+  /**
+   * Takes back an order that the runner did not accept. It may only have too many adapters on their
+   * way; refused twice in a row, this account of it is wrong, and a report must mend it.
+   */
+  private void refused(Order order, long nowMillis) {
+    Item item = items.get(order.target());
+    if (item != null && item.state == State.LEAVING) {
+      item.state = State.READY;
+    } else if (item != null && order.operation() == Operation.LOAD) {
+      items.remove(order.target());
+    }
+    if (refusals++ > 0) {
+      doubt(nowMillis);
+    } else {
+      nextOrderMillis = nowMillis + settings.lateMillis();
+    }
+  }
+
+  private void doubt(long nowMillis) {
+    uncertain = true;
+    uncertainMillis = nowMillis;
+  }
+
   private void accepted(Order order, OrderReply reply, int transitElsewhere, long nowMillis) {
     boolean changed = reply == OrderReply.ACCEPTED || order.operation() == Operation.UNLOAD;
     sequence += changed ? 1 : 0;
     if (order.adapter().isEmpty()) {
-      uncertain = true;
-      uncertainMillis = nowMillis;
+      doubt(nowMillis);
       return;
     }
     Item item = items.get(order.target());
@@ -324,8 +344,7 @@
       items.remove(order.target());
       remember(order.target());
     } else {
-      uncertain = true;
-      uncertainMillis = nowMillis;
+      doubt(nowMillis);
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -129,7 +129,7 @@
   private long slowTickMillis;
   private long wishedMillis;
 
-  private Node(HostSettings host, NodeSettings own) throws Exception {
+  private Node(HostSettings host, NodeSettings own, long startedMillis) throws Exception {
     this.host = host;
     this.log = new EventLog("node", host.host());
     this.members = new Members<>(host.host(), MemberSettings.DEFAULT);
@@ -189,6 +189,7 @@
         new HolderDesk(
             host,
             incarnation,
+            startedMillis,
             members,
             holdings,
             loads,
@@ -222,10 +223,12 @@
   /**
    * Starts a host's program.
    *
+   * @param startedMillis when the process began, on the monotonic clock
    * @throws IOException if a port cannot be opened
    */
-  public static Node start(NodeSettings own, HostSettings host) throws Exception {
-    Node node = new Node(host, own);
+  public static Node start(NodeSettings own, HostSettings host, long startedMillis)
+      throws Exception {
+    Node node = new Node(host, own, startedMillis);
     node.duty.start();
     node.door.start();
     node.log.info(
@@ -247,8 +250,11 @@
     duty.put(() -> peers.seeds(changed.seeds()));
   }
 
-  /** Leaves the fleet, finishes what is in progress, and stops. */
+  /** Leaves the fleet, finishes what is in progress, and stops; a second call does nothing. */
   public void stop() throws Exception {
+    if (leaving) {
+      return;
+    }
     long stopMillis = MonotonicClock.SYSTEM.nowMillis();
     leaving = true;
     log.info("stopping");
--- a/sequoia-node/src/main/java/org/sequoiahub/node/NodeMain.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/NodeMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.process.ProcessMain;
 import org.sequoiahub.runtime.process.Signals;
 import org.sequoiahub.schema.settings.NodeSettings;
@@ -19,8 +20,9 @@
 
   /** Runs the host's program until SIGTERM; with {@code --self-check}, checks that it can start. */
   public static void main(String[] arguments) throws Exception {
+    long startedMillis = MonotonicClock.SYSTEM.nowMillis();
     if (arguments.length == 1 && arguments[0].equals(SELF_CHECK)) {
-      System.exit(SelfCheck.run(NodeSettings.newBuilder().setAddressTtlMs(1_000).build()));
+      System.exit(SelfCheck.run());
     }
     ProcessMain.run(
         "sequoia-node",
@@ -28,7 +30,7 @@
         arguments,
         settings -> {
           Path file = file(settings);
-          Node node = Node.start(settings, read(file));
+          Node node = Node.start(settings, read(file), startedMillis);
           SettingsWatch watch = new SettingsWatch(file, node::reload);
           watch.start();
           Signals.onHangup(watch::readNow);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -4,14 +4,20 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.sequoiahub.node.upstream.UpstreamClient;
+import org.sequoiahub.runtime.duty.MonotonicClock;
+import org.sequoiahub.runtime.log.LineFormatter;
+import org.sequoiahub.runtime.settings.SettingsLoader;
 import org.sequoiahub.schema.settings.NodeSettings;
 import org.sequoiahub.usersplatform.AddressDialect;
 import org.sequoiahub.usersplatform.HostSettings;
+import org.sequoiahub.usersplatform.RecordDecoder;
 
 /**
  * Starts a whole node on loopback ports without a fleet, asks it what callers and the platform ask,
@@ -26,14 +32,22 @@
   private static final int ROUNDS = 20;
   private static final long STOP_MILLIS = 500;
 
+  private static final NodeSettings FALLBACK =
+      NodeSettings.newBuilder().setAddressTtlMs(1_000).build();
+
   private SelfCheck() {}
 
   /** Runs the check; returns the process's exit code. */
-  static int run(NodeSettings own) throws Exception {
+  static int run() throws Exception {
+    LineFormatter.install(Level.INFO);
+    NodeSettings own =
+        new SettingsLoader<>("sequoia-node", "self-check", NodeSettings.getDefaultInstance())
+            .load(new String[0], Map.of())
+            .fold(settings -> settings, problems -> FALLBACK, text -> FALLBACK);
+    boolean good = new RecordDecoder().sampleConfiguration().size() > 0;
     List<Integer> ports = freePorts();
-    Node node = Node.start(own, settings(ports));
+    Node node = Node.start(own, settings(ports), MonotonicClock.SYSTEM.nowMillis());
     HttpClient client = UpstreamClient.start();
-    boolean good = true;
     for (int round = 0; round < ROUNDS; round++) {
       good &= status(client, ports.get(1), AddressDialect.READINESS_PATH, false) == 503;
       good &= status(client, ports.get(2), AddressDialect.ADDRESS_PATH, false) == 503;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -240,7 +240,8 @@
     GenerationPlacement.Choice choice = stay(call, candidates, chosen.get());
     Candidate candidate = choice.candidate();
     if (nowMillis + choice.firstTokenMillis() > call.firstEventByMillis()) {
-      giveUp(call, "would be late", (long) choice.firstTokenMillis() / 2);
+      // Whoever returns sooner is refused again.
+      giveUp(call, "would be late", (long) choice.firstTokenMillis());
       return;
     }
     boolean there = candidate.present() && candidate.adapterWaitMillis() <= 0;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -81,6 +81,15 @@
   /** A host that started this much later than the oldest has been restarted (ms). */
   private static final long RESTARTED_MILLIS = 5_000;
 
+  /**
+   * A granter that started this long before a runner was first seen here has seen every lease of it
+   * (ms): a runner is seen within a second, and a lease lasts one and a half.
+   */
+  private static final long NEW_RUNNER_MARGIN_MILLIS = 4_000;
+
+  /** What is known of a runner is forgotten when it has been gone for this long (ms). */
+  private static final long RETAIN_MILLIS = 60_000;
+
   /** Reports of one runner are asked for this far apart at least (ms): each has a price. */
   private static final long REPORT_PERIOD_MILLIS = 400;
 
@@ -106,6 +115,12 @@
   private final long startedMillis;
   private final long incarnation;
   private final Map<String, Held> held = new HashMap<>();
+  /** When this host first saw each runner. */
+  private final Map<String, Long> seenMillis = new HashMap<>();
+
+  /** When each runner was last known; entries also vanish while the store is away. */
+  private final Map<String, Long> presentMillis = new HashMap<>();
+
   /** When this host last held the runner at an address. */
   private final Map<String, Long> addressHeldMillis = new HashMap<>();
 
@@ -131,10 +146,15 @@
     long heldMillis = Long.MIN_VALUE / 2;
     /** When the oldest process among those that granted started, on this host's clock. */
     final Map<String, Long> granterStarts = new HashMap<>();
+    /** Hosts that ran before the runner appeared and never granted its lease to anybody else. */
+    final Set<String> neverElsewhere = new HashSet<>();
+    /** When this host first saw the runner. */
+    final long seenMillis;
 
-    Held(RunnerEntry runner, EngineSpec engine) {
+    Held(RunnerEntry runner, EngineSpec engine, long seenMillis) {
       this.runner = runner;
       this.engine = engine;
+      this.seenMillis = seenMillis;
     }
   }
 
@@ -142,6 +162,8 @@
    * Creates a desk.
    *
    * @param incarnation which process of this host this is, as the others are told
+   * @param startedMillis when this process began: no order of an earlier process of this host is
+   *     younger
    * @param datagrams begins a datagram of this host
    * @param sender sends bytes to an IP number
    * @param timeOfDay tells the time of day (ms)
@@ -151,6 +173,7 @@
   public HolderDesk(
       HostSettings settings,
       long incarnation,
+      long startedMillis,
       Members<HostState> members,
       Holdings holdings,
       FleetLoad loads,
@@ -177,7 +200,7 @@
     this.newestVersion = newestVersion;
     this.changed = changed;
     this.log = log;
-    this.startedMillis = clock.getAsLong();
+    this.startedMillis = startedMillis;
     // On the deployment's first start nothing was granted before that could be forgotten.
     long granterStart = settings.firstStart() ? startedMillis - LEASE_MILLIS : startedMillis;
     this.granter = new LeaseGranter(granterStart, LEASE_MILLIS);
@@ -194,20 +217,31 @@
     runners.forEach(
         (runner, engine) -> {
           present.add(runner.id());
+          presentMillis.put(runner.id(), nowMillis);
+          long seen = seenMillis.computeIfAbsent(runner.id(), id -> nowMillis);
           Held entry = held.get(runner.id());
           if (entry != null) {
             entry.runner = runner;
           } else if (shouldClaim(runner, nowMillis)) {
-            held.put(runner.id(), new Held(runner, engine));
+            held.put(runner.id(), new Held(runner, engine, seen));
           }
         });
     held.keySet().retainAll(present);
+    forgetGone(nowMillis);
     claim(nowMillis);
     for (Held entry : List.copyOf(held.values())) {
       advance(entry, nowMillis);
     }
   }
 
+  private void forgetGone(long nowMillis) {
+    boolean any = presentMillis.values().removeIf(at -> nowMillis - at > RETAIN_MILLIS);
+    if (any) {
+      seenMillis.keySet().retainAll(presentMillis.keySet());
+      granter.retain(presentMillis.keySet());
+    }
+  }
+
   /** Sets what this host's own requests wait for, by runner, and orders at once. */
   public void localWishes(Map<String, List<Wish>> wishes, long nowMillis) {
     localWishes = wishes;
@@ -241,6 +275,9 @@
       for (String runner : claim.getRunnersList()) {
         if (granter.grant(runner, host, claim.getDurationMs(), nowMillis)) {
           grant.addGranted(runner);
+          if (granter.grantedOnlyTo(runner, host)) {
+            grant.addOnlyEver(runner);
+          }
         }
       }
     }
@@ -254,7 +291,14 @@
     for (String runner : grant.getGrantedList()) {
       Held entry = held.get(runner);
       if (entry != null) {
-        entry.granterStarts.put(host, nowMillis - grant.getUptimeMs());
+        long granterStart = nowMillis - grant.getUptimeMs();
+        entry.granterStarts.put(host, granterStart);
+        boolean sawAll = granterStart + NEW_RUNNER_MARGIN_MILLIS < entry.seenMillis;
+        if (sawAll && grant.getOnlyEverList().contains(runner)) {
+          entry.neverElsewhere.add(host);
+        } else {
+          entry.neverElsewhere.remove(host);
+        }
         entry.authority.granted(host, grant.getClaimSentMs(), nowMillis);
       }
     }
@@ -440,6 +484,9 @@
       // The runner restarted at its address: this host was the last to order the one before it.
       return nowMillis;
     }
+    if (isFirstHolder(entry, nowMillis)) {
+      return nowMillis;
+    }
     boolean firstHolder =
         settings.firstStart()
             && nowMillis - startedMillis < FIRST_START_MILLIS
@@ -467,6 +514,20 @@
     return Math.max(nowMillis, quietFrom + settings.leaseMillis() + ORDER_FLIGHT_MILLIS);
   }
 
+  /**
+   * Returns whether no other host can have held a new runner's lease: a majority of the hosts ran
+   * before it appeared and never granted it to anybody else, and any other majority shares a host
+   * with this one.
+   */
+  private boolean isFirstHolder(Held entry, long nowMillis) {
+    Set<String> electorate = members.electorate(nowMillis);
+    long count = electorate.stream().filter(entry.neverElsewhere::contains).count();
+    boolean self =
+        startedMillis + NEW_RUNNER_MARGIN_MILLIS < entry.seenMillis
+            && granter.grantedOnlyTo(entry.runner.id(), settings.host());
+    return 2 * (count + (self ? 1 : 0)) > electorate.size();
+  }
+
   private void report(Held entry, long nowMillis) {
     entry.reporting = true;
     entry.reportDueMillis = nowMillis + REPORT_PERIOD_MILLIS;
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -0,0 +1,163 @@
+package org.sequoiahub.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.sequoiahub.node.upstream.UpstreamClient;
+import org.sequoiahub.runtime.duty.MonotonicClock;
+import org.sequoiahub.schema.settings.NodeSettings;
+import org.sequoiahub.usersplatform.AddressDialect;
+import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.HostSettings;
+import org.sequoiahub.usersplatform.standin.StandinConfiguration;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
+import org.sequoiahub.usersplatform.standin.StandinStore;
+
+/** Whole nodes on loopback addresses before a stand-in store and stand-in runners. */
+final class LoopbackFleet implements AutoCloseable {
+
+  /** Nothing here is judged by the clock; this only ends a test that hangs. */
+  private static final long PATIENCE_MILLIS = 60_000;
+
+  private static final int STOP_MILLIS = 400;
+
+  final StandinStore store;
+  final HttpClient caller;
+  private final List<StandinRunner> runners = new ArrayList<>();
+  private final List<Node> nodes = new ArrayList<>();
+  private final int[] ports = new int[5];
+  private long version;
+
+  LoopbackFleet() throws Exception {
+    store = new StandinStore();
+    caller = UpstreamClient.start();
+    for (int i = 0; i < ports.length; i++) {
+      try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("0.0.0.0"))) {
+        ports[i] = socket.getLocalPort();
+      }
+    }
+  }
+
+  static String ip(int number) {
+    return "127.0.0." + (20 + number);
+  }
+
+  /** Starts host {@code number}; its seeds are hosts 1 and 2. */
+  Node startNode(int number) throws Exception {
+    HostSettings settings =
+        new HostSettings(
+            "host-" + number,
+            "z",
+            ip(number),
+            ports[0],
+            ports[1],
+            ports[2],
+            ports[3],
+            ports[4],
+            List.of(ip(1), ip(2)),
+            true,
+            store.address(),
+            STOP_MILLIS,
+            3_000,
+            0.2,
+            50,
+            10_000,
+            5_000,
+            430);
+    Node node = Node.start(
+            NodeSettings.newBuilder().setAddressTtlMs(1_000).build(),
+            settings,
+            MonotonicClock.SYSTEM.nowMillis());
+    nodes.add(node);
+    return node;
+  }
+
+  StandinRunner startRunner(String id, String service, String model) throws Exception {
+    StandinRunner runner = new StandinRunner(id, service, model, 4);
+    runners.add(runner);
+    publish(runner, "ready");
+    return runner;
+  }
+
+  void publish(StandinRunner runner, String state) {
+    store.put("servers/" + runner.id(), runner.entry(state));
+  }
+
+  /** Writes the next configuration; {@code routes} are JSON objects. */
+  void configure(String... routes) {
+    store.put(
+        StandinConfiguration.key(),
+        StandinConfiguration.configuration(++version, List.of(routes)));
+  }
+
+  static String route(String prefix, String kind, String service, boolean resumable) {
+    return StandinConfiguration.route(prefix, kind, service, resumable);
+  }
+
+  /** Returns a request of a caller to host {@code number}. */
+  Request request(int number, String path, String id) {
+    return caller
+        .newRequest("http://" + ip(number) + ":" + ports[0])
+        .path(path)
+        .headers(
+            headers ->
+                headers
+                    .put("Host", "h.example")
+                    .put(Headers.REQUEST_ID, id)
+                    .put(Headers.DEADLINE, "20000"));
+  }
+
+  boolean isReady(int number) {
+    return status("http://" + ip(number) + ":" + ports[1] + AddressDialect.READINESS_PATH) == 200;
+  }
+
+  String addresses(int number) throws Exception {
+    ContentResponse response =
+        caller.GET("http://" + ip(number) + ":" + ports[2] + AddressDialect.ADDRESS_PATH);
+    return response.getContentAsString();
+  }
+
+  int callerPort() {
+    return ports[0];
+  }
+
+  private int status(String uri) {
+    try {
+      return caller.GET(uri).getStatus();
+    } catch (Exception e) {
+      return 0;
+    }
+  }
+
+  static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + PATIENCE_MILLIS * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("never came: " + what);
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (Node node : nodes) {
+      node.stop();
+    }
+    caller.stop();
+    for (StandinRunner runner : runners) {
+      runner.close();
+    }
+    try {
+      store.close();
+    } catch (IOException e) {
+      // A watch that still waits is cut; nothing is lost with it.
+    }
+  }
+}
