The right to order a runner: virtual-time property, and two rules of the wait that it broke

Events: a host is cut off at the deployment's first start, the others order; it comes back and takes itself for the first holder by its own uptime. And: hosts that had all started lately counted the wait from their start although one of them had ordered since. Cause: both inferred from uptime what only granters know. Now a holder is the first only if a majority of hosts has seen every lease of the runner and granted none to another; all else waits.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
@@ -85,7 +85,7 @@
     if (current != null) {
       boolean stale =
           incarnation < current.incarnation
-              && nowMillis - current.heardMillis < settings.suspectMillis();
+              && nowMillis - current.heardMillis < suspectMillis();
       boolean repeated = incarnation == current.incarnation && number <= current.number;
       if (stale || repeated) {
         return false;
@@ -132,7 +132,7 @@
   public List<Member<S>> alive(long nowMillis) {
     List<Member<S>> alive = new ArrayList<>();
     for (Member<S> member : members.values()) {
-      if (!member.leaving && nowMillis - member.heardMillis < settings.deadMillis()) {
+      if (!member.leaving && nowMillis - member.heardMillis < deadMillis()) {
         alive.add(member);
       }
     }
@@ -149,7 +149,7 @@
     Member<S> member = members.get(host);
     return member != null
         && !member.leaving
-        && nowMillis - member.heardMillis < settings.suspectMillis();
+        && nowMillis - member.heardMillis < suspectMillis();
   }
 
   /**
@@ -167,6 +167,19 @@
     return hosts;
   }
 
+  /** Returns how often each other host is to be told this host's state (ms). */
+  public long periodMillis() {
+    return settings.periodMillis(members.size());
+  }
+
+  private long suspectMillis() {
+    return settings.suspectBeats() * periodMillis();
+  }
+
+  private long deadMillis() {
+    return settings.deadBeats() * periodMillis();
+  }
+
   /** Forgets hosts that have long been silent. */
   public void forget(long nowMillis) {
     members.values().removeIf(m -> nowMillis - m.heardMillis >= settings.retainMillis());
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -21,6 +21,7 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
+import org.sequoiahub.core.holding.RunnerOrders;
 import org.sequoiahub.core.holding.RunnerReport;
 import org.sequoiahub.core.holding.RunnerShelf;
 import org.sequoiahub.core.holding.ShelfSettings;
@@ -37,7 +38,6 @@
 import org.sequoiahub.schema.peer.LeaseRelease;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.usersplatform.HostSettings;
-import org.sequoiahub.usersplatform.OrderClient;
 
 /**
  * Gains and keeps the right to order runners, and orders them; runs on the decision thread.
@@ -57,9 +57,6 @@
   /** After its start a host first learns who else there is (ms): two rounds of gossip. */
   private static final long SETTLE_MILLIS = 1_200;
 
-  /** While nothing of the deployment ran before, no earlier holder can exist (ms after start). */
-  private static final long FIRST_START_MILLIS = 12_000;
-
   /** An order without a reply for this long is of unknown outcome (ms). */
   private static final long ORDER_TIMEOUT_MILLIS = 1_000;
 
@@ -93,9 +90,6 @@
   /** Reports of one runner are asked for this far apart at least (ms): each has a price. */
   private static final long REPORT_PERIOD_MILLIS = 400;
 
-  /** A process is young for this long after its start (ms). */
-  private static final long YOUNG_MILLIS = 6_000;
-
   private static final int TOKEN_TAG = 1_024;
 
   private final HostSettings settings;
@@ -103,7 +97,7 @@
   private final LeaseGranter granter;
   private final Holdings holdings;
   private final FleetLoad loads;
-  private final OrderClient orders;
+  private final RunnerOrders orders;
   private final Supplier<PeerDatagram.Builder> datagrams;
   private final BiConsumer<String, byte[]> sender;
   private final Consumer<Runnable> decisions;
@@ -121,8 +115,8 @@
   /** When each runner was last known; entries also vanish while the store is away. */
   private final Map<String, Long> presentMillis = new HashMap<>();
 
-  /** When this host last held the runner at an address. */
-  private final Map<String, Long> addressHeldMillis = new HashMap<>();
+  /** The host that last told that it orders the runner at an address. */
+  private final Map<String, String> addressHolders = new HashMap<>();
 
   private final Map<String, Map<String, RemoteWish>> remoteWishes = new HashMap<>();
   private Map<String, List<Wish>> localWishes = Map.of();
@@ -144,8 +138,6 @@
     long reportDueMillis;
     /** When the lease was last known to be held. */
     long heldMillis = Long.MIN_VALUE / 2;
-    /** When the oldest process among those that granted started, on this host's clock. */
-    final Map<String, Long> granterStarts = new HashMap<>();
     /** Hosts that ran before the runner appeared and never granted its lease to anybody else. */
     final Set<String> neverElsewhere = new HashSet<>();
     /** When this host first saw the runner. */
@@ -177,7 +169,7 @@
       Members<HostState> members,
       Holdings holdings,
       FleetLoad loads,
-      OrderClient orders,
+      RunnerOrders orders,
       Supplier<PeerDatagram.Builder> datagrams,
       BiConsumer<String, byte[]> sender,
       Consumer<Runnable> decisions,
@@ -218,6 +210,9 @@
         (runner, engine) -> {
           present.add(runner.id());
           presentMillis.put(runner.id(), nowMillis);
+          holdings
+              .find(runner.id())
+              .ifPresent(holding -> addressHolders.put(runner.address(), holding.host()));
           long seen = seenMillis.computeIfAbsent(runner.id(), id -> nowMillis);
           Held entry = held.get(runner.id());
           if (entry != null) {
@@ -270,7 +265,8 @@
     LeaseGrant.Builder grant =
         LeaseGrant.newBuilder()
             .setClaimSentMs(claim.getSentMs())
-            .setUptimeMs(nowMillis - startedMillis);
+            .setUptimeMs(nowMillis - startedMillis)
+            .setFirstStart(settings.firstStart());
     if (!stopping) {
       for (String runner : claim.getRunnersList()) {
         if (granter.grant(runner, host, claim.getDurationMs(), nowMillis)) {
@@ -291,9 +287,8 @@
     for (String runner : grant.getGrantedList()) {
       Held entry = held.get(runner);
       if (entry != null) {
-        long granterStart = nowMillis - grant.getUptimeMs();
-        entry.granterStarts.put(host, granterStart);
-        boolean sawAll = granterStart + NEW_RUNNER_MARGIN_MILLIS < entry.seenMillis;
+        long start = nowMillis - grant.getUptimeMs();
+        boolean sawAll = sawAllLeases(start, grant.getFirstStart(), entry);
         if (sawAll && grant.getOnlyEverList().contains(runner)) {
           entry.neverElsewhere.add(host);
         } else {
@@ -438,7 +433,6 @@
       gained(entry, nowMillis);
     }
     entry.heldMillis = nowMillis;
-    addressHeldMillis.put(entry.runner.address(), nowMillis);
     RunnerShelf shelf = entry.shelf;
     boolean reportWanted =
         shelf != null && shelf.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
@@ -462,7 +456,11 @@
   private void gained(Held entry, long nowMillis) {
     entry.shelf =
         new RunnerShelf(entry.engine, ShelfSettings.forFleet(enginesKnown));
-    entry.orderFromMillis = orderFrom(entry, nowMillis);
+    // Unless there was none, the holder before may have ordered until now.
+    entry.orderFromMillis =
+        isFirstHolder(entry, nowMillis)
+            ? nowMillis
+            : nowMillis + settings.leaseMillis() + ORDER_FLIGHT_MILLIS;
     long tag = Math.floorMod(settings.host().hashCode(), TOKEN_TAG);
     long after = holdings.token(entry.runner.id()) / TOKEN_TAG + 1;
     entry.token = Math.max(timeOfDay.getAsLong(), after) * TOKEN_TAG + tag;
@@ -472,62 +470,34 @@
   }
 
   /**
-   * When a new holder may give its first order: when the last order of the one before is older than
-   * the platform's lease time.
+   * Returns whether no other host can have ordered a runner: a majority of the hosts have seen every
+   * lease of it since it appeared and never granted it to anybody else, and any other majority
+   * shares a host with this one.
    *
-   * <p>The one before held its lease until now at the latest. Where all hosts have just started, its
-   * process ended before the last of them did, and it is also silent since then.
-   */
-  private long orderFrom(Held entry, long nowMillis) {
-    Long heldBefore = addressHeldMillis.get(entry.runner.address());
-    if (heldBefore != null && nowMillis - heldBefore < settings.leaseMillis()) {
-      // The runner restarted at its address: this host was the last to order the one before it.
-      return nowMillis;
-    }
-    if (isFirstHolder(entry, nowMillis)) {
-      return nowMillis;
-    }
-    boolean firstHolder =
-        settings.firstStart()
-            && nowMillis - startedMillis < FIRST_START_MILLIS
-            && holdings.token(entry.runner.id()) == 0;
-    if (firstHolder) {
-      return nowMillis;
-    }
-    long quietFrom = nowMillis;
-    Set<String> electorate = members.electorate(nowMillis);
-    boolean allStartedLately =
-        electorate.size() > 1
-            && holdings.token(entry.runner.id()) == 0
-            && nowMillis - startedMillis < YOUNG_MILLIS;
-    long latestStart = startedMillis;
-    for (String host : electorate) {
-      if (!host.equals(settings.host())) {
-        long start = entry.granterStarts.getOrDefault(host, Long.MIN_VALUE / 2);
-        allStartedLately &= nowMillis - start < YOUNG_MILLIS;
-        latestStart = Math.max(latestStart, start);
-      }
-    }
-    if (allStartedLately) {
-      quietFrom = latestStart;
-    }
-    return Math.max(nowMillis, quietFrom + settings.leaseMillis() + ORDER_FLIGHT_MILLIS);
-  }
-
-  /**
-   * Returns whether no other host can have held a new runner's lease: a majority of the hosts ran
-   * before it appeared and never granted it to anybody else, and any other majority shares a host
-   * with this one.
+   * <p>A runner that restarted has another id, but may be taken for the one before it: if another
+   * host ordered that one, this counts as a change of the holder.
    */
   private boolean isFirstHolder(Held entry, long nowMillis) {
+    String before = addressHolders.getOrDefault(entry.runner.address(), settings.host());
+    if (!before.equals(settings.host())) {
+      return false;
+    }
     Set<String> electorate = members.electorate(nowMillis);
     long count = electorate.stream().filter(entry.neverElsewhere::contains).count();
     boolean self =
-        startedMillis + NEW_RUNNER_MARGIN_MILLIS < entry.seenMillis
+        sawAllLeases(startedMillis, settings.firstStart(), entry)
             && granter.grantedOnlyTo(entry.runner.id(), settings.host());
     return 2 * (count + (self ? 1 : 0)) > electorate.size();
   }
 
+  /**
+   * Returns whether a granter has seen every lease of a runner: it ran before the runner appeared,
+   * or is of the deployment's first start, before which there was none.
+   */
+  private static boolean sawAllLeases(long granterStart, boolean firstStart, Held entry) {
+    return firstStart || granterStart + NEW_RUNNER_MARGIN_MILLIS < entry.seenMillis;
+  }
+
   private void report(Held entry, long nowMillis) {
     entry.reporting = true;
     entry.reportDueMillis = nowMillis + REPORT_PERIOD_MILLIS;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
@@ -16,9 +16,6 @@
 /** Tells the other hosts this host's state and keeps theirs; runs on the decision thread. */
 public final class PeerDesk {
 
-  /** A state is told at least this often (ms). */
-  private static final long HEARTBEAT_MILLIS = 200;
-
   /** Changes within this time go out together (ms): it bounds datagrams under load. */
   private static final long MIN_PERIOD_MILLIS = 20;
 
@@ -29,7 +26,7 @@
   private static final long HOLDINGS_MILLIS = 800;
 
   /**
-   * States sent a second at most, heartbeats apart: a host's cost must not grow with the fleet, so
+   * States sent a second at most when things change: a host's cost must not grow with the fleet, so
    * in a larger one changes are told less often.
    */
   private static final int STATES_PER_SECOND = 400;
@@ -115,7 +112,7 @@
     int peers = members.reachable(nowMillis).size();
     long period = Math.max(MIN_PERIOD_MILLIS, (long) peers * MILLIS / STATES_PER_SECOND);
     long since = nowMillis - sentMillis;
-    if (since >= HEARTBEAT_MILLIS || (changed && since >= period)) {
+    if (since >= members.periodMillis() || (changed && since >= period)) {
       tellAll(nowMillis);
     }
   }
@@ -133,7 +130,7 @@
       holdingsChanged = false;
       holdingsSentMillis = nowMillis;
     }
-    boolean complete = nowMillis - completeMillis >= HEARTBEAT_MILLIS;
+    boolean complete = nowMillis - completeMillis >= members.periodMillis();
     HostState.Builder state = ownState.state(withHoldings, complete);
     if (complete) {
       completeMillis = nowMillis;
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -0,0 +1,402 @@
+package org.sequoiahub.node.holder;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.Order;
+import org.sequoiahub.core.holding.OrderReply;
+import org.sequoiahub.core.holding.RunnerOrders;
+import org.sequoiahub.core.holding.RunnerReport;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.member.MemberSettings;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.routing.ModelSpec;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.peer.PeerDesk;
+import org.sequoiahub.node.peer.StateCodec;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/** Hosts that order runners, in virtual time, with pauses, cuts, kills and late messages. */
+final class HolderWorld {
+
+  static final int HOSTS = 5;
+  static final int RUNNERS = 3;
+  private static final long LEASE_MILLIS = 3_000;
+  private static final long THAW_MILLIS = 300;
+  private static final long TICK_MILLIS = 10;
+  private static final int MAX_DELAY_MILLIS = 25;
+  private static final EngineSpec ENGINE =
+      new EngineSpec(8, 10_000, 1_000, 4, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
+
+  private final Random random;
+  private final List<Host> hosts = new ArrayList<>();
+  private final List<Runner> runners = new ArrayList<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Set<Integer> cut = new HashSet<>();
+  private long now = 1_000_000;
+  private long eventNumber;
+  private int orders;
+
+  private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(atMillis, other.atMillis);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  HolderWorld(long seed, boolean firstStart) {
+    this.random = new Random(seed);
+    for (int i = 0; i < RUNNERS; i++) {
+      runners.add(new Runner("i-" + i, "10.0.9." + i + ":80"));
+    }
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(new Host(i));
+      hosts.get(i).start(firstStart);
+    }
+  }
+
+  int orders() {
+    return orders;
+  }
+
+  void pass(long millis) {
+    long end = now + millis;
+    while (now < end) {
+      now += TICK_MILLIS;
+      while (!events.isEmpty() && events.peek().atMillis <= now) {
+        events.poll().action.run();
+      }
+      hosts.forEach(Host::tick);
+    }
+  }
+
+  /** Stops a host's clockwork; what arrives meanwhile waits. */
+  void pause(int host) {
+    hosts.get(host).paused = true;
+  }
+
+  void wake(int host) {
+    Host woken = hosts.get(host);
+    if (woken.paused) {
+      woken.paused = false;
+      woken.calmMillis = now;
+      List<Runnable> waiting = List.copyOf(woken.inbox);
+      woken.inbox.clear();
+      waiting.forEach(Runnable::run);
+    }
+  }
+
+  /** Cuts a host off from the other hosts; it still reaches the runners. */
+  void cut(int host) {
+    cut.add(host);
+  }
+
+  void heal(int host) {
+    if (cut.remove(host)) {
+      hosts.get(host).calmMillis = now;
+    }
+  }
+
+  void kill(int host) {
+    Host killed = hosts.get(host);
+    killed.life++;
+    killed.desk = null;
+    after(1_300, () -> killed.start(false));
+  }
+
+  void leave(int host) {
+    Host leaving = hosts.get(host);
+    if (leaving.desk != null && !leaving.paused) {
+      leaving.leaving = true;
+      leaving.desk.stop();
+      leaving.peers.tellAll(now);
+      int life = leaving.life;
+      after(
+          3_000,
+          () -> {
+            if (leaving.life == life) {
+              kill(host);
+            }
+          });
+    }
+  }
+
+  void killAll() {
+    for (int host = 0; host < HOSTS; host++) {
+      kill(host);
+    }
+  }
+
+  /** Replaces a runner by a new one, at the same address or another. */
+  void restartRunner(int runner, boolean sameAddress) {
+    Runner old = runners.get(runner);
+    String address = sameAddress ? old.entry.address() : "10.0.8." + random.nextInt(250) + ":80";
+    runners.set(runner, new Runner("i-" + runner + "-" + random.nextInt(), address));
+  }
+
+  private void after(long millis, Runnable action) {
+    events.add(new Event(now + millis, eventNumber++, action));
+  }
+
+  private long delay() {
+    return 1 + random.nextInt(MAX_DELAY_MILLIS);
+  }
+
+  /** One start of a runner, which remembers who ordered it and when. */
+  private final class Runner {
+    final RunnerEntry entry;
+    long sequence;
+    @Nullable String lastHolder;
+    long lastOrderMillis;
+    long lastToken;
+    final Set<String> held = new HashSet<>();
+
+    Runner(String id, String address) {
+      this.entry =
+          new RunnerEntry(id, "llm", address, "z", 8, false, -1, 0, Set.of("m"), Map.of());
+    }
+
+    OrderReply order(Host from, Order order, long expected, String holder, long token) {
+      orders++;
+      boolean excused = now - from.calmMillis < THAW_MILLIS;
+      if (!excused) {
+        if (lastHolder != null && !lastHolder.equals(holder)) {
+          assertWithMessage("%s orders %s after %s", holder, entry.id(), lastHolder)
+              .that(now - lastOrderMillis)
+              .isAtLeast(LEASE_MILLIS);
+          assertWithMessage("token of %s after %s", holder, lastHolder)
+              .that(token)
+              .isGreaterThan(lastToken);
+        }
+        lastHolder = holder;
+        lastOrderMillis = now;
+        lastToken = token;
+      }
+      if (expected != sequence) {
+        return OrderReply.CONFLICT;
+      }
+      sequence++;
+      if (order.operation() == Order.Operation.LOAD) {
+        held.add(order.target());
+        assertWithMessage("adapters at %s", entry.id()).that(held.size()).isAtMost(4);
+        return OrderReply.ACCEPTED;
+      }
+      held.remove(order.target());
+      return OrderReply.DONE;
+    }
+  }
+
+  private final class Host implements RunnerOrders {
+    final int number;
+    final List<Runnable> inbox = new ArrayList<>();
+    boolean paused;
+    boolean leaving;
+    int life;
+    /** When it was last thawed or its links healed. */
+    long calmMillis = Long.MIN_VALUE / 2;
+
+    private Members<HostState> members = new Members<>("", MemberSettings.DEFAULT);
+    private Holdings holdings = new Holdings();
+    private @Nullable HolderDesk desk;
+    private PeerDesk peers = peerDesk(0);
+
+    Host(int number) {
+      this.number = number;
+    }
+
+    private HostSettings settings(boolean firstStart) {
+      return new HostSettings(
+          "host-" + number,
+          "z",
+          "10.0.0." + number,
+          1,
+          2,
+          3,
+          4,
+          5,
+          List.of("10.0.0.0", "10.0.0.1", "10.0.0.2"),
+          firstStart,
+          "10.0.0.9:1",
+          8_000,
+          LEASE_MILLIS,
+          0.2,
+          50,
+          10_000,
+          5_000,
+          430);
+    }
+
+    private PeerDesk peerDesk(long incarnation) {
+      return new PeerDesk(
+          settings(false),
+          incarnation,
+          members,
+          this::send,
+          this::state,
+          (from, state) ->
+              StateCodec.holdings(from, state, now).forEach((runner, h) -> holdings.told(runner, h)),
+          random,
+          new EventLog("test", "host-" + number));
+    }
+
+    void start(boolean firstStart) {
+      members = new Members<>("host-" + number, MemberSettings.DEFAULT);
+      holdings = new Holdings();
+      leaving = false;
+      paused = false;
+      inbox.clear();
+      peers = peerDesk(now);
+      desk =
+          new HolderDesk(
+              settings(firstStart),
+              now,
+              now,
+              members,
+              holdings,
+              new FleetLoad(),
+              this,
+              peers::datagram,
+              this::send,
+              this::deliver,
+              () -> now,
+              () -> now,
+              target -> 0,
+              peers::holdingsChanged,
+              new EventLog("test", "host-" + number));
+    }
+
+    private HostState.Builder state(boolean withHoldings, boolean complete) {
+      HostState.Builder state =
+          HostState.newBuilder().setFailureDomain("z").setReady(true).setLeaving(leaving);
+      if (withHoldings && !leaving && desk != null) {
+        for (String runner : desk.ordered(now)) {
+          holdings.find(runner).ifPresent(h -> StateCodec.addHolding(state, runner, h, now));
+        }
+      }
+      return state;
+    }
+
+    void tick() {
+      HolderDesk running = desk;
+      if (running == null || paused) {
+        return;
+      }
+      Map<RunnerEntry, EngineSpec> known = new HashMap<>();
+      Map<String, List<Wish>> wishes = new HashMap<>();
+      for (Runner runner : runners) {
+        known.put(runner.entry, ENGINE);
+        Wish wish = new Wish("m", "a" + random.nextInt(9), 1, 0);
+        wishes.put(runner.entry.id(), List.of(wish));
+      }
+      running.tick(known, now);
+      running.localWishes(wishes, now);
+      peers.tick(now);
+    }
+
+    private void deliver(Runnable action) {
+      if (paused) {
+        inbox.add(action);
+      } else if (desk != null) {
+        action.run();
+      }
+    }
+
+    private void send(String ip, byte[] bytes) {
+      int to = Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
+      boolean lost = cut.contains(number) || cut.contains(to) || random.nextInt(40) == 0;
+      if (to >= HOSTS || to == number || lost) {
+        return;
+      }
+      after(delay(), () -> hosts.get(to).deliver(() -> hosts.get(to).receive(number, bytes)));
+    }
+
+    private void receive(int from, byte[] bytes) {
+      HolderDesk running = desk;
+      if (running == null) {
+        return;
+      }
+      try {
+        PeerDatagram datagram = PeerDatagram.parseFrom(bytes);
+        String name = datagram.getHost();
+        String ip = "10.0.0." + from;
+        switch (datagram.getBodyCase()) {
+          case STATE -> peers.received(ip, datagram, now);
+          case CLAIM -> running.claimed(name, ip, datagram.getClaim(), now);
+          case GRANT -> running.granted(name, datagram.getGrant(), now);
+          case RELEASE -> running.released(name, datagram.getRelease());
+          default -> throw new AssertionError(datagram.getBodyCase());
+        }
+      } catch (InvalidProtocolBufferException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    @Override
+    public void order(
+        RunnerEntry runner,
+        Order order,
+        long expectedSequence,
+        String holder,
+        long token,
+        long timeoutMillis,
+        Consumer<OrderReply> listener) {
+      int sentIn = life;
+      after(
+          delay(),
+          () -> {
+            OrderReply reply = OrderReply.WRONG_RUNNER;
+            for (Runner candidate : runners) {
+              if (candidate.entry.id().equals(runner.id())) {
+                reply = candidate.order(this, order, expectedSequence, holder, token);
+              }
+            }
+            OrderReply told = random.nextInt(30) == 0 ? OrderReply.UNKNOWN : reply;
+            after(delay(), () -> answer(sentIn, () -> listener.accept(told)));
+          });
+    }
+
+    @Override
+    public void report(
+        RunnerEntry runner, long timeoutMillis, Consumer<@Nullable RunnerReport> listener) {
+      int sentIn = life;
+      after(
+          delay(),
+          () -> {
+            for (Runner candidate : runners) {
+              if (candidate.entry.id().equals(runner.id())) {
+                Map<String, Integer> adapters = new HashMap<>();
+                candidate.held.forEach(target -> adapters.put(target, 1));
+                RunnerReport report =
+                    new RunnerReport(candidate.sequence, false, Set.of("m"), adapters, Map.of());
+                answer(sentIn, () -> listener.accept(report));
+                return;
+              }
+            }
+            answer(sentIn, () -> listener.accept(null));
+          });
+    }
+
+    private void answer(int sentIn, Runnable action) {
+      if (life == sentIn) {
+        deliver(action);
+      }
+    }
+  }
+}
