--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.node;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.security.SecureRandom;
@@ -37,6 +39,7 @@
 import org.sequoiahub.runtime.duty.Duty;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.runtime.metrics.MetricsText;
 import org.sequoiahub.schema.peer.AdapterDemand;
 import org.sequoiahub.schema.peer.AdapterWish;
 import org.sequoiahub.schema.peer.HostState;
@@ -100,6 +103,7 @@
 
   private final HostSettings host;
   private final EventLog log;
+  private final MetricRegistry metrics = new MetricRegistry();
   private final Random random = new Random(new SecureRandom().nextLong());
   private final EventLoopGroup network = WireThreads.one("peers");
   private final HttpClient storeHttp;
@@ -171,6 +175,7 @@
             MonotonicClock.SYSTEM::nowMillis,
             this::changed,
             random,
+            metrics,
             log);
     this.datagrams =
         DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
@@ -213,10 +218,12 @@
             host.callerPort(),
             host.readinessPort(),
             host.addressPort(),
+            own.getMetricsPort(),
             Math.min(own.getAddressTtlMs(), host.addressTtlMillis()),
             () -> addresses,
             () -> ready && !leaving,
             () -> limits,
+            () -> MetricsText.render(metrics),
             request -> duty.put(() -> calls.arrived(request)));
   }
 
@@ -229,6 +236,7 @@
   public static Node start(NodeSettings own, HostSettings host, long startedMillis)
       throws Exception {
     Node node = new Node(host, own, startedMillis);
+    node.registerGauges();
     node.duty.start();
     node.door.start();
     node.log.info(
@@ -296,6 +304,13 @@
     return count[0];
   }
 
+  /** What operators look at first; read on a server thread, so only what is safe to read there. */
+  private void registerGauges() {
+    metrics.register("ready", (Gauge<Integer>) () -> ready && !leaving ? 1 : 0);
+    metrics.register("addresses.named", (Gauge<Integer>) () -> addresses.size());
+    metrics.register("decisions.backlog", (Gauge<Integer>) duty::backlog);
+  }
+
   private StoreFollower follower(
       StoreClient client, String prefix, long waitMillis, long spacingMillis) {
     return new StoreFollower(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -1,11 +1,14 @@
 package org.sequoiahub.node.call;
 
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -77,6 +80,9 @@
   private final LongSupplier clock;
   private final Runnable changed;
   private final Random random;
+  private final MetricRegistry metrics;
+  private final Histogram firstEventMillis;
+  private final Histogram wholeMillis;
   private final EventLog log;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lookedMillis;
@@ -95,7 +101,11 @@
       LongSupplier clock,
       Runnable changed,
       Random random,
+      MetricRegistry metrics,
       EventLog log) {
+    this.metrics = metrics;
+    this.firstEventMillis = metrics.histogram("requests.first_event_ms");
+    this.wholeMillis = metrics.histogram("requests.whole_ms");
     this.fleet = fleet;
     this.upstreams = upstreams;
     this.budget = budget;
@@ -146,6 +156,7 @@
             now,
             now + Math.min(wanted, route.timeoutMillis()));
     calls.add(call);
+    metrics.counter("requests.accepted").inc();
     budget.request(service, now);
     place(call, now);
   }
@@ -406,6 +417,7 @@
       running.firstEventSeen = true;
       fleet.loads().add(running.runner.id(), 0, -running.unreadTokens, 0, "");
       running.unreadTokens = 0;
+      firstEventMillis.update(clock.getAsLong() - call.arrivedMillis);
       log.debug(
           "first-event",
           "request",
@@ -475,6 +487,7 @@
       String why,
       Outcome.@Nullable Answered answer,
       long now) {
+    metrics.counter("attempts.ended." + ending.name().toLowerCase(Locale.ROOT)).inc();
     log.info(
         "attempt-failed",
         "request",
@@ -635,11 +648,16 @@
     if (retryMillis >= 0) {
       fields.put(HttpHeader.RETRY_AFTER, Double.toString(retryMillis / MILLIS));
     }
+    metrics.counter("answers.own." + status).inc();
     log.info("own-answer", "request", headers.requestId(), "status", status, "why", why);
     exchange.answer(status, fields, why);
   }
 
   private void done(Call call, int status, String why, long now) {
+    metrics.counter("requests.ended." + status).inc();
+    if (status == HttpStatus.OK_200) {
+      wholeMillis.update(now - call.arrivedMillis);
+    }
     log.info(
         "request-done",
         "request",
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerDoor.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerDoor.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.node.caller;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -52,13 +54,17 @@
   private final Consumer<CallerExchange> requests;
   private final int readinessPort;
   private final int addressPort;
+  private final int metricsPort;
+  private final Supplier<String> metrics;
 
   /**
    * Creates the ports; {@link #start} opens them.
    *
+   * @param metricsPort where metrics are served as text; 0 for nowhere
    * @param addresses callers' addresses of all hosts that take requests
    * @param ready whether this host takes requests
    * @param limits what callers may send now
+   * @param metrics the text of the metrics
    * @param requests receives each request once its body has been read
    */
   public CallerDoor(
@@ -66,10 +72,12 @@
       int callerPort,
       int readinessPort,
       int addressPort,
+      int metricsPort,
       long addressTtlMillis,
       Supplier<List<String>> addresses,
       BooleanSupplier ready,
       Supplier<CallerLimits> limits,
+      Supplier<String> metrics,
       Consumer<CallerExchange> requests) {
     this.addresses = addresses;
     this.addressTtlMillis = addressTtlMillis;
@@ -78,6 +86,8 @@
     this.requests = requests;
     this.readinessPort = readinessPort;
     this.addressPort = addressPort;
+    this.metricsPort = metricsPort;
+    this.metrics = metrics;
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-server");
     threads.setDaemon(true);
@@ -86,6 +96,9 @@
     this.callers = connector(ip, callerPort, callerConfiguration);
     connector(ip, readinessPort, configuration());
     connector(ip, addressPort, configuration());
+    if (metricsPort > 0) {
+      connector(ip, metricsPort, configuration());
+    }
     server.setErrorHandler(new PlainErrorHandler());
     server.setHandler(new PortHandler());
     apply(CallerLimits.UNKNOWN);
@@ -152,6 +165,8 @@
         readiness(response, callback);
       } else if (port == addressPort) {
         addresses(request, response, callback);
+      } else if (port == metricsPort) {
+        response.write(true, ByteBuffer.wrap(metrics.get().getBytes(UTF_8)), callback);
       } else {
         accept(request, response, callback);
       }
