--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -138,11 +138,10 @@
 
   private Use own(String runner) {
     Own use = own.get(runner);
-    return use == null ? NONE : new Use(
-            use.requests,
-            Math.max(0, use.unreadTokens),
-            Math.max(0, use.heldTokens),
-            use.adapters);
+    return use == null
+        ? NONE
+        : new Use(
+            use.requests, Math.max(0, use.unreadTokens), Math.max(0, use.heldTokens), use.adapters);
   }
 
   private static Use use(Told told, String runner) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -39,8 +39,7 @@
   public Optional<Choice> choose(
       Generation generation, StreamLimits limits, Collection<Candidate> candidates) {
     List<Candidate> ranked =
-        Rendezvous.ranking(
-            generation.target(), candidates, candidate -> candidate.runner().id());
+        Rendezvous.ranking(generation.target(), candidates, candidate -> candidate.runner().id());
     Choice best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (int rank = 0; rank < ranked.size(); rank++) {
@@ -78,11 +77,11 @@
   /**
    * Returns whether a runner may start reading a request's prompt now.
    *
-   * <p>A runner reads prompts in pieces between the steps in which its streams grow, and a step with
-   * a piece takes twenty times as long. While several long prompts are read one after the other,
-   * every stream there pauses for as many such steps as one event takes tokens; callers that accept
-   * a shorter pause get their whole stream too late. So no more is sent than the streams can bear,
-   * and the next prompt waits here until the ones ahead are read.
+   * <p>A runner reads prompts in pieces between the steps in which its streams grow, and a step
+   * with a piece takes twenty times as long. While several long prompts are read one after the
+   * other, every stream there pauses for as many such steps as one event takes tokens; callers that
+   * accept a shorter pause get their whole stream too late. So no more is sent than the streams can
+   * bear, and the next prompt waits here until the ones ahead are read.
    */
   public boolean mayRead(Candidate candidate, StreamLimits limits) {
     return candidate.unreadAheadTokens() == 0
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -58,8 +58,10 @@
     final String target;
     final int version;
     State state;
+
     /** Whether the runner has not confirmed the order to drop it. */
     boolean unconfirmed;
+
     long readyMillis;
     long usedMillis;
     double demand;
@@ -93,7 +95,7 @@
 
   /** Takes in a report that was asked for when {@link #reportDue} held. */
   public void adopt(RunnerReport report, long nowMillis) {
-    boolean noneAccepted = report.sequence() <= sequence;
+    final boolean noneAccepted = report.sequence() <= sequence;
     sequence = report.sequence();
     models.clear();
     models.addAll(report.models());
@@ -361,8 +363,8 @@
 
   /**
    * Records that the runner refused a request for an adapter that should be there: it comes later
-   * than expected, or, if it was there for a while, this account of the runner is wrong and a report
-   * must mend it.
+   * than expected, or, if it was there for a while, this account of the runner is wrong and a
+   * report must mend it.
    */
   public void missing(String target, long nowMillis) {
     Item item = items.get(target);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
@@ -27,14 +27,14 @@
   /** Runners for each adapter that may be on its way at full speed; see {@link #forFleet}. */
   private static final double TRANSIT_PER_RUNNER = 0.6;
 
-
   /**
    * The figures that the users' sheets give: 250 ms a load, a tenth of it for one held recently, 8
    * at full speed over all runners, 4 at a runner, reports up to 200 ms old. {@code idleMillis} is
    * three times the time in which other hosts tell what they have in flight (20 ms); {@code
    * remembered} is a guess below what runners were seen to keep.
    */
-  public static final ShelfSettings DEFAULT = new ShelfSettings(250, 25, 32, 8, 4, 60, 5_000, 40, 500);
+  public static final ShelfSettings DEFAULT =
+      new ShelfSettings(250, 25, 32, 8, 4, 60, 5_000, 40, 500);
 
   /**
    * Returns the settings of a fleet of {@code runners}: the store of a larger one brings more at
--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/MemberSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/MemberSettings.java
@@ -22,8 +22,8 @@
   private static final int MILLIS = 1_000;
 
   /**
-   * Five heartbeats lost in a row come about once in 10^7 at 4% loss; callers keep an address for
-   * 1 s, so a dead host is named for 2.4 s at most in fleets of up to 50.
+   * Five heartbeats lost in a row come about once in 10^7 at 4% loss; callers keep an address for 1
+   * s, so a dead host is named for 2.4 s at most in fleets of up to 50.
    */
   public static final MemberSettings DEFAULT = new MemberSettings(200, 250, 5, 12, 20_000);
 
--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
@@ -84,8 +84,7 @@
     Member<S> current = members.get(host);
     if (current != null) {
       boolean stale =
-          incarnation < current.incarnation
-              && nowMillis - current.heardMillis < suspectMillis();
+          incarnation < current.incarnation && nowMillis - current.heardMillis < suspectMillis();
       boolean repeated = incarnation == current.incarnation && number <= current.number;
       if (stale || repeated) {
         return false;
@@ -147,9 +146,7 @@
   /** Returns whether a host spoke lately and does not leave. */
   public boolean isSound(String host, long nowMillis) {
     Member<S> member = members.get(host);
-    return member != null
-        && !member.leaving
-        && nowMillis - member.heardMillis < suspectMillis();
+    return member != null && !member.leaving && nowMillis - member.heardMillis < suspectMillis();
   }
 
   /**
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
@@ -47,8 +47,8 @@
   /**
    * Returns how long a caller waits for the next event of a stream before it leaves (ms).
    *
-   * <p>The users' callers leave after 2 s, four times the target or eight times the pause, whichever
-   * is longest; a request that cannot start by then is better refused at once.
+   * <p>The users' callers leave after 2 s, four times the target or eight times the pause,
+   * whichever is longest; a request that cannot start by then is better refused at once.
    */
   public long patienceMillis() {
     return Math.max(
--- a/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
@@ -20,7 +20,7 @@
   private final LeaseGranter granter = new LeaseGranter(0, LEASE);
 
   @Test
-  void tellsAFirstHolder() {
+  void tellsFirstHolder() {
     assertThat(granter.grantedOnlyTo("r", "a")).isTrue();
     assertThat(granter.grant("r", "a", LEASE, 2_000)).isTrue();
     assertThat(granter.grantedOnlyTo("r", "a")).isTrue();
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -21,7 +21,12 @@
 
   private static Generation generation(String adapter) {
     return new Generation(
-        "m", adapter, 9_000, 50, 50, List.of(new PromptPart("s", 6_000), new PromptPart("o", 3_000)));
+        "m",
+        adapter,
+        9_000,
+        50,
+        50,
+        List.of(new PromptPart("s", 6_000), new PromptPart("o", 3_000)));
   }
 
   private static RunnerEntry runner(String id) {
@@ -35,7 +40,12 @@
   }
 
   private String choose(Generation generation, List<Candidate> candidates) {
-    return placement.choose(generation, new StreamLimits(500, 5), candidates).orElseThrow().candidate().runner().id();
+    return placement
+        .choose(generation, new StreamLimits(500, 5), candidates)
+        .orElseThrow()
+        .candidate()
+        .runner()
+        .id();
   }
 
   @Nested
@@ -45,8 +55,8 @@
      *
      * <p>Events: requests for rare adapters come to different hosts while all runners are idle.
      *
-     * <p>Cause: each host chose by load alone, so an adapter was brought to another runner each time
-     * than to the one that had dropped it lately and could have had it back at once.
+     * <p>Cause: each host chose by load alone, so an adapter was brought to another runner each
+     * time than to the one that had dropped it lately and could have had it back at once.
      */
     @Test
     void goToTheSameRunnerWhicheverHostDecides() {
@@ -67,7 +77,7 @@
     }
 
     @Test
-    void areNotBroughtWhileARunnerThatHasThemIsOnlyBusy() {
+    void areNotBroughtWhileRunnerThatHasThemIsOnlyBusy() {
       List<Candidate> candidates =
           List.of(candidate("has", true, 9_000, 3_000), candidate("idle", false, 0, 9_000));
       assertThat(choose(generation("a1"), candidates)).isEqualTo("has");
@@ -122,12 +132,14 @@
 
     @Test
     void isNotHeldBackWhereStreamsBearIt() {
-      assertThat(placement.mayRead(candidate("r", true, 30_000, PROMPT), new StreamLimits(600, 4))).isTrue();
+      assertThat(placement.mayRead(candidate("r", true, 30_000, PROMPT), new StreamLimits(600, 4)))
+          .isTrue();
     }
 
     @Test
     void isNeverHeldBackAtAnIdleRunner() {
-      assertThat(placement.mayRead(candidate("r", true, 0, 40_000), new StreamLimits(500, 5))).isTrue();
+      assertThat(placement.mayRead(candidate("r", true, 0, 40_000), new StreamLimits(500, 5)))
+          .isTrue();
     }
 
     /**
@@ -171,7 +183,9 @@
           nextStream += -Math.log(1 - random.nextDouble()) * 1_000 / 2.2;
         }
         while (held > 0
-            && (!pace || placement.mayRead(candidate("r", true, believed, PROMPT), new StreamLimits(500, 5)))) {
+            && (!pace
+                || placement.mayRead(
+                    candidate("r", true, believed, PROMPT), new StreamLimits(500, 5)))) {
           held--;
           unread += PROMPT;
           believed += PROMPT;
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/RetryRuleTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/RetryRuleTest.java
@@ -18,7 +18,7 @@
 class RetryRuleTest {
 
   @Property(tries = 5_000, seed = "20261214")
-  void neverAllowsASecondRunOfWhatRunsOnce(
+  void neverAllowsSecondRunOfWhatRunsOnce(
       @ForAll Ending ending,
       @ForAll Repetition repetition,
       @ForAll @IntRange(min = 1, max = 5) int sends,
@@ -27,8 +27,7 @@
       @ForAll @IntRange(max = 2_000) int left) {
     boolean thisMayHaveRun = ending == Ending.FAILED || ending == Ending.LOST;
     int runs = earlierRuns + (thisMayHaveRun ? 1 : 0);
-    boolean again =
-        RetryRule.mayOfferAgain(ending, repetition, sends, runs, maxAttempts, left);
+    boolean again = RetryRule.mayOfferAgain(ending, repetition, sends, runs, maxAttempts, left);
     if (again && runs > 0) {
       assertThat(repetition.mayRunAgain()).isTrue();
       assertThat(runs).isLessThan(maxAttempts);
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfPropertiesTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfPropertiesTest.java
@@ -48,12 +48,13 @@
     return Action.just(Transformer.mutate(label, event));
   }
 
-  private static Action<ShelfWorld> onTarget(
-      String label, BiConsumer<ShelfWorld, String> event) {
+  private static Action<ShelfWorld> onTarget(String label, BiConsumer<ShelfWorld, String> event) {
     return new Event(
         Arbitraries.integers()
             .between(1, MAX_TARGET)
-            .map(n -> Transformer.mutate(label + " a" + n, world -> event.accept(world, "m/a" + n))));
+            .map(
+                n ->
+                    Transformer.mutate(label + " a" + n, world -> event.accept(world, "m/a" + n))));
   }
 
   private static Action<ShelfWorld> pass() {
--- a/sequoia-core/src/test/java/org/sequoiahub/core/member/MembersTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/member/MembersTest.java
@@ -18,7 +18,7 @@
   @Nested
   class Words {
     @Test
-    void anOlderOneIsDropped() {
+    void olderOneIsDropped() {
       assertThat(heard("1", 7, 2, false, 0)).isTrue();
       assertThat(heard("1", 7, 2, false, 1)).isFalse();
       assertThat(heard("1", 7, 1, false, 2)).isFalse();
@@ -35,7 +35,7 @@
      * <p>Cause: its words bear a smaller incarnation than the dead process's.
      */
     @Test
-    void aSmallerIncarnationCountsOnceTheLargerOneIsSilent() {
+    void smallerIncarnationCountsOnceTheLargerOneIsSilent() {
       heard("1", 7, 5, false, 0);
       assertThat(heard("1", 6, 1, false, 500)).isFalse();
       assertThat(heard("1", 6, 2, false, 1_000)).isTrue();
--- a/sequoia-core/src/test/java/org/sequoiahub/core/retry/SharedRetryBudgetTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/SharedRetryBudgetTest.java
@@ -20,14 +20,15 @@
   /**
    * Symptom: more arrivals at runners than the fleet's budget allows in some window.
    *
-   * <p>Events: several hosts take requests unevenly and every attempt fails, so each host retries as
-   * often as it may, for longer than a window.
+   * <p>Events: several hosts take requests unevenly and every attempt fails, so each host retries
+   * as often as it may, for longer than a window.
    *
    * <p>Cause looked for: parts of the budget that add up to more than the whole.
    */
   @Property(tries = 300, seed = "20261211")
   void partsOfAllHostsStayWithinWhole(
-      @ForAll @Size(min = 1, max = 9) List<@IntRange(min = 0, max = 40) Integer> requestsPerSecond) {
+      @ForAll @Size(min = 1, max = 9)
+          List<@IntRange(min = 0, max = 40) Integer> requestsPerSecond) {
     int hosts = requestsPerSecond.size();
     List<SharedRetryBudget> budgets = new ArrayList<>();
     requestsPerSecond.forEach(r -> budgets.add(new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW)));
@@ -53,7 +54,7 @@
   @Nested
   class Use {
     @Test
-    void anIdleServiceHasItsPartOfTheAllowance() {
+    void idleServiceHasItsPartOfTheAllowance() {
       SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW);
       int taken = 0;
       while (budget.tryRetry("s", 9, 1_000)) {
--- a/sequoia-core/src/test/java/org/sequoiahub/core/routing/RoutingTableTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/routing/RoutingTableTest.java
@@ -75,7 +75,7 @@
     }
 
     @Test
-    void aServiceWithoutWeightGetsNothing() {
+    void serviceWithoutWeightGetsNothing() {
       Route split =
           new Route(
               "r",
--- a/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerBookTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerBookTest.java
@@ -41,8 +41,7 @@
       Change change =
           new Change(id, revision, revision % 5 == 0 ? null : entry(id, revision % 4 == 0, -1));
       book.apply(change, 0);
-      newest.merge(
-          id, change, (a, b) -> List.of(a, b).stream().max(byRevision()).orElseThrow());
+      newest.merge(id, change, (a, b) -> List.of(a, b).stream().max(byRevision()).orElseThrow());
     }
     List<String> expected = new ArrayList<>();
     newest.forEach(
@@ -64,7 +63,7 @@
   @Nested
   class Vanishing {
     @Test
-    void isUsedForAShortWhileOnly() {
+    void isUsedForShortWhileOnly() {
       RunnerBook book = new RunnerBook();
       book.apply(new Change("r", 1, entry("r", false, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
@@ -74,7 +73,7 @@
     }
 
     @Test
-    void comesBackWithANewerEntry() {
+    void comesBackWithNewerEntry() {
       RunnerBook book = new RunnerBook();
       book.apply(new Change("r", 1, entry("r", false, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
@@ -84,7 +83,7 @@
     }
 
     @Test
-    void aLeavingRunnerIsNotUsedEvenWhenItsEntryVanishes() {
+    void leavingRunnerIsNotUsedEvenWhenItsEntryVanishes() {
       RunnerBook book = new RunnerBook();
       book.apply(new Change("r", 1, entry("r", true, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
@@ -92,7 +91,7 @@
     }
 
     @Test
-    void aWholeReadingRemovesWhatItLacksButNothingNewer() {
+    void wholeReadingRemovesWhatItLacksButNothingNewer() {
       RunnerBook book = new RunnerBook();
       book.apply(new Change("old", 1, entry("old", false, -1)), 0);
       book.apply(new Change("new", 9, entry("new", false, -1)), 0);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -240,7 +240,12 @@
     node.duty.start();
     node.door.start();
     node.log.info(
-        "started", "domain", host.failureDomain(), "first_start", host.firstStart(), "seeds",
+        "started",
+        "domain",
+        host.failureDomain(),
+        "first_start",
+        host.firstStart(),
+        "seeds",
         host.seeds().size());
     return node;
   }
@@ -253,7 +258,10 @@
    */
   public void reload(HostSettings changed) {
     log.info(
-        "settings-reloaded", "seeds", changed.seeds().size(), "needs_restart",
+        "settings-reloaded",
+        "seeds",
+        changed.seeds().size(),
+        "needs_restart",
         !changed.withSeeds(host.seeds()).equals(host));
     duty.put(() -> peers.seeds(changed.seeds()));
   }
@@ -263,7 +271,7 @@
     if (leaving) {
       return;
     }
-    long stopMillis = MonotonicClock.SYSTEM.nowMillis();
+    final long stopMillis = MonotonicClock.SYSTEM.nowMillis();
     leaving = true;
     log.info("stopping");
     duty.put(
@@ -359,8 +367,7 @@
                       .setRefused(true)
                       .build();
               AdapterDemand demand = AdapterDemand.newBuilder().addWishes(wish).build();
-              datagrams.send(
-                  member.ip(), peers.datagram().setDemand(demand).build().toByteArray());
+              datagrams.send(member.ip(), peers.datagram().setDemand(demand).build().toByteArray());
             });
   }
 
@@ -442,7 +449,7 @@
           }
         }
       }
-      case BODY_NOT_SET -> log.warning("datagram-dropped", "from", from, "why", "unknown body");
+      default -> log.warning("datagram-dropped", "from", from, "why", "unknown body");
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SettingsWatch.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SettingsWatch.java
@@ -15,7 +15,7 @@
  */
 final class SettingsWatch {
 
-  /** How often the file is read (ms); it is a few KB, and seeds are needed at the next start only. */
+  /** How often the file is read (ms): it is a few KB, and its changes are not urgent. */
   private static final long PERIOD_MILLIS = 2_000;
 
   private final Path file;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -118,7 +118,7 @@
 
   /** Takes a request whose body has been read. */
   public void arrived(CallerExchange exchange) {
-    long now = clock.getAsLong();
+    final long now = clock.getAsLong();
     CallerHeaders headers = CallerDialect.decode(exchange.headers());
     if (stopping) {
       exchange.closeAfterwards();
@@ -243,7 +243,8 @@
 
   private void placeGeneration(Call call, Generation generation, long nowMillis) {
     List<Candidate> candidates = candidates(call, generation, nowMillis);
-    Optional<GenerationPlacement.Choice> chosen = generations.choose(generation, limits(call), candidates);
+    Optional<GenerationPlacement.Choice> chosen =
+        generations.choose(generation, limits(call), candidates);
     if (chosen.isEmpty()) {
       giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
       return;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -93,9 +93,7 @@
     pauses.clear();
     for (Route route : now.routes()) {
       if (route.repetition().isStream() && route.pauseMillis() > 0) {
-        route
-            .services()
-            .forEach(to -> pauses.merge(to.service(), route.pauseMillis(), Math::min));
+        route.services().forEach(to -> pauses.merge(to.service(), route.pauseMillis(), Math::min));
       }
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/BodyReader.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/BodyReader.java
@@ -43,8 +43,8 @@
         failed.accept(chunk.getFailure());
         return;
       }
+      final boolean last = chunk.isLast();
       byte[] piece = BufferUtil.toArray(chunk.getByteBuffer());
-      boolean last = chunk.isLast();
       chunk.release();
       if (bytes.size() + piece.length > maxBytes) {
         tooLong.run();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -109,6 +109,7 @@
   private final long startedMillis;
   private final long incarnation;
   private final Map<String, Held> held = new HashMap<>();
+
   /** When this host first saw each runner. */
   private final Map<String, Long> seenMillis = new HashMap<>();
 
@@ -136,10 +137,13 @@
     long token;
     boolean reporting;
     long reportDueMillis;
+
     /** When the lease was last known to be held. */
     long heldMillis = Long.MIN_VALUE / 2;
+
     /** Hosts that ran before the runner appeared and never granted its lease to anybody else. */
     final Set<String> neverElsewhere = new HashSet<>();
+
     /** When this host first saw the runner. */
     final long seenMillis;
 
@@ -454,8 +458,7 @@
   }
 
   private void gained(Held entry, long nowMillis) {
-    entry.shelf =
-        new RunnerShelf(entry.engine, ShelfSettings.forFleet(enginesKnown));
+    entry.shelf = new RunnerShelf(entry.engine, ShelfSettings.forFleet(enginesKnown));
     // Unless there was none, the holder before may have ordered until now.
     entry.orderFromMillis =
         isFirstHolder(entry, nowMillis)
@@ -465,12 +468,17 @@
     long after = holdings.token(entry.runner.id()) / TOKEN_TAG + 1;
     entry.token = Math.max(timeOfDay.getAsLong(), after) * TOKEN_TAG + tag;
     log.info(
-        "runner-held", "runner", entry.runner.id(), "orders_in_ms",
-        Math.max(0, entry.orderFromMillis - nowMillis), "token", entry.token);
+        "runner-held",
+        "runner",
+        entry.runner.id(),
+        "orders_in_ms",
+        Math.max(0, entry.orderFromMillis - nowMillis),
+        "token",
+        entry.token);
   }
 
   /**
-   * Returns whether no other host can have ordered a runner: a majority of the hosts have seen every
+   * Returns whether no other host can have ordered a runner: a majority of the hosts has seen each
    * lease of it since it appeared and never granted it to anybody else, and any other majority
    * shares a host with this one.
    *
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
@@ -20,8 +20,8 @@
   private static final long MIN_PERIOD_MILLIS = 20;
 
   /**
-   * What the runners hold is told on a change and at least this often (ms): it is the larger part of
-   * a state, and bytes between failure domains are dear.
+   * What the runners hold is told on a change and at least this often (ms): it is the larger part
+   * of a state, and bytes between failure domains are dear.
    */
   private static final long HOLDINGS_MILLIS = 800;
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -70,7 +70,8 @@
             10_000,
             5_000,
             430);
-    Node node = Node.start(
+    Node node =
+        Node.start(
             NodeSettings.newBuilder().setAddressTtlMs(1_000).build(),
             settings,
             MonotonicClock.SYSTEM.nowMillis());
@@ -92,8 +93,7 @@
   /** Writes the next configuration; {@code routes} are JSON objects. */
   void configure(String... routes) {
     store.put(
-        StandinConfiguration.key(),
-        StandinConfiguration.configuration(++version, List.of(routes)));
+        StandinConfiguration.key(), StandinConfiguration.configuration(++version, List.of(routes)));
   }
 
   static String route(String prefix, String kind, String service, boolean resumable) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -84,12 +84,12 @@
     }
 
     @Test
-    void noRouteIsSaidWithAConfigurationInHandOnly() throws Exception {
+    void noRouteIsSaidWithConfigurationInHandOnly() throws Exception {
       assertThat(get(1, "/other/", "q1").getStatus()).isEqualTo(404);
     }
 
     @Test
-    void aBodyOverTheLimitReachesNoRunner() throws Exception {
+    void bodyOverTheLimitReachesNoRunner() throws Exception {
       ContentResponse response =
           fleet
               .request(1, "/a/x", "q1")
@@ -136,8 +136,8 @@
     }
 
     @Test
-    void aLeavingRunnerGetsNoMore() throws Exception {
-      StandinRunner other = fleet.startRunner("i-2", "plain", "");
+    void leavingRunnerGetsNoMore() throws Exception {
+      final StandinRunner other = fleet.startRunner("i-2", "plain", "");
       fleet.publish(runner, "draining");
       LoopbackFleet.await(
           "three answers in a row from the other",
@@ -237,7 +237,7 @@
      *
      * <p>Events: requests for three times as many adapters as there are places come to three hosts.
      *
-     * <p>Cause looked for: an order given without the right to, or on a wrong account of the runner.
+     * <p>Cause looked for: an order given without the right to, or on a wrong account of a runner.
      */
     @Test
     void adaptersAreLoadedByOneHolderWithinThePlaces() throws Exception {
@@ -263,7 +263,7 @@
      * <p>Cause looked for: a continuation that starts at the wrong event.
      */
     @Test
-    void aBrokenStreamGoesOnElsewhere() throws Exception {
+    void brokenStreamGoesOnElsewhere() throws Exception {
       stream(1, "/s/", "warm", "a1").get(60, TimeUnit.SECONDS);
       first.breakAfter(2);
       second.breakAfter(2);
@@ -274,12 +274,13 @@
     }
 
     @Test
-    void aStreamThatRunsOnceIsVisiblyBroken() throws Exception {
+    void streamThatRunsOnceIsVisiblyBroken() throws Exception {
       stream(1, "/once/", "warm", "a1").get(60, TimeUnit.SECONDS);
       first.breakAfter(2);
       second.breakAfter(2);
       CompletableFuture<ContentResponse> answer = stream(1, "/once/", "q1", "a1");
-      boolean failed = answer.handle((response, failure) -> failure != null).get(60, TimeUnit.SECONDS);
+      boolean failed =
+          answer.handle((response, failure) -> failure != null).get(60, TimeUnit.SECONDS);
       assertThat(failed).isTrue();
       assertThat(runs("q1")).isEqualTo(1);
     }
@@ -292,7 +293,7 @@
      * <p>Cause looked for: a server that reads nothing until its answer is complete.
      */
     @Test
-    void aCallerThatLeavesIsNoticed() throws Exception {
+    void callerThatLeavesIsNoticed() throws Exception {
       stream(1, "/s/", "warm", "a1").get(60, TimeUnit.SECONDS);
       first.streams(100_000, 20);
       second.streams(100_000, 20);
@@ -321,7 +322,7 @@
      * <p>Cause looked for: hosts that learn from the store alone.
      */
     @Test
-    void aChangeSpreadsWithoutTheStore() throws Exception {
+    void changeSpreadsWithoutTheStore() throws Exception {
       fleet.configure(LoopbackFleet.route("/a/", "safe", "plain", false));
       fleet.startRunner("i-1", "plain", "");
       fleet.startNode(1);
@@ -352,11 +353,11 @@
     }
 
     @Test
-    void aHostThatStopsLeavesTheAddressesAtOnce() throws Exception {
+    void hostThatStopsLeavesTheAddressesAtOnce() throws Exception {
       fleet.configure(LoopbackFleet.route("/a/", "safe", "plain", false));
       fleet.startRunner("i-1", "plain", "");
       fleet.startNode(1);
-      Node leaving = fleet.startNode(2);
+      final Node leaving = fleet.startNode(2);
       ready(1);
       ready(2);
       String address = LoopbackFleet.ip(2) + ":" + fleet.callerPort();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
@@ -19,9 +19,9 @@
  * Symptom: two hosts order one runner within the lease time, or one gives a smaller number after a
  * larger one; a runner crashes because it was ordered to hold too much.
  *
- * <p>Events: hosts are paused, cut off from each other, killed one by one and all at once, and leave
- * in order; runners restart at their address and at others; datagrams are lost and late, replies to
- * orders too.
+ * <p>Events: hosts are paused, cut off from each other, killed one by one and all at once, and
+ * leave in order; runners restart at their address and at others; datagrams are lost and late,
+ * replies to orders too.
  *
  * <p>Cause looked for: an order given on a right that somebody else has by now.
  */
@@ -33,7 +33,7 @@
   }
 
   @Property(tries = 150, seed = "20261220")
-  void oneHolderAtATime(@ForAll("chains") ActionChain<HolderWorld> chain) {
+  void oneHolderAtTime(@ForAll("chains") ActionChain<HolderWorld> chain) {
     HolderWorld world = chain.run();
     for (int host = 0; host < HolderWorld.HOSTS; host++) {
       world.wake(host);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -169,8 +169,7 @@
     final Set<String> held = new HashSet<>();
 
     Runner(String id, String address) {
-      this.entry =
-          new RunnerEntry(id, "llm", address, "z", 8, false, -1, 0, Set.of("m"), Map.of());
+      this.entry = new RunnerEntry(id, "llm", address, "z", 8, false, -1, 0, Set.of("m"), Map.of());
     }
 
     OrderReply order(Host from, Order order, long expected, String holder, long token) {
@@ -209,6 +208,7 @@
     boolean paused;
     boolean leaving;
     int life;
+
     /** When it was last thawed or its links healed. */
     long calmMillis = Long.MIN_VALUE / 2;
 
@@ -250,8 +250,7 @@
           members,
           this::send,
           this::state,
-          (from, state) ->
-              StateCodec.holdings(from, state, now).forEach((runner, h) -> holdings.told(runner, h)),
+          (from, state) -> StateCodec.holdings(from, state, now).forEach(holdings::told),
           random,
           new EventLog("test", "host-" + number));
     }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -64,7 +64,8 @@
   private Outcome send(ScriptedRunner runner, String id, boolean stream, Recorder recorder)
       throws InterruptedException {
     HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
-    client.start(runner.entry(), "GET", "/a//b/%2F?x=1", id, headers, new byte[0], stream, recorder);
+    String path = "/a//b/%2F?x=1";
+    client.start(runner.entry(), "GET", path, id, headers, new byte[0], stream, recorder);
     return recorder.outcome();
   }
 
@@ -75,7 +76,9 @@
   private static String whole(String id, String body) {
     return "HTTP/1.1 200 OK\r\nRequest-Id: "
         + id
-        + "\r\n" + Headers.DIGEST + ": s\r\nContent-Length: "
+        + "\r\n"
+        + Headers.DIGEST
+        + ": s\r\nContent-Length: "
         + body.length()
         + "\r\n\r\n"
         + body;
@@ -106,12 +109,12 @@
     /**
      * Symptom: a caller gets half an answer as a good one.
      *
-     * <p>Events: a runner answers without a length, crashes on the way, and its connection is reset.
+     * <p>Events: a runner answers without a length, crashes, and its connection is reset.
      *
      * <p>Cause: the HTTP library takes a failed read for the end of the answer.
      */
     @Test
-    void aResetIsNotTheEnd() throws Exception {
+    void resetIsNotTheEnd() throws Exception {
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (n, connection, out) -> {
@@ -124,7 +127,7 @@
     }
 
     @Test
-    void aCloseIsTheEndOfAnAnswerWithoutLength() throws Exception {
+    void closeIsTheEndOfAnAnswerWithoutLength() throws Exception {
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (n, connection, out) -> {
@@ -136,7 +139,7 @@
     }
 
     @Test
-    void aCloseBeforeTheLengthIsReachedIsNot() throws Exception {
+    void closeBeforeTheLengthIsReachedIsNot() throws Exception {
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (n, connection, out) -> {
@@ -203,7 +206,7 @@
     }
 
     @Test
-    void aLateOneIsKnownByItsId() throws Exception {
+    void lateOneIsKnownByItsId() throws Exception {
       try (ScriptedRunner runner =
           new ScriptedRunner((n, c, out) -> ScriptedRunner.write(out, whole("other", "theirs")))) {
         assertThat(plain(runner, "1")).isInstanceOf(Outcome.Lost.class);
@@ -225,7 +228,7 @@
     }
 
     @Test
-    void aClosedPortReceivedNothing() throws Exception {
+    void closedPortReceivedNothing() throws Exception {
       ScriptedRunner runner = new ScriptedRunner((n, c, out) -> {});
       runner.close();
       assertThat(plain(runner, "1")).isInstanceOf(Outcome.NotSent.class);
@@ -254,7 +257,7 @@
     }
 
     @Test
-    void aBrokenOneIsLost() throws Exception {
+    void brokenOneIsLost() throws Exception {
       String head =
           "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
               + Headers.DIGEST
