--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -65,9 +65,4 @@
     }
     return transit;
   }
-
-  /** Forgets runners that are no longer known. */
-  public void retain(Set<String> runners) {
-    byRunner.keySet().retainAll(runners);
-  }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
@@ -35,6 +35,9 @@
   private final Map<String, Member<S>> members = new HashMap<>();
   private final Map<String, Unheard> unheard = new HashMap<>();
 
+  /** The members' addresses: each word of a host names others, and most of them are known. */
+  private final Set<String> heardIps = new HashSet<>();
+
   /** Creates a view that knows only this host. */
   public Members(String self, MemberSettings settings) {
     this.self = requireNonNull(self, "self must not be null");
@@ -91,14 +94,14 @@
       }
     }
     unheard.remove(ip);
+    heardIps.add(ip);
     members.put(host, new Member<>(host, ip, incarnation, number, nowMillis, leaving, state));
     return true;
   }
 
   /** Records that somebody named a host, so that it is tried. */
   public void named(String ip, long nowMillis) {
-    boolean known = members.values().stream().anyMatch(member -> member.ip.equals(ip));
-    if (!known) {
+    if (!heardIps.contains(ip)) {
       unheard.computeIfAbsent(ip, key -> new Unheard(nowMillis, Long.MIN_VALUE / 2));
     }
   }
@@ -179,6 +182,11 @@
 
   /** Forgets hosts that have long been silent. */
   public void forget(long nowMillis) {
-    members.values().removeIf(m -> nowMillis - m.heardMillis >= settings.retainMillis());
+    boolean any =
+        members.values().removeIf(m -> nowMillis - m.heardMillis >= settings.retainMillis());
+    if (any) {
+      heardIps.clear();
+      members.values().forEach(member -> heardIps.add(member.ip));
+    }
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
@@ -118,14 +118,9 @@
     return Optional.ofNullable(runner == null ? null : runner.entry);
   }
 
-  /** Returns all that is known, for another host. */
-  public List<Change> changes() {
-    List<Change> changes = new ArrayList<>();
-    known.forEach(
-        (id, runner) ->
-            changes.add(
-                new Change(id, runner.revision, runner.vanishedMillis < 0 ? runner.entry : null)));
-    return changes;
+  /** Returns the runners that are known, those that left a while ago included. */
+  public Set<String> ids() {
+    return Set.copyOf(known.keySet());
   }
 
   /** Forgets runners that vanished long ago. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -342,7 +342,7 @@
       refreshAddresses(nowMillis);
       members.forget(nowMillis);
       book.forget(nowMillis, FORGET_MILLIS);
-      fleet.forgetRefusals(nowMillis);
+      fleet.forget(nowMillis);
     }
     peers.tick(nowMillis);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -247,15 +247,11 @@
         });
   }
 
-  /** Forgets runners that are no longer known. */
-  public void retain(Set<String> runners) {
-    health.keySet().retainAll(runners);
-    prompts.keySet().retainAll(runners);
-    holdings.retain(runners);
-  }
-
-  /** Forgets refusals that no longer matter. */
-  public void forgetRefusals(long nowMillis) {
+  /** Forgets runners that are gone and refusals that no longer matter. */
+  public void forget(long nowMillis) {
+    Set<String> known = book.ids();
+    health.keySet().retainAll(known);
+    prompts.keySet().retainAll(known);
     refusedUntil.values().removeIf(until -> until < nowMillis);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -92,16 +92,6 @@
     return reachable;
   }
 
-  /**
-   * Continues from a revision that another host has passed on, so that its changes are not read
-   * twice; ignored if it is not news.
-   */
-  public void advanceTo(long known) {
-    if (revision >= 0) {
-      revision = Math.max(revision, known);
-    }
-  }
-
   private void post(Runnable work) {
     decisions.accept(work);
   }
