--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/RingHandler.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/RingHandler.java
@@ -5,12 +5,12 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
-import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,7 +28,9 @@
   /** Longest wait for the last records when the process ends (ms). */
   private static final long FLUSH_MILLIS = 500;
 
-  private final ManyToOneConcurrentArrayQueue<String> ring;
+  /** The library's queue: unlike the duties' rings it runs without opened modules. */
+  private final ArrayBlockingQueue<String> ring;
+
   private final PrintStream out;
   private final AtomicLong dropped = new AtomicLong();
   private final Thread writer;
@@ -43,7 +45,7 @@
   public RingHandler(OutputStream out, int capacity) {
     checkArgument(capacity > 0, "capacity must be above 0, was %s", capacity);
     this.out = new PrintStream(out, false, UTF_8);
-    this.ring = new ManyToOneConcurrentArrayQueue<>(capacity);
+    this.ring = new ArrayBlockingQueue<>(capacity);
     this.writer = new Thread(this::run, "log");
     this.writer.setDaemon(true);
     this.writer.start();
