--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * What all hosts have in flight at the runners: this host's own to the last request, the others' as
@@ -15,6 +16,9 @@
   /** What another host told is forgotten after this (ms): it is dead or cut off. */
   private static final long MAX_AGE_MILLIS = 2_500;
 
+  /** The source of sums over the whole fleet; no host has an empty name. */
+  private static final String WHOLE = "";
+
   /** Nothing in flight. */
   public static final Use NONE = new Use(0, 0, 0, Map.of());
 
@@ -62,6 +66,53 @@
     others.put(host, new Told(now, nowMillis));
   }
 
+  /**
+   * Takes in the sums over the whole fleet, this host's own part included, in place of all that was
+   * told before.
+   */
+  public void toldWhole(Map<String, Use> sums, long nowMillis) {
+    Map<String, Use> rest = new HashMap<>();
+    sums.forEach((runner, sum) -> rest.put(runner, without(sum, own(runner))));
+    others.clear();
+    told(WHOLE, rest, true, nowMillis);
+  }
+
+  /** Forgets sums over the whole fleet: its parts are told from now on. */
+  public void forgetWhole() {
+    others.remove(WHOLE);
+  }
+
+  /** The sums may be some 100 ms older than this host's own part, so they can be below it. */
+  private static Use without(Use sum, Use part) {
+    return new Use(
+        Math.max(0, sum.requests - part.requests),
+        Math.max(0, sum.unreadTokens - part.unreadTokens),
+        Math.max(0, sum.heldTokens - part.heldTokens),
+        sum.adapters);
+  }
+
+  /** Returns the sums over this host and those other sources that {@code included} accepts. */
+  public Map<String, Use> sums(Predicate<String> included, long nowMillis) {
+    Map<String, Use> sums = own();
+    others.forEach(
+        (source, told) -> {
+          if (included.test(source) && nowMillis - told.toldMillis < MAX_AGE_MILLIS) {
+            told.uses.forEach((runner, use) -> sums.merge(runner, use, FleetLoad::plus));
+          }
+        });
+    return sums;
+  }
+
+  private static Use plus(Use first, Use second) {
+    Map<String, Integer> adapters = new HashMap<>(first.adapters);
+    second.adapters.forEach((adapter, count) -> adapters.merge(adapter, count, Integer::sum));
+    return new Use(
+        first.requests + second.requests,
+        first.unreadTokens + second.unreadTokens,
+        first.heldTokens + second.heldTokens,
+        adapters);
+  }
+
   /**
    * Adds to this host's own part.
    *
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.core.holding;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -47,6 +48,11 @@
     return Optional.ofNullable(byRunner.get(runner));
   }
 
+  /** Returns all holdings by runner; a view that changes with this object. */
+  public Map<String, Holding> all() {
+    return Collections.unmodifiableMap(byRunner);
+  }
+
   /** Returns the largest token seen for a runner; 0 if none. */
   public long token(String runner) {
     Holding holding = byRunner.get(runner);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
@@ -36,12 +36,21 @@
   public static final ShelfSettings DEFAULT =
       new ShelfSettings(250, 25, 32, 8, 4, 60, 5_000, 40, 500);
 
+  /**
+   * In a large fleet what a host has in flight reaches the holder through a delegate (ms): up to
+   * 100 for the host's word, 150 for the digest, and 150 more if one is lost. An adapter that is
+   * dropped sooner may have a request on its way, which is refused.
+   */
+  private static final long LARGE_IDLE_MILLIS = 400;
+
   /**
    * Returns the settings of a fleet of {@code runners}: the store of a larger one brings more at
    * once, though no record says how many; the users' sheets have 8 for 8 and 13 runners, 32 for 42
    * and 40 for 63.
+   *
+   * @param large whether hosts tell each other what they have in flight through delegates
    */
-  public static ShelfSettings forFleet(int runners) {
+  public static ShelfSettings forFleet(int runners, boolean large) {
     int transit = Math.max(DEFAULT.freeTransit, (int) (runners * TRANSIT_PER_RUNNER));
     return new ShelfSettings(
         DEFAULT.loadMillis,
@@ -49,7 +58,7 @@
         DEFAULT.remembered,
         transit,
         DEFAULT.transitPerRunner,
-        DEFAULT.idleMillis,
+        large ? LARGE_IDLE_MILLIS : DEFAULT.idleMillis,
         DEFAULT.modelRetryMillis,
         DEFAULT.lateMillis,
         DEFAULT.reportAgeMillis);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
@@ -81,7 +81,24 @@
       boolean leaving,
       S state,
       long nowMillis) {
-    if (host.equals(self)) {
+    return heardOf(host, ip, incarnation, number, leaving, state, nowMillis, nowMillis);
+  }
+
+  /**
+   * Takes in a host's word that another host passed on; false if it is older than what is known.
+   *
+   * @param heardMillis when the word was said, by the age that it was passed on with
+   */
+  public boolean heardOf(
+      String host,
+      String ip,
+      long incarnation,
+      long number,
+      boolean leaving,
+      S state,
+      long heardMillis,
+      long nowMillis) {
+    if (host.equals(self) || nowMillis - heardMillis >= settings.retainMillis()) {
       return false;
     }
     Member<S> current = members.get(host);
@@ -95,7 +112,7 @@
     }
     unheard.remove(ip);
     heardIps.add(ip);
-    members.put(host, new Member<>(host, ip, incarnation, number, nowMillis, leaving, state));
+    members.put(host, new Member<>(host, ip, incarnation, number, heardMillis, leaving, state));
     return true;
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -30,6 +29,7 @@
 import org.sequoiahub.node.caller.CallerDoor;
 import org.sequoiahub.node.holder.HolderDesk;
 import org.sequoiahub.node.peer.DatagramPort;
+import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerDesk;
 import org.sequoiahub.node.peer.RecordExchange;
 import org.sequoiahub.node.peer.StateCodec;
@@ -73,6 +73,9 @@
   /** Leases, orders and the store are looked after this often (ms). */
   private static final long SLOW_TICK_MILLIS = 20;
 
+  /** What changes slowly is looked after this often (ms). */
+  private static final long UPKEEP_MILLIS = 100;
+
   /** Wishes for adapters are told to their runners' holders again this often (ms). */
   private static final long WISH_PERIOD_MILLIS = 60;
 
@@ -122,6 +125,7 @@
   private final FleetView fleet;
   private final CallDesk calls;
   private final HolderDesk holder;
+  private final FleetShape shape;
   private final PeerDesk peers;
   private final RecordExchange exchange;
   private final CallerDoor door;
@@ -134,6 +138,7 @@
   private volatile List<String> addresses = List.of();
   private Map<String, FleetLoad.Use> toldUses = Map.of();
   private long slowTickMillis;
+  private long upkeepMillis;
   private long wishedMillis;
 
   private Node(HostSettings host, NodeSettings own, long startedMillis) throws Exception {
@@ -183,14 +188,19 @@
     this.datagrams =
         DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
     long incarnation = System.currentTimeMillis();
+    this.shape = new FleetShape(host, members);
     this.peers =
         new PeerDesk(
             host,
             incarnation,
             members,
+            shape,
+            loads,
+            holdings,
             datagrams::send,
             this::ownState,
             this::stateOf,
+            this::wordOf,
             random,
             log);
     this.holder =
@@ -199,6 +209,7 @@
             incarnation,
             startedMillis,
             members,
+            shape,
             holdings,
             loads,
             new OrderClient(runnerHttp, decoder),
@@ -349,17 +360,40 @@
     passWishes(nowMillis);
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
       slowTickMillis = nowMillis;
-      operators.tick(nowMillis);
-      runners.tick(nowMillis);
-      holder.tick(fleet.engines(nowMillis), nowMillis);
-      refreshAddresses(nowMillis);
-      members.forget(nowMillis);
-      book.forget(nowMillis, FORGET_MILLIS);
-      fleet.forget(nowMillis);
+      if (watchesStore()) {
+        operators.tick(nowMillis);
+        runners.tick(nowMillis);
+      }
+      if (holder.isActive()) {
+        holder.tick(fleet.engines(nowMillis), nowMillis);
+      }
+    }
+    if (nowMillis - upkeepMillis >= UPKEEP_MILLIS) {
+      upkeepMillis = nowMillis;
+      upkeep(nowMillis);
     }
     peers.tick(nowMillis);
   }
 
+  private void upkeep(long nowMillis) {
+    if (!holder.isActive()) {
+      holder.tick(fleet.engines(nowMillis), nowMillis);
+    }
+    refreshAddresses(nowMillis);
+    members.forget(nowMillis);
+    book.forget(nowMillis, FORGET_MILLIS);
+    fleet.forget(nowMillis);
+  }
+
+  /**
+   * Returns whether this host asks the store for changes: in a large fleet the delegates do, and
+   * the others learn of changes from them. A host that hears of no delegate becomes one itself.
+   */
+  private boolean watchesStore() {
+    boolean begun = fleet.table().isPresent() && book.revision() > 0;
+    return !begun || !shape.isLarge() || shape.isDelegate();
+  }
+
   private void changed() {
     peers.changed();
   }
@@ -450,6 +484,7 @@
     String from = datagram.getHost();
     switch (datagram.getBodyCase()) {
       case STATE -> peers.received(ip, datagram, now);
+      case DIGEST -> peers.receivedDigest(ip, datagram.getDigest(), now);
       case CLAIM -> holder.claimed(from, ip, datagram.getClaim(), now);
       case GRANT -> holder.granted(from, datagram.getGrant(), now);
       case RELEASE -> holder.released(from, datagram.getRelease());
@@ -468,14 +503,23 @@
 
   private void stateOf(String from, HostState state) {
     long now = MonotonicClock.SYSTEM.nowMillis();
-    loads.told(from, StateCodec.uses(state), state.getLoadsComplete(), now);
+    loads.told(from, StateCodec.uses(state.getLoadsList()), state.getLoadsComplete(), now);
     StateCodec.holdings(from, state, now).forEach(holdings::told);
-    boolean behind = state.getConfigRevision() > store.newestOperatorRevision();
-    boolean runnersBehind = !runners.isReachable() && state.getRunnersRevision() > book.revision();
+    wordOf(from, state);
+  }
+
+  /** Takes from another host what it has read from the store and this host has not. */
+  private void wordOf(String from, HostState state) {
+    long operatorRevision = store.newestOperatorRevision();
+    long runnersRevision = store.newestRunnersRevision();
+    boolean behind = state.getConfigRevision() > operatorRevision;
+    boolean readsRunners = watchesStore() && runners.isReachable();
+    boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersRevision;
     if (behind || runnersBehind) {
-      Optional<Member<HostState>> member = members.find(from);
-      member.ifPresent(
-          m -> exchange.pull(m.ip(), store.newestOperatorRevision(), book.revision(), now));
+      long now = MonotonicClock.SYSTEM.nowMillis();
+      members
+          .find(from)
+          .ifPresent(member -> exchange.pull(member.ip(), operatorRevision, runnersRevision, now));
     }
   }
 
@@ -497,16 +541,17 @@
         HostState.newBuilder()
             .setIp(host.ip())
             .setFailureDomain(host.failureDomain())
+            .setProcessor(host.processorPercent())
             .setCallerAddress(host.ip() + ":" + host.callerPort())
             .setReady(ready && !leaving)
             .setLeaving(leaving)
             .setConfigRevision(store.newestOperatorRevision())
-            .setRunnersRevision(book.revision());
+            .setRunnersRevision(store.newestRunnersRevision());
     state.setLoadsComplete(complete);
     StateCodec.addUses(state, complete ? allUses() : changedUses());
     Set<String> ordered = leaving || !withHoldings ? Set.of() : holder.ordered(now);
     for (String runner : ordered) {
-      holdings.find(runner).ifPresent(h -> StateCodec.addHolding(state, runner, h, now));
+      holdings.find(runner).ifPresent(h -> state.addHoldings(StateCodec.encode(runner, h, now)));
     }
     return state;
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -31,6 +31,7 @@
 import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.LeaseClaim;
@@ -55,6 +56,13 @@
    */
   private static final long LEASE_MILLIS = 1_000;
 
+  /**
+   * A living host that has not told for this long what a runner holds does not order it any more
+   * (ms). Holdings are repeated every 0.8 s, through delegates every 1.6 s, and some are lost; a
+   * claim made too soon takes the lease in the first moment in which its holder is late.
+   */
+  private static final long HOLDER_SILENT_MILLIS = 4_000;
+
   /** Wait of a new holder beyond the platform's lease time (ms): an order's flight and timers. */
   private static final long ORDER_FLIGHT_MILLIS = 250;
 
@@ -98,6 +106,7 @@
 
   private final HostSettings settings;
   private final Members<HostState> members;
+  private final FleetShape shape;
   private final LeaseGranter granter;
   private final Holdings holdings;
   private final FleetLoad loads;
@@ -175,6 +184,7 @@
       long incarnation,
       long startedMillis,
       Members<HostState> members,
+      FleetShape shape,
       Holdings holdings,
       FleetLoad loads,
       RunnerOrders orders,
@@ -189,6 +199,7 @@
     this.settings = settings;
     this.incarnation = incarnation;
     this.members = members;
+    this.shape = shape;
     this.holdings = holdings;
     this.loads = loads;
     this.orders = orders;
@@ -319,6 +330,11 @@
     held.clear();
   }
 
+  /** Returns whether this host orders runners or tries to. */
+  public boolean isActive() {
+    return !held.isEmpty();
+  }
+
   /** Returns the runners that this host orders now. */
   public Set<String> ordered(long nowMillis) {
     Set<String> ordered = new HashSet<>();
@@ -356,7 +372,7 @@
     Optional<Holdings.Holding> holding = holdings.find(runner.id());
     if (holding.isPresent()
         && members.isSound(holding.get().host(), nowMillis)
-        && nowMillis - holding.get().toldMillis() < LEASE_MILLIS) {
+        && nowMillis - holding.get().toldMillis() < HOLDER_SILENT_MILLIS) {
       return false;
     }
     return firstChoice(runner, nowMillis).equals(settings.host());
@@ -387,7 +403,11 @@
         starts.put(member.host(), member.incarnation());
       }
     }
+    // In a large fleet few hosts order many runners each: claims go to every host.
     Set<String> candidates = new HashSet<>(domains.keySet());
+    if (shape.isLarge()) {
+      candidates.retainAll(shape.delegates());
+    }
     long oldest = starts.values().stream().min(Long::compare).orElse(incarnation);
     Set<String> restarted = new HashSet<>(candidates);
     restarted.removeIf(host -> starts.getOrDefault(host, 0L) - oldest < RESTARTED_MILLIS);
@@ -403,22 +423,22 @@
 
   private void claim(long nowMillis) {
     Set<String> electorate = members.electorate(nowMillis);
-    List<Held> due = new ArrayList<>();
+    boolean due = false;
     for (Held entry : held.values()) {
       entry.authority.granters(electorate, nowMillis);
-      if (entry.authority.claimDue(nowMillis)) {
-        due.add(entry);
-      }
+      due |= entry.authority.claimDue(nowMillis);
     }
-    if (due.isEmpty()) {
+    if (!due) {
       return;
     }
+    // All in one datagram a host: six runners claimed one by one cost a holder 2,300 datagrams a
+    // second in a fleet of 66, and leases were lost under that load.
     LeaseClaim.Builder claim =
         LeaseClaim.newBuilder().setSentMs(nowMillis).setDurationMs((int) LEASE_MILLIS);
-    due.forEach(entry -> claim.addRunners(entry.runner.id()));
+    claim.addAllRunners(held.keySet());
     byte[] bytes = datagrams.get().setClaim(claim).build().toByteArray();
     members.reachable(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
-    for (Held entry : due) {
+    for (Held entry : held.values()) {
       entry.authority.roundSent(nowMillis);
       if (granter.grant(entry.runner.id(), settings.host(), LEASE_MILLIS, nowMillis)) {
         entry.authority.granted(settings.host(), nowMillis, nowMillis);
@@ -472,7 +492,8 @@
   }
 
   private void gained(Held entry, long nowMillis) {
-    entry.shelf = new RunnerShelf(entry.engine, ShelfSettings.forFleet(enginesKnown));
+    ShelfSettings times = ShelfSettings.forFleet(enginesKnown, shape.isLarge());
+    entry.shelf = new RunnerShelf(entry.engine, times);
     // Unless there was none, the holder before may have ordered until now.
     entry.orderFromMillis =
         isFirstHolder(entry, nowMillis)
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
@@ -0,0 +1,148 @@
+package org.sequoiahub.node.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.schema.peer.Digest;
+import org.sequoiahub.schema.peer.HeldBy;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.HostWord;
+
+/**
+ * Builds the digests of one direction: what has changed goes out at once, the rest in turn, so that
+ * a lost datagram is made up for and the size does not grow with the fleet.
+ */
+final class DigestBuilder {
+
+  /** A holding that was told longer ago than this is not passed on (ms): its holder is silent. */
+  private static final long HOLDING_MILLIS = 2_500;
+
+  private final int wordsInTurn;
+  private final int holdingsInTurn;
+  private final Map<String, String> toldWords = new HashMap<>();
+  private final Map<String, Set<String>> toldHoldings = new HashMap<>();
+  private int wordTurn;
+  private int holdingTurn;
+
+  /**
+   * Creates a builder.
+   *
+   * @param wordsInTurn hosts that are told of in each digest although nothing changed
+   * @param holdingsInTurn runners that are told of in each digest although nothing changed
+   */
+  DigestBuilder(int wordsInTurn, int holdingsInTurn) {
+    this.wordsInTurn = wordsInTurn;
+    this.holdingsInTurn = holdingsInTurn;
+  }
+
+  /** Adds what the hosts said last. */
+  void addWords(Digest.Builder digest, List<Member<HostState>> members, long nowMillis) {
+    List<Member<HostState>> rest = new ArrayList<>();
+    for (Member<HostState> member : members) {
+      String brief = brief(member);
+      if (brief.equals(toldWords.put(member.host(), brief))) {
+        rest.add(member);
+      } else {
+        addWord(digest, member, nowMillis);
+      }
+    }
+    addWordsInTurn(digest, rest, nowMillis);
+  }
+
+  /** Adds what some of the hosts said last, others each time. */
+  void addWordsInTurn(Digest.Builder digest, List<Member<HostState>> members, long nowMillis) {
+    int count = Math.min(wordsInTurn, members.size());
+    for (int i = 0; i < count; i++) {
+      addWord(digest, members.get(Math.floorMod(wordTurn++, members.size())), nowMillis);
+    }
+  }
+
+  /** Adds what the runners hold whose holder is accepted. */
+  void addHoldings(
+      Digest.Builder digest, Holdings holdings, Predicate<String> holder, long nowMillis) {
+    List<String> rest = new ArrayList<>();
+    holdings
+        .all()
+        .forEach(
+            (runner, holding) -> {
+              if (!holder.test(holding.host())
+                  || nowMillis - holding.toldMillis() > HOLDING_MILLIS) {
+                return;
+              }
+              Set<String> brief = brief(holding, nowMillis);
+              if (brief.equals(toldHoldings.put(runner, brief))) {
+                rest.add(runner);
+              } else {
+                addHolding(digest, runner, holding, nowMillis);
+              }
+            });
+    int count = Math.min(holdingsInTurn, rest.size());
+    for (int i = 0; i < count; i++) {
+      String runner = rest.get(Math.floorMod(holdingTurn++, rest.size()));
+      holdings.find(runner).ifPresent(holding -> addHolding(digest, runner, holding, nowMillis));
+    }
+  }
+
+  /**
+   * Adds what is in flight.
+   *
+   * @param withAdapters the runners of which it is told which adapters are used: only their holders
+   *     need it
+   */
+  static void addLoads(
+      Digest.Builder digest, Map<String, FleetLoad.Use> sums, Predicate<String> withAdapters) {
+    digest.setLoadsTold(true);
+    sums.forEach(
+        (runner, use) ->
+            digest.addLoads(StateCodec.encode(runner, use, withAdapters.test(runner))));
+  }
+
+  static void addWord(Digest.Builder digest, Member<HostState> member, long nowMillis) {
+    HostState state = member.state();
+    if (state == null) {
+      return;
+    }
+    HostState brief = state.toBuilder().clearLoads().clearHoldings().clearGossip().build();
+    digest.addWords(
+        HostWord.newBuilder()
+            .setHost(member.host())
+            .setIncarnation(member.incarnation())
+            .setNumber(member.number())
+            .setAgeMs((int) Math.max(0, nowMillis - member.heardMillis()))
+            .setState(brief));
+  }
+
+  private static void addHolding(
+      Digest.Builder digest, String runner, Holdings.Holding holding, long nowMillis) {
+    digest.addHoldings(
+        HeldBy.newBuilder()
+            .setHost(holding.host())
+            .setHolding(StateCodec.encode(runner, holding, nowMillis)));
+  }
+
+  private static String brief(Member<HostState> member) {
+    HostState state = member.state();
+    return state == null
+        ? ""
+        : member.incarnation()
+            + " "
+            + state.getReady()
+            + state.getLeaving()
+            + state.getConfigRevision()
+            + " "
+            + state.getRunnersRevision();
+  }
+
+  private static Set<String> brief(Holdings.Holding holding, long nowMillis) {
+    return holding.items().values().stream()
+        .map(item -> item.target() + "@" + item.version() + (item.readyMillis() > nowMillis))
+        .collect(Collectors.toSet());
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
@@ -0,0 +1,212 @@
+package org.sequoiahub.node.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.schema.peer.Digest;
+import org.sequoiahub.schema.peer.HeldBy;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.HostWord;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/**
+ * What delegates of a large fleet pass on: to the delegates of the other groups what their own
+ * group does, and to the hosts of their group what the whole fleet does. Runs on the decision
+ * thread.
+ */
+public final class DigestDesk {
+
+  /**
+   * Digests are sent this often (ms). News takes a host's word and two digests, 0.2 s on average;
+   * at 66 hosts a delegate then sends 150 datagrams a second, and the others receive 14.
+   */
+  private static final long PERIOD_MILLIS = 150;
+
+  /** Far digests are sent less often if there are many groups (ms for each delegate to tell). */
+  private static final long FAR_MILLIS = 8;
+
+  /** All words of a group of 16 hosts in 0.4 s, of a fleet of 66 in 0.5 s. */
+  private static final int FAR_WORDS = 6;
+
+  private static final int NEAR_WORDS = 20;
+
+  /** Words of any group's hosts to the other groups' delegates: these may never have met. */
+  private static final int GOSSIP_WORDS = 2;
+
+  /** The holdings of a group of 11 runners in 0.6 s, of a fleet of 42 in 1.6 s. */
+  private static final int FAR_HOLDINGS = 3;
+
+  private static final int NEAR_HOLDINGS = 4;
+
+  /** Words in the answer to a host that does not know its delegates; 100 bytes each. */
+  private static final int WELCOME_WORDS = 500;
+
+  /** One host is answered so at most this often (ms), while its view of the fleet differs. */
+  private static final long WELCOME_MILLIS = 800;
+
+  private static final String GROUP_SOURCE = "group ";
+
+  private final HostSettings settings;
+  private final FleetShape shape;
+  private final Members<HostState> members;
+  private final FleetLoad loads;
+  private final Holdings holdings;
+  private final Supplier<PeerDatagram.Builder> datagrams;
+  private final Supplier<HostWord> ownWord;
+  private final BiConsumer<String, byte[]> sender;
+  private final BiConsumer<String, HostState> wordListener;
+  private final Random random;
+  private final DigestBuilder far = new DigestBuilder(FAR_WORDS, FAR_HOLDINGS);
+  private final DigestBuilder gossip = new DigestBuilder(GOSSIP_WORDS, 0);
+  private final DigestBuilder near = new DigestBuilder(NEAR_WORDS, NEAR_HOLDINGS);
+  private final Map<String, Long> welcomedMillis = new HashMap<>();
+  private long farMillis = Long.MIN_VALUE / 2;
+  private long nearMillis = Long.MIN_VALUE / 2;
+
+  /**
+   * Creates a desk.
+   *
+   * @param datagrams begins a datagram of this host
+   * @param ownWord what this host says of itself
+   * @param sender sends bytes to an IP number
+   * @param wordListener receives each host's newest word
+   */
+  public DigestDesk(
+      HostSettings settings,
+      FleetShape shape,
+      Members<HostState> members,
+      FleetLoad loads,
+      Holdings holdings,
+      Supplier<PeerDatagram.Builder> datagrams,
+      Supplier<HostWord> ownWord,
+      BiConsumer<String, byte[]> sender,
+      BiConsumer<String, HostState> wordListener,
+      Random random) {
+    this.settings = settings;
+    this.shape = shape;
+    this.members = members;
+    this.loads = loads;
+    this.holdings = holdings;
+    this.datagrams = datagrams;
+    this.ownWord = ownWord;
+    this.sender = sender;
+    this.wordListener = wordListener;
+    this.random = random;
+  }
+
+  /** Sends digests if this host is a delegate and they are due. */
+  public void tick(long nowMillis) {
+    if (!shape.isLarge() || !shape.isDelegate()) {
+      return;
+    }
+    List<Member<HostState>> delegates = shape.farDelegates();
+    delegates.addAll(shape.strangers(random, nowMillis));
+    if (nowMillis - farMillis >= Math.max(PERIOD_MILLIS, delegates.size() * FAR_MILLIS)) {
+      farMillis = nowMillis;
+      tellFar(delegates, nowMillis);
+    }
+    if (nowMillis - nearMillis >= PERIOD_MILLIS) {
+      nearMillis = nowMillis;
+      tellNear(nowMillis);
+    }
+  }
+
+  private void tellFar(List<Member<HostState>> delegates, long nowMillis) {
+    Digest.Builder digest = Digest.newBuilder().setGroup(shape.group());
+    List<Member<HostState>> group =
+        members.reachable(nowMillis).stream().filter(m -> shape.isNear(m.host())).toList();
+    digest.addWords(ownWord.get());
+    far.addWords(digest, group, nowMillis);
+    gossip.addWordsInTurn(digest, members.reachable(nowMillis), nowMillis);
+    far.addHoldings(digest, holdings, shape::isNear, nowMillis);
+    Map<String, FleetLoad.Use> sums = loads.sums(shape::isNear, nowMillis);
+    Digest common = digest.build();
+    for (Member<HostState> delegate : delegates) {
+      Digest.Builder own = common.toBuilder();
+      DigestBuilder.addLoads(own, sums, runner -> holds(delegate.host(), runner));
+      send(delegate.ip(), own);
+    }
+  }
+
+  private void tellNear(long nowMillis) {
+    Digest.Builder digest = Digest.newBuilder();
+    digest.addWords(ownWord.get());
+    near.addWords(digest, members.reachable(nowMillis), nowMillis);
+    near.addHoldings(digest, holdings, holder -> true, nowMillis);
+    DigestBuilder.addLoads(digest, loads.sums(source -> true, nowMillis), runner -> false);
+    byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
+    shape.nearOthers(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
+  }
+
+  private boolean holds(String host, String runner) {
+    return holdings.find(runner).filter(holding -> holding.host().equals(host)).isPresent();
+  }
+
+  private void send(String ip, Digest.Builder digest) {
+    sender.accept(ip, datagrams.get().setDigest(digest).build().toByteArray());
+  }
+
+  /** Tells a host that does not know its delegates who else there is. */
+  public void welcome(String ip, long nowMillis) {
+    welcomedMillis.values().removeIf(at -> nowMillis - at >= WELCOME_MILLIS);
+    if (welcomedMillis.putIfAbsent(ip, nowMillis) != null) {
+      return;
+    }
+    Digest.Builder digest = Digest.newBuilder().addWords(ownWord.get());
+    members.reachable(nowMillis).stream()
+        .limit(WELCOME_WORDS)
+        .forEach(member -> DigestBuilder.addWord(digest, member, nowMillis));
+    send(ip, digest);
+  }
+
+  /** Takes in a digest that came from an IP number. */
+  public void received(String ip, Digest digest, long nowMillis) {
+    if (!digest.getGroup().isEmpty() && !shape.isDelegate()) {
+      welcome(ip, nowMillis);
+    }
+    for (HostWord word : digest.getWordsList()) {
+      HostState state = word.getState();
+      boolean news =
+          members.heardOf(
+              word.getHost(),
+              state.getIp(),
+              word.getIncarnation(),
+              word.getNumber(),
+              state.getLeaving(),
+              state,
+              nowMillis - word.getAgeMs(),
+              nowMillis);
+      if (news) {
+        wordListener.accept(word.getHost(), state);
+      }
+    }
+    for (HeldBy held : digest.getHoldingsList()) {
+      if (!held.getHost().equals(settings.host())) {
+        holdings.told(
+            held.getHolding().getRunner(),
+            StateCodec.decode(held.getHost(), held.getHolding(), nowMillis));
+      }
+    }
+    if (digest.getLoadsTold()) {
+      loadsTold(digest, nowMillis);
+    }
+  }
+
+  private void loadsTold(Digest digest, long nowMillis) {
+    Map<String, FleetLoad.Use> uses = StateCodec.uses(digest.getLoadsList());
+    if (!digest.getGroup().isEmpty()) {
+      loads.forgetWhole();
+      loads.told(GROUP_SOURCE + digest.getGroup(), uses, true, nowMillis);
+    } else if (!shape.isDelegate()) {
+      loads.toldWhole(uses, nowMillis);
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -0,0 +1,156 @@
+package org.sequoiahub.node.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.sequoiahub.core.member.Delegates;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/** Which hosts this host speaks to, by the size of the fleet; decision thread only. */
+public final class FleetShape {
+
+  /** The choice is made anew this often (ms); a host is suspected only after a second. */
+  private static final long REFRESH_MILLIS = 100;
+
+  private final HostSettings settings;
+  private final Members<HostState> members;
+  private long refreshedMillis = Long.MIN_VALUE / 2;
+  private boolean large;
+  private Set<String> delegates = Set.of();
+  private Set<String> told = Set.of();
+  private Map<String, String> groups = Map.of();
+
+  /** Creates the shape of a fleet of which nothing is known yet. */
+  public FleetShape(HostSettings settings, Members<HostState> members) {
+    this.settings = requireNonNull(settings, "settings must not be null");
+    this.members = requireNonNull(members, "members must not be null");
+  }
+
+  /** Looks at the members again if it is time to. */
+  public void refresh(long nowMillis) {
+    if (nowMillis - refreshedMillis < REFRESH_MILLIS) {
+      return;
+    }
+    refreshedMillis = nowMillis;
+    List<Member<HostState>> reachable = members.reachable(nowMillis);
+    large = Delegates.areNeeded(reachable.size() + 1);
+    if (!large) {
+      delegates = Set.of();
+      told = Set.of();
+      groups = Map.of();
+      return;
+    }
+    Map<String, String> domains = new HashMap<>();
+    Map<String, Integer> strengths = new HashMap<>();
+    domains.put(settings.host(), settings.failureDomain());
+    strengths.put(settings.host(), settings.processorPercent());
+    for (Member<HostState> member : reachable) {
+      HostState state = member.state();
+      if (state != null) {
+        domains.put(member.host(), state.getFailureDomain());
+        strengths.put(member.host(), state.getProcessor());
+      }
+    }
+    groups = Delegates.groups(domains);
+    Map<String, String> sound = new HashMap<>(groups);
+    sound
+        .keySet()
+        .removeIf(host -> !host.equals(settings.host()) && !members.isSound(host, nowMillis));
+    delegates = Delegates.of(sound, host -> strengths.getOrDefault(host, 0));
+    // Two groups that take each other for dead, as after a cut between them, would never speak
+    // again if each told living delegates only; so those that would be delegates are told too.
+    told = Delegates.of(groups, host -> strengths.getOrDefault(host, 0));
+    told.addAll(delegates);
+  }
+
+  /** Returns whether the fleet is so large that delegates speak for the others. */
+  public boolean isLarge() {
+    return large;
+  }
+
+  /** Returns the delegates of all groups; empty in a small fleet. */
+  public Set<String> delegates() {
+    return Set.copyOf(delegates);
+  }
+
+  /** Returns whether this host is a delegate of its group. */
+  public boolean isDelegate() {
+    return delegates.contains(settings.host());
+  }
+
+  /** Returns the name of this host's group. */
+  public String group() {
+    return groups.getOrDefault(settings.host(), settings.failureDomain());
+  }
+
+  /** Returns whether a host is in this host's group. */
+  public boolean isNear(String host) {
+    return group().equals(groups.get(host));
+  }
+
+  /** Returns the other hosts to tell as delegates of this host's group. */
+  public List<Member<HostState>> nearDelegates() {
+    return delegates(true);
+  }
+
+  /** Returns the hosts to tell as delegates of the other groups. */
+  public List<Member<HostState>> farDelegates() {
+    return delegates(false);
+  }
+
+  private List<Member<HostState>> delegates(boolean near) {
+    List<Member<HostState>> chosen = new ArrayList<>();
+    for (String host : told) {
+      if (!host.equals(settings.host()) && isNear(host) == near) {
+        members.find(host).ifPresent(chosen::add);
+      }
+    }
+    return chosen;
+  }
+
+  /**
+   * Returns one host, drawn anew each time, of each other group of which no host is known to live.
+   *
+   * <p>Both delegates of each group may die at once. Their successors then know nobody who lives in
+   * another group but, for a while, who did; told, such a host answers with all that it knows.
+   */
+  public List<Member<HostState>> strangers(Random random, long nowMillis) {
+    Map<String, List<Member<HostState>>> silent = new HashMap<>();
+    Set<String> living = new HashSet<>();
+    for (Member<HostState> member : members.reachable(nowMillis)) {
+      String group = groups.getOrDefault(member.host(), group());
+      if (members.isSound(member.host(), nowMillis)) {
+        living.add(group);
+      }
+      silent.computeIfAbsent(group, g -> new ArrayList<>()).add(member);
+    }
+    List<Member<HostState>> drawn = new ArrayList<>();
+    silent.forEach(
+        (group, hosts) -> {
+          if (!living.contains(group) && !group.equals(group())) {
+            drawn.add(hosts.get(random.nextInt(hosts.size())));
+          }
+        });
+    return drawn;
+  }
+
+  /** Returns the other hosts of this host's group that are not told as delegates. */
+  public List<Member<HostState>> nearOthers(long nowMillis) {
+    List<Member<HostState>> others = new ArrayList<>();
+    for (Member<HostState> member : members.reachable(nowMillis)) {
+      if (isNear(member.host()) && !told.contains(member.host())) {
+        others.add(member);
+      }
+    }
+    return others;
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
@@ -5,11 +5,15 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HostAddress;
 import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.HostWord;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.usersplatform.HostSettings;
 
@@ -31,6 +35,14 @@
    */
   private static final int STATES_PER_SECOND = 400;
 
+  /**
+   * In a large fleet a host tells its delegates of changes this often at most (ms), and that it
+   * lives at least this often.
+   */
+  private static final long DELEGATE_PERIOD_MILLIS = 100;
+
+  private static final long DELEGATE_HEARTBEAT_MILLIS = 250;
+
   /** Hosts named in each state. */
   private static final int GOSSIP = 2;
 
@@ -39,6 +51,8 @@
   private final HostSettings settings;
   private final long incarnation;
   private final Members<HostState> members;
+  private final FleetShape shape;
+  private final DigestDesk digests;
   private final BiConsumer<String, byte[]> sender;
   private final StateSource ownState;
   private final BiConsumer<String, HostState> listener;
@@ -70,14 +84,19 @@
    * @param sender sends bytes to an IP number
    * @param ownState builds this host's state without the gossip
    * @param listener receives each host's newest state
+   * @param wordListener receives the states that were passed on, without loads and holdings
    */
   public PeerDesk(
       HostSettings settings,
       long incarnation,
       Members<HostState> members,
+      FleetShape shape,
+      FleetLoad loads,
+      Holdings holdings,
       BiConsumer<String, byte[]> sender,
       StateSource ownState,
       BiConsumer<String, HostState> listener,
+      BiConsumer<String, HostState> wordListener,
       Random random,
       EventLog log) {
     this.settings = settings;
@@ -89,6 +108,29 @@
     this.listener = listener;
     this.random = random;
     this.log = log;
+    this.shape = shape;
+    this.digests =
+        new DigestDesk(
+            settings,
+            shape,
+            members,
+            loads,
+            holdings,
+            this::datagram,
+            this::ownWord,
+            sender,
+            wordListener,
+            random);
+  }
+
+  /** Returns what this host says of itself, for others to pass on. */
+  private HostWord ownWord() {
+    return HostWord.newBuilder()
+        .setHost(settings.host())
+        .setIncarnation(incarnation)
+        .setNumber(++number)
+        .setState(ownState.state(false, true).clearLoads())
+        .build();
   }
 
   /** Sets the IP numbers of hosts that may know the others. */
@@ -109,6 +151,23 @@
 
   /** Tells what is due. */
   public void tick(long nowMillis) {
+    shape.refresh(nowMillis);
+    if (shape.isLarge()) {
+      tickLarge(nowMillis);
+    } else {
+      tickSmall(nowMillis);
+    }
+  }
+
+  private void tickLarge(long nowMillis) {
+    long since = nowMillis - sentMillis;
+    if (since >= DELEGATE_HEARTBEAT_MILLIS || (changed && since >= DELEGATE_PERIOD_MILLIS)) {
+      tell(shape.nearDelegates(), true, nowMillis);
+    }
+    digests.tick(nowMillis);
+  }
+
+  private void tickSmall(long nowMillis) {
     int peers = members.reachable(nowMillis).size();
     long period = Math.max(MIN_PERIOD_MILLIS, (long) peers * MILLIS / STATES_PER_SECOND);
     long since = nowMillis - sentMillis;
@@ -119,25 +178,28 @@
 
   /** Tells all hosts at once. */
   public void tellAll(long nowMillis) {
+    tell(members.reachable(nowMillis), shape.isLarge(), nowMillis);
+  }
+
+  private void tell(List<Member<HostState>> told, boolean whole, long nowMillis) {
     sentMillis = nowMillis;
     changed = false;
     seeds.stream()
         .filter(ip -> !ip.equals(settings.ip()))
         .forEach(ip -> members.named(ip, nowMillis));
-    List<Member<HostState>> reachable = members.reachable(nowMillis);
     boolean withHoldings = holdingsChanged || nowMillis - holdingsSentMillis >= HOLDINGS_MILLIS;
     if (withHoldings) {
       holdingsChanged = false;
       holdingsSentMillis = nowMillis;
     }
-    boolean complete = nowMillis - completeMillis >= members.periodMillis();
+    boolean complete = whole || nowMillis - completeMillis >= members.periodMillis();
     HostState.Builder state = ownState.state(withHoldings, complete);
     if (complete) {
       completeMillis = nowMillis;
-      gossip(reachable, state);
+      gossip(told, state);
     }
     byte[] bytes = datagram().setState(state).build().toByteArray();
-    reachable.forEach(member -> sender.accept(member.ip(), bytes));
+    told.forEach(member -> sender.accept(member.ip(), bytes));
     members.toTry(nowMillis).forEach(ip -> sender.accept(ip, bytes));
   }
 
@@ -176,10 +238,20 @@
       holdingsChanged();
     }
     listener.accept(datagram.getHost(), state);
+    boolean toDelegate = shape.isDelegate() && shape.isNear(datagram.getHost());
+    if (shape.isLarge() && !toDelegate && !state.getLeaving()) {
+      // In a large fleet a host speaks directly only to its delegates and to strangers.
+      digests.welcome(ip, nowMillis);
+    }
+  }
+
+  /** Takes in a digest that came from an IP number. */
+  public void receivedDigest(String ip, Digest digest, long nowMillis) {
+    digests.received(ip, digest, nowMillis);
   }
 
-  private void gossip(List<Member<HostState>> reachable, HostState.Builder state) {
-    List<Member<HostState>> shuffled = new ArrayList<>(reachable);
+  private void gossip(List<Member<HostState>> told, HostState.Builder state) {
+    List<Member<HostState>> shuffled = new ArrayList<>(told);
     Collections.shuffle(shuffled, random);
     for (Member<HostState> member : shuffled.subList(0, Math.min(GOSSIP, shuffled.size()))) {
       state.addGossip(HostAddress.newBuilder().setHost(member.host()).setIp(member.ip()));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.HeldItem;
@@ -21,27 +22,30 @@
 
   /** Adds what a host has in flight. */
   public static void addUses(HostState.Builder state, Map<String, FleetLoad.Use> uses) {
-    uses.forEach(
-        (runner, use) -> {
-          RunnerLoad.Builder load =
-              RunnerLoad.newBuilder()
-                  .setRunner(runner)
-                  .setRequests(use.requests())
-                  .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, use.unreadTokens()))
-                  .setHeldTokens((int) Math.min(Integer.MAX_VALUE, use.heldTokens()));
-          use.adapters()
-              .forEach(
-                  (adapter, count) ->
-                      load.addAdapters(
-                          AdapterUse.newBuilder().setAdapter(adapter).setRequests(count)));
-          state.addLoads(load);
-        });
+    uses.forEach((runner, use) -> state.addLoads(encode(runner, use, true)));
   }
 
-  /** Returns what a host has in flight. */
-  public static Map<String, FleetLoad.Use> uses(HostState state) {
+  /** Encodes what is in flight at a runner. */
+  static RunnerLoad.Builder encode(String runner, FleetLoad.Use use, boolean withAdapters) {
+    RunnerLoad.Builder load =
+        RunnerLoad.newBuilder()
+            .setRunner(runner)
+            .setRequests(use.requests())
+            .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, use.unreadTokens()))
+            .setHeldTokens((int) Math.min(Integer.MAX_VALUE, use.heldTokens()));
+    if (withAdapters) {
+      use.adapters()
+          .forEach(
+              (adapter, count) ->
+                  load.addAdapters(AdapterUse.newBuilder().setAdapter(adapter).setRequests(count)));
+    }
+    return load;
+  }
+
+  /** Returns what is in flight, by runner. */
+  public static Map<String, FleetLoad.Use> uses(List<RunnerLoad> loads) {
     Map<String, FleetLoad.Use> uses = new HashMap<>();
-    for (RunnerLoad load : state.getLoadsList()) {
+    for (RunnerLoad load : loads) {
       Map<String, Integer> adapters = new HashMap<>();
       load.getAdaptersList().forEach(use -> adapters.put(use.getAdapter(), use.getRequests()));
       uses.put(
@@ -52,9 +56,8 @@
     return uses;
   }
 
-  /** Adds what a runner holds. */
-  public static void addHolding(
-      HostState.Builder state, String runner, Holdings.Holding holding, long nowMillis) {
+  /** Encodes what a runner holds. */
+  public static Holding encode(String runner, Holdings.Holding holding, long nowMillis) {
     Holding.Builder message =
         Holding.newBuilder()
             .setRunner(runner)
@@ -68,7 +71,7 @@
               .setVersion(item.version())
               .setReadyInMs((int) Math.max(0, item.readyMillis() - nowMillis)));
     }
-    state.addHoldings(message);
+    return message.build();
   }
 
   /** Returns what the runners that a host orders hold. */
@@ -76,26 +79,29 @@
       String host, HostState state, long nowMillis) {
     Map<String, Holdings.Holding> holdings = new HashMap<>();
     for (Holding message : state.getHoldingsList()) {
-      Map<String, HeldItem> items = new HashMap<>();
-      for (HeldAdapter adapter : message.getAdaptersList()) {
-        items.put(
-            adapter.getAdapter(),
-            new HeldItem(
-                adapter.getAdapter(), adapter.getVersion(), nowMillis + adapter.getReadyInMs()));
-      }
-      holdings.put(
-          message.getRunner(),
-          new Holdings.Holding(
-              host,
-              message.getToken(),
-              nowMillis,
-              items,
-              new HashSet<>(message.getModelsList()),
-              message.getFreeSlots()));
+      holdings.put(message.getRunner(), decode(host, message, nowMillis));
     }
     return holdings;
   }
 
+  /** Decodes what a runner holds, as the host that orders it told. */
+  static Holdings.Holding decode(String host, Holding message, long nowMillis) {
+    Map<String, HeldItem> items = new HashMap<>();
+    for (HeldAdapter adapter : message.getAdaptersList()) {
+      items.put(
+          adapter.getAdapter(),
+          new HeldItem(
+              adapter.getAdapter(), adapter.getVersion(), nowMillis + adapter.getReadyInMs()));
+    }
+    return new Holdings.Holding(
+        host,
+        message.getToken(),
+        nowMillis,
+        items,
+        new HashSet<>(message.getModelsList()),
+        message.getFreeSlots());
+  }
+
   /** Encodes a wish for an adapter. */
   public static AdapterWish encode(String runner, Wish wish) {
     return AdapterWish.newBuilder()
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.routing.RoutingTable;
 import org.sequoiahub.core.upstream.RunnerBook;
@@ -34,6 +36,7 @@
   private final Map<String, StoredItem> runners = new HashMap<>();
   private final Map<String, Integer> versions = new HashMap<>();
   private long operatorRevision;
+  private long runnersRevision;
 
   /**
    * Creates a desk.
@@ -61,7 +64,9 @@
       for (StoredItem item : items) {
         runnerChange(item, entries);
       }
+      entries.forEach(this::noteWhetherItMatters);
       book.replace(entries, revision, nowMillis);
+      missing(items, revision).forEach(this::noteRemoval);
     } else {
       items.forEach(item -> operatorChange(item, nowMillis));
       operatorRevision = Math.max(operatorRevision, revision);
@@ -70,6 +75,36 @@
     changed.run();
   }
 
+  /** Returns the runners that are known, but not in a whole reading: they left unseen. */
+  private List<StoredItem> missing(List<StoredItem> read, long revision) {
+    Set<String> present = read.stream().map(StoredItem::key).collect(Collectors.toSet());
+    return runners.values().stream()
+        .filter(item -> item.value() != null && item.revision() <= revision)
+        .filter(item -> !present.contains(item.key()))
+        .map(item -> new StoredItem(item.key(), revision, null))
+        .toList();
+  }
+
+  private void noteRemoval(StoredItem removed) {
+    runners.put(removed.key(), removed);
+    runnersRevision = Math.max(runnersRevision, removed.revision());
+  }
+
+  /** Runners write all the time; only some changes matter to hosts that do not watch the store. */
+  private void noteWhetherItMatters(Change change) {
+    RunnerEntry before = book.find(change.id()).orElse(null);
+    RunnerEntry now = change.entry();
+    boolean same =
+        before != null
+            && now != null
+            && !book.vanished(change.id())
+            && before.address().equals(now.address())
+            && before.leaving() == now.leaving();
+    if (!same) {
+      runnersRevision = Math.max(runnersRevision, change.revision());
+    }
+  }
+
   @Override
   public void changes(String prefix, List<StoredItem> items, long revision, long nowMillis) {
     boolean news = false;
@@ -126,6 +161,11 @@
     return operator.values().stream().mapToLong(StoredItem::revision).max().orElse(0);
   }
 
+  /** Returns the revision of the newest change by which a runner came, began to leave or went. */
+  public long newestRunnersRevision() {
+    return runnersRevision;
+  }
+
   /** Returns the operators' records that are newer than {@code revision}. */
   public List<StoredItem> operatorSince(long revision) {
     return operator.values().stream().filter(item -> item.revision() > revision).toList();
@@ -157,6 +197,7 @@
   }
 
   private boolean apply(Change change, long nowMillis) {
+    noteWhetherItMatters(change);
     RunnerEntry before = book.find(change.id()).orElse(null);
     boolean news = book.apply(change, nowMillis);
     RunnerEntry entry = change.entry();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -25,6 +25,7 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerDesk;
 import org.sequoiahub.node.peer.StateCodec;
 import org.sequoiahub.runtime.log.EventLog;
@@ -215,6 +216,7 @@
     private Members<HostState> members = new Members<>("", MemberSettings.DEFAULT);
     private Holdings holdings = new Holdings();
     private @Nullable HolderDesk desk;
+    private FleetShape shape = new FleetShape(settings(false), members);
     private PeerDesk peers = peerDesk(0);
 
     Host(int number) {
@@ -248,9 +250,13 @@
           settings(false),
           incarnation,
           members,
+          shape,
+          new FleetLoad(),
+          holdings,
           this::send,
           this::state,
           (from, state) -> StateCodec.holdings(from, state, now).forEach(holdings::told),
+          (from, state) -> {},
           random,
           new EventLog("test", "host-" + number));
     }
@@ -261,6 +267,7 @@
       leaving = false;
       paused = false;
       inbox.clear();
+      shape = new FleetShape(settings(false), members);
       peers = peerDesk(now);
       desk =
           new HolderDesk(
@@ -268,6 +275,7 @@
               now,
               now,
               members,
+              shape,
               holdings,
               new FleetLoad(),
               this,
@@ -286,7 +294,9 @@
           HostState.newBuilder().setFailureDomain("z").setReady(true).setLeaving(leaving);
       if (withHoldings && !leaving && desk != null) {
         for (String runner : desk.ordered(now)) {
-          holdings.find(runner).ifPresent(h -> StateCodec.addHolding(state, runner, h, now));
+          holdings
+              .find(runner)
+              .ifPresent(h -> state.addHoldings(StateCodec.encode(runner, h, now)));
         }
       }
       return state;
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -0,0 +1,210 @@
+package org.sequoiahub.node.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.member.MemberSettings;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.PeerDatagram;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/** Hosts that tell each other of themselves, in virtual time; datagrams are late and get lost. */
+final class PeerWorld {
+
+  private static final int TICK_MILLIS = 10;
+  private static final int MAX_DELAY_MILLIS = 5;
+
+  /** One datagram in so many is lost. */
+  private static final int LOSS = 100;
+
+  private final Random random;
+  private final int domains;
+  private final List<@Nullable Host> hosts = new ArrayList<>();
+  private final PriorityQueue<Late> late = new PriorityQueue<>();
+  private BiPredicate<Integer, Integer> cut = (from, to) -> false;
+  private long now = 1_000_000;
+  private long number;
+  private long bytes;
+
+  private record Late(long atMillis, long number, int from, int to, byte[] datagram)
+      implements Comparable<Late> {
+    @Override
+    public int compareTo(Late other) {
+      int byTime = Long.compare(atMillis, other.atMillis);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  /** One process of a host. */
+  final class Host {
+    final int number;
+    final Members<HostState> members;
+    final FleetLoad loads = new FleetLoad();
+    final Holdings holdings = new Holdings();
+    final Set<String> words = new HashSet<>();
+    final FleetShape shape;
+    final PeerDesk desk;
+    long configRevision = 1_000;
+
+    private Host(int number) {
+      this.number = number;
+      this.members = new Members<>("host-" + number, MemberSettings.DEFAULT);
+      HostSettings settings = settings(number);
+      this.shape = new FleetShape(settings, members);
+      this.desk =
+          new PeerDesk(
+              settings,
+              now,
+              members,
+              shape,
+              loads,
+              holdings,
+              (ip, datagram) -> send(number, ip, datagram),
+              this::state,
+              this::told,
+              this::word,
+              random,
+              new EventLog("test", "host-" + number));
+    }
+
+    private HostState.Builder state(boolean withHoldings, boolean complete) {
+      HostState.Builder state =
+          HostState.newBuilder()
+              .setIp("ip-" + number)
+              .setFailureDomain("z" + number % domains)
+              .setProcessor(processor(number))
+              .setCallerAddress("10.100.100.100:8149")
+              .setReady(true)
+              .setConfigRevision(configRevision)
+              .setRunnersRevision(100_000);
+      StateCodec.addUses(state, loads.own());
+      return state.setLoadsComplete(true);
+    }
+
+    private void told(String from, HostState state) {
+      loads.told(from, StateCodec.uses(state.getLoadsList()), true, now);
+      word(from, state);
+    }
+
+    /** A host that is behind another takes its records at once. */
+    private void word(String from, HostState state) {
+      configRevision = Math.max(configRevision, state.getConfigRevision());
+    }
+  }
+
+  PeerWorld(long seed, int count, int domains) {
+    this.random = new Random(seed);
+    this.domains = domains;
+    for (int host = 0; host < count; host++) {
+      hosts.add(new Host(host));
+    }
+  }
+
+  /** The first host of each domain and two more hosts are stronger than the rest. */
+  private static int processor(int number) {
+    return number < 6 ? 150 : 36;
+  }
+
+  private HostSettings settings(int number) {
+    return new HostSettings(
+        "host-" + number,
+        "z" + number % domains,
+        "ip-" + number,
+        1,
+        2,
+        3,
+        4,
+        5,
+        List.of("ip-0", "ip-1", "ip-2"),
+        true,
+        "store:1",
+        8_000,
+        3_000,
+        0.2,
+        50,
+        10_000,
+        5_000,
+        processor(number));
+  }
+
+  long now() {
+    return now;
+  }
+
+  /** Returns the bytes that were sent so far. */
+  long bytes() {
+    return bytes;
+  }
+
+  /** Returns the hosts that run. */
+  List<Host> running() {
+    List<Host> running = new ArrayList<>();
+    for (Host host : hosts) {
+      if (host != null) {
+        running.add(host);
+      }
+    }
+    return running;
+  }
+
+  void kill(int host) {
+    hosts.set(host, null);
+  }
+
+  void start(int host) {
+    hosts.set(host, new Host(host));
+  }
+
+  /** Loses all datagrams for which {@code lost} holds, until the next call. */
+  void cut(BiPredicate<Integer, Integer> lost) {
+    cut = lost;
+  }
+
+  void pass(long millis) {
+    for (long end = now + millis; now < end; now += TICK_MILLIS) {
+      while (!late.isEmpty() && late.peek().atMillis <= now) {
+        deliver(late.poll());
+      }
+      for (Host host : running()) {
+        host.desk.tick(now);
+        host.members.forget(now);
+      }
+    }
+  }
+
+  private void send(int from, String ip, byte[] datagram) {
+    bytes += datagram.length;
+    int to = Integer.parseInt(ip.substring("ip-".length()));
+    boolean lost = cut.test(from, to) || random.nextInt(LOSS) == 0;
+    if (to < hosts.size() && !lost) {
+      late.add(new Late(now + 1 + random.nextInt(MAX_DELAY_MILLIS), number++, from, to, datagram));
+    }
+  }
+
+  private void deliver(Late arrived) {
+    Host to = hosts.get(arrived.to);
+    if (to == null) {
+      return;
+    }
+    try {
+      PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
+      if (datagram.hasDigest()) {
+        to.desk.receivedDigest("ip-" + arrived.from, datagram.getDigest(), now);
+      } else {
+        to.desk.received("ip-" + arrived.from, datagram, now);
+      }
+    } catch (InvalidProtocolBufferException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
