A fault soak of the real program; streams have an end mark of their own on closing connections

The soak runs hosts as separate processes, kills, stops and pauses them, harms connections with a loopback proxy, replaces runners at their addresses, takes the store away, and checks what callers and runners saw.

Cause: a host that is asked to stop tells callers to close; the library then lets a stream end with its connection, and the process ended in the middle of it. Ruled out: the runner (its stream was whole) and the proxy (not on that path). The stream is now sent in chunks whatever becomes of the connection. The test fails on the code before (no end mark).

--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -20,6 +21,8 @@
  */
 public final class CallerExchange {
 
+  private static final String CHUNKED = "chunked";
+
   private final Request request;
   private final Response response;
   private final Callback callback;
@@ -108,6 +111,12 @@
     }
     started = true;
     head(status, headers);
+    if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
+      // Without this, the library lets an answer on a connection that is to be closed end with the
+      // connection: were the process killed in the middle of a stream, the half that came would
+      // look whole.
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, CHUNKED);
+    }
   }
 
   /** Passes on a piece; false if the caller is gone. */
--- /dev/null
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Callers.java
@@ -0,0 +1,95 @@
+package org.sequoiahub.soak;
+
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+import org.sequoiahub.soak.Asked.Kind;
+import org.sequoiahub.usersplatform.Headers;
+
+/** Callers that send requests to hosts drawn at random and note what comes of each. */
+final class Callers {
+
+  /** How long a caller waits for its whole answer (ms). */
+  static final long DEADLINE_MILLIS = 4_000;
+
+  private static final int ADAPTERS = 12;
+
+  private final HttpClient http;
+  private final List<HostProcess> hosts;
+  private final int port;
+  private final Random random;
+  private final String run;
+  private final AtomicInteger sent = new AtomicInteger();
+  private final AtomicInteger open = new AtomicInteger();
+  private final Queue<Asked> asked = new ConcurrentLinkedQueue<>();
+
+  /**
+   * Creates callers.
+   *
+   * @param run goes into each request's id, so that runs do not share any
+   */
+  Callers(HttpClient http, List<HostProcess> hosts, int port, Random random, String run) {
+    this.http = http;
+    this.hosts = hosts;
+    this.port = port;
+    this.random = random;
+    this.run = run;
+  }
+
+  /** Returns the requests that have ended. */
+  Queue<Asked> asked() {
+    return asked;
+  }
+
+  /** Returns how many requests have not ended. */
+  int open() {
+    return open.get();
+  }
+
+  /** Sends one request. */
+  void send() {
+    Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+    String id = run + "-" + sent.incrementAndGet();
+    HostProcess host = hosts.get(random.nextInt(hosts.size()));
+    Request request =
+        http.newRequest("http://" + host.ip() + ":" + port)
+            .path(kind.prefix() + "x?id=" + id)
+            .method(HttpMethod.POST)
+            .timeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
+            .headers(
+                headers ->
+                    headers
+                        .put("Host", "h.example")
+                        .put(Headers.REQUEST_ID, id)
+                        .put(Headers.DEADLINE, Long.toString(DEADLINE_MILLIS)));
+    if (kind.isStream()) {
+      String model = "m/a" + random.nextInt(ADAPTERS);
+      request.headers(
+          headers ->
+              headers
+                  .put(Headers.MODEL, model)
+                  .put(Headers.TOKENS, "100,20")
+                  .put(Headers.PROMPT, "aa:60,bb:40"));
+    }
+    request.body(new StringRequestContent("body of " + id));
+    open.incrementAndGet();
+    new CompletableResponseListener(request)
+        .send()
+        .whenComplete(
+            (response, failure) -> {
+              asked.add(
+                  failure != null || response == null
+                      ? new Asked(id, kind, 0, null)
+                      : new Asked(id, kind, response.getStatus(), response.getContentAsString()));
+              open.decrementAndGet();
+            });
+  }
+}
--- /dev/null
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
@@ -0,0 +1,122 @@
+package org.sequoiahub.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.usersplatform.SettingsFile;
+
+/** The program of one host as a process of its own, through all its starts. */
+final class HostProcess implements AutoCloseable {
+
+  private static final int GRACE_SECONDS = 4;
+
+  /** The platform kills a process that is still there after the grace time. */
+  static final long GRACE_MILLIS = GRACE_SECONDS * 1_000L;
+
+  private final String name;
+  private final String ip;
+  private final Path jar;
+  private final Path directory;
+  private final Function<Boolean, String> settings;
+  private @Nullable Process process;
+  private boolean started;
+  private volatile long thawedNanos = System.nanoTime();
+
+  /**
+   * Creates a host whose process does not run yet.
+   *
+   * @param settings the text of the settings file, given whether this is the first start of all
+   */
+  HostProcess(
+      String name, String ip, Path jar, Path directory, Function<Boolean, String> settings) {
+    this.name = name;
+    this.ip = ip;
+    this.jar = jar;
+    this.directory = directory;
+    this.settings = settings;
+  }
+
+  String name() {
+    return name;
+  }
+
+  String ip() {
+    return ip;
+  }
+
+  /** Returns when the process last began to run again, on the steady clock. */
+  long thawedNanos() {
+    return thawedNanos;
+  }
+
+  /** Starts the process unless it runs. */
+  synchronized void start() throws IOException {
+    Process running = process;
+    if (running != null && running.isAlive()) {
+      return;
+    }
+    Path file = directory.resolve(name + ".conf");
+    Files.writeString(file, settings.apply(!started));
+    started = true;
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            "java",
+            "-Xmx96m",
+            "-Xss384k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-jar",
+            jar.toString());
+    builder.environment().put(SettingsFile.VARIABLE, file.toString());
+    File log = directory.resolve(name + ".log").toFile();
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    process = builder.start();
+    thawedNanos = System.nanoTime();
+  }
+
+  /** Sends the process a signal by its name, such as STOP. */
+  synchronized void signal(String signal) throws IOException, InterruptedException {
+    Process running = process;
+    if (running != null && running.isAlive()) {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(running.pid())).start().waitFor();
+    }
+    if (signal.equals("CONT")) {
+      thawedNanos = System.nanoTime();
+    }
+  }
+
+  /** Kills the process and waits until it has gone. */
+  void kill() throws IOException, InterruptedException {
+    signal("KILL");
+    await(GRACE_MILLIS);
+  }
+
+  /** Asks the process to stop, and kills it after the grace time; returns whether it had to. */
+  boolean stop() throws IOException, InterruptedException {
+    signal("CONT");
+    signal("TERM");
+    boolean gone = await(GRACE_MILLIS);
+    if (!gone) {
+      kill();
+    }
+    return !gone;
+  }
+
+  private boolean await(long millis) throws InterruptedException {
+    Process running;
+    synchronized (this) {
+      running = process;
+    }
+    return running == null || running.waitFor(millis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() throws IOException, InterruptedException {
+    kill();
+  }
+}
