The time that an adapter takes is learnt; parts without a reader out, demand to holders in its own class

Cause, of a fifth of all requests refused once on the grown fleet (398 of 1,916 in 14 s, status 421): each was sent 245 ms after the load was ordered, and loads take 288 ms there; 250 is the other fleet's figure and no record says it. Ruled out: drops under requests on their way (none of the traced ones was dropped). The holder now expects loads 20 ms later for each request that came too early. Test: refused 200 of 200 before, at most 20 after. Besides: MODEL/ADAPTER names are taken apart in one place, a hedge ranks once, Node no longer composes wishes.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/call/Generation.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/call/Generation.java
@@ -27,7 +27,7 @@
 
   /** Returns the model and the adapter as one name, such as {@code m0/a17}, or the model alone. */
   public String target() {
-    return adapter.isEmpty() ? model : model + "/" + adapter;
+    return Target.of(model, adapter);
   }
 
   /** Returns whether an adapter is needed. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Order.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Order.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.core.holding;
 
+import org.sequoiahub.core.call.Target;
+
 /**
  * An order to a runner.
  *
@@ -20,6 +22,6 @@
 
   /** Returns model and adapter as one name. */
   public String target() {
-    return adapter.isEmpty() ? model : model + "/" + adapter;
+    return Target.of(model, adapter);
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Target;
 import org.sequoiahub.core.holding.Order.Operation;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
@@ -31,6 +32,7 @@
 
   private final EngineSpec engine;
   private final ShelfSettings settings;
+  private final LoadTime loadTime;
   private final Map<String, Item> items = new LinkedHashMap<>();
   private final Set<String> models = new HashSet<>();
   private final LinkedHashMap<String, Boolean> dropped = new LinkedHashMap<>();
@@ -42,10 +44,15 @@
   private long nextOrderMillis = Long.MIN_VALUE / 2;
   private int refusals;
 
-  /** Creates a shelf of which nothing is known until {@link #adopt}. */
-  public RunnerShelf(EngineSpec engine, ShelfSettings settings) {
+  /**
+   * Creates a shelf of which nothing is known until {@link #adopt}.
+   *
+   * @param loadTime what all shelves of a holder have learnt of the weight store
+   */
+  public RunnerShelf(EngineSpec engine, ShelfSettings settings, LoadTime loadTime) {
     this.engine = requireNonNull(engine, "engine must not be null");
     this.settings = requireNonNull(settings, "settings must not be null");
+    this.loadTime = requireNonNull(loadTime, "loadTime must not be null");
   }
 
   private enum State {
@@ -129,7 +136,7 @@
   private void adopt(
       Map<String, Item> former, String target, int version, State state, long nowMillis) {
     Item before = former.get(target);
-    long ready = state == State.COMING ? nowMillis + settings.loadMillis() : nowMillis;
+    long ready = state == State.COMING ? nowMillis + loadTime.millis() : nowMillis;
     Item item = new Item(target, version, state, ready, nowMillis);
     if (before != null) {
       item.usedMillis = before.usedMillis;
@@ -235,7 +242,7 @@
       used += spec(held).map(ModelSpec::weightsMb).orElse(0.0);
     }
     for (Item item : items.values()) {
-      used += spec(modelOf(item.target)).map(ModelSpec::adapterMb).orElse(0.0);
+      used += spec(Target.model(item.target)).map(ModelSpec::adapterMb).orElse(0.0);
     }
     return used + spec(model).map(ModelSpec::adapterMb).orElse(0.0) <= engine.weightsMb();
   }
@@ -278,7 +285,7 @@
     if (order.adapter().isEmpty()) {
       modelOrderMillis = nowMillis;
     } else if (order.operation() == Operation.LOAD) {
-      long ready = nowMillis + settings.loadMillis();
+      long ready = nowMillis + loadTime.millis();
       items.put(
           order.target(),
           new Item(order.target(), Math.max(1, order.version()), State.COMING, ready, nowMillis));
@@ -344,6 +351,7 @@
     item.unconfirmed = false;
     if (order.operation() == Operation.LOAD) {
       item.readyMillis = nowMillis + (changed ? loadMillis(order.target(), transitElsewhere) : 0);
+      loadTime.ordered();
       dropped.remove(order.target());
     } else if (reply == OrderReply.DONE) {
       items.remove(order.target());
@@ -359,9 +367,7 @@
       return settings.reloadMillis();
     }
     int transit = transitElsewhere + coming();
-    return settings.loadMillis()
-        * Math.max(transit, settings.freeTransit())
-        / settings.freeTransit();
+    return loadTime.millis() * Math.max(transit, settings.freeTransit()) / settings.freeTransit();
   }
 
   /**
@@ -380,6 +386,7 @@
       uncertain = true;
       uncertainMillis = nowMillis - settings.reportAgeMillis();
     } else {
+      loadTime.wasTooShort();
       item.state = State.COMING;
       item.readyMillis = Math.max(item.readyMillis, nowMillis + settings.lateMillis());
     }
@@ -438,12 +445,6 @@
   }
 
   private static Order order(Operation operation, String target, int version) {
-    String model = modelOf(target);
-    return new Order(operation, model, target.substring(model.length() + 1), version);
-  }
-
-  private static String modelOf(String target) {
-    int slash = target.indexOf('/');
-    return slash < 0 ? target : target.substring(0, slash);
+    return new Order(operation, Target.model(target), Target.adapter(target), version);
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.core.holding;
 
+import org.sequoiahub.core.call.Target;
+
 /**
  * Requests that wait for an adapter or a model at one runner.
  *
@@ -12,6 +14,6 @@
 
   /** Returns model and adapter as one name. */
   public String target() {
-    return adapter.isEmpty() ? model : model + "/" + adapter;
+    return Target.of(model, adapter);
   }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
@@ -15,7 +15,58 @@
   private static final EngineSpec ENGINE =
       new EngineSpec(8, 10_000, 1_000, 4, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
 
-  private final RunnerShelf shelf = new RunnerShelf(ENGINE, ShelfSettings.DEFAULT);
+  private final LoadTime loadTime = new LoadTime(250);
+  private final RunnerShelf shelf = new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, loadTime);
+
+  @Nested
+  class LoadsThatTakeLongerThanExpected {
+
+    /**
+     * Symptom: a fifth of all requests is refused once by a runner that lacks their adapter.
+     *
+     * <p>Events: adapters take 288 ms and are expected after 250; for each of 200 loads one request
+     * comes at the moment expected.
+     *
+     * <p>Cause: the time that a load takes stands on no record and was taken from another fleet.
+     *
+     * <p>Refused before: 200 of 200 requests.
+     */
+    @Test
+    void areExpectedLaterNextTime() {
+      shelf.adopt(report(Map.of()), 1_000);
+      int refused = 0;
+      long now = 10_000;
+      for (int load = 0; load < 200; load++) {
+        final long start = now;
+        Order order = shelf.next(List.of(wish(load)), target -> 0, target -> 0, 0, now).get();
+        while (order.operation() == Order.Operation.UNLOAD) {
+          shelf.sent(order, now);
+          shelf.replied(order, OrderReply.DONE, 0, now);
+          order = shelf.next(List.of(wish(load)), target -> 0, target -> 0, 0, now).get();
+        }
+        shelf.sent(order, now);
+        shelf.replied(order, OrderReply.ACCEPTED, 0, now);
+        String target = order.target();
+        long ready =
+            shelf.held().stream()
+                .filter(item -> item.target().equals(target))
+                .findFirst()
+                .get()
+                .readyMillis();
+        if (ready < start + 288) {
+          refused++;
+          shelf.missing(target, ready);
+        }
+        assertThat(ready).isAtMost(start + 288 + 40);
+        now += 5_000;
+      }
+      assertThat(refused).isAtMost(20);
+    }
+
+    private Wish wish(int number) {
+      return new Wish("m", "a" + number, 1, 0);
+    }
+  }
 
   @Nested
   class RefusedForAnAdapterThatShouldBeThere {
@@ -29,24 +80,24 @@
      */
     @Test
     void isNotToldAsHeldUntilTheNextReport() {
-      shelf.adopt(report("m/a1"), 1_000);
+      shelf.adopt(report(Map.of("m/a1", 1)), 1_000);
       shelf.missing("m/a1", 5_000);
       assertThat(shelf.held()).isEmpty();
       assertThat(shelf.reportDue(5_000)).isTrue();
-      shelf.adopt(report("m/a1"), 5_100);
+      shelf.adopt(report(Map.of("m/a1", 1)), 5_100);
       assertThat(shelf.held()).hasSize(1);
     }
 
     @Test
     void isToldAsComingWhileItMayBeLate() {
-      shelf.adopt(report("m/a1"), 1_000);
+      shelf.adopt(report(Map.of("m/a1", 1)), 1_000);
       shelf.missing("m/a1", 1_100);
       assertThat(shelf.held()).hasSize(1);
       assertThat(shelf.held().get(0).readyMillis()).isGreaterThan(1_100);
     }
+  }
 
-    private RunnerReport report(String adapter) {
-      return new RunnerReport(1, false, Set.of("m"), Map.of(adapter, 1), Map.of());
-    }
+  private static RunnerReport report(Map<String, Integer> adapters) {
+    return new RunnerReport(1, false, Set.of("m"), adapters, Map.of());
   }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
@@ -22,7 +22,8 @@
   private static final EngineSpec ENGINE =
       new EngineSpec(8, 10_000, 1_000, PLACES, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
 
-  private final RunnerShelf shelf = new RunnerShelf(ENGINE, ShelfSettings.DEFAULT);
+  private final RunnerShelf shelf =
+      new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, new LoadTime(LOAD_MILLIS));
   private final Map<String, Long> readyAt = new LinkedHashMap<>();
   private final Map<String, Integer> versions = new HashMap<>();
   private final Map<String, Integer> published = new HashMap<>();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -29,6 +29,7 @@
 import org.sequoiahub.node.caller.CallerDoor;
 import org.sequoiahub.node.holder.HolderDesk;
 import org.sequoiahub.node.peer.DatagramPort;
+import org.sequoiahub.node.peer.DemandDesk;
 import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerDesk;
 import org.sequoiahub.node.peer.RecordExchange;
@@ -40,7 +41,6 @@
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.runtime.metrics.MetricsText;
-import org.sequoiahub.schema.peer.AdapterDemand;
 import org.sequoiahub.schema.peer.AdapterWish;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
@@ -76,9 +76,6 @@
   /** What changes slowly is looked after this often (ms). */
   private static final long UPKEEP_MILLIS = 100;
 
-  /** Wishes for adapters are told to their runners' holders again this often (ms). */
-  private static final long WISH_PERIOD_MILLIS = 60;
-
   /** A connection between hosts that answers no probe for this long is dropped (ms). */
   private static final long SILENCE_MILLIS = 1_500;
 
@@ -127,6 +124,7 @@
   private final HolderDesk holder;
   private final FleetShape shape;
   private final PeerDesk peers;
+  private final DemandDesk demands;
   private final RecordExchange exchange;
   private final CallerDoor door;
   private final DatagramPort datagrams;
@@ -139,7 +137,6 @@
   private Map<String, FleetLoad.Use> toldUses = Map.of();
   private long slowTickMillis;
   private long upkeepMillis;
-  private long wishedMillis;
 
   private Node(HostSettings host, NodeSettings own, long startedMillis) throws Exception {
     this.host = host;
@@ -203,6 +200,7 @@
             this::wordOf,
             random,
             log);
+    this.demands = new DemandDesk(host.host(), members, holdings, peers::datagram, datagrams::send);
     this.holder =
         new HolderDesk(
             host,
@@ -357,7 +355,9 @@
 
   private void tick(long nowMillis) {
     calls.tick(nowMillis);
-    passWishes(nowMillis);
+    Map<String, List<Wish>> wishes = calls.wishes();
+    holder.localWishes(wishes, nowMillis);
+    demands.tell(wishes, nowMillis);
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
       slowTickMillis = nowMillis;
       if (watchesStore()) {
@@ -398,24 +398,9 @@
     peers.changed();
   }
 
-  /** Tells the host that orders a runner that an adapter is not there. */
   private void missing(String runner, String target, long nowMillis) {
     holder.missing(runner, target, nowMillis);
-    holdings
-        .find(runner)
-        .filter(holding -> !holding.host().equals(host.host()))
-        .flatMap(holding -> members.find(holding.host()))
-        .ifPresent(
-            member -> {
-              AdapterWish wish =
-                  AdapterWish.newBuilder()
-                      .setRunner(runner)
-                      .setAdapter(target)
-                      .setRefused(true)
-                      .build();
-              AdapterDemand demand = AdapterDemand.newBuilder().addWishes(wish).build();
-              datagrams.send(member.ip(), peers.datagram().setDemand(demand).build().toByteArray());
-            });
+    demands.refused(runner, target);
   }
 
   private void inForce(RoutingTable table) {
@@ -439,42 +424,6 @@
     addresses = List.copyOf(present);
   }
 
-  /** Tells the holders of runners what requests of this host wait for. */
-  private void passWishes(long nowMillis) {
-    Map<String, List<Wish>> wishes = calls.wishes();
-    boolean due = nowMillis - wishedMillis >= WISH_PERIOD_MILLIS;
-    if (due) {
-      wishedMillis = nowMillis;
-    }
-    holder.localWishes(wishes, nowMillis);
-    if (!due || wishes.isEmpty()) {
-      return;
-    }
-    Map<String, AdapterDemand.Builder> byHost = new HashMap<>();
-    wishes.forEach(
-        (runner, list) ->
-            holdings
-                .find(runner)
-                .filter(holding -> !holding.host().equals(host.host()))
-                .ifPresent(
-                    holding ->
-                        list.forEach(
-                            wish ->
-                                byHost
-                                    .computeIfAbsent(
-                                        holding.host(), name -> AdapterDemand.newBuilder())
-                                    .addWishes(StateCodec.encode(runner, wish)))));
-    byHost.forEach(
-        (name, demand) ->
-            members
-                .find(name)
-                .ifPresent(
-                    member ->
-                        datagrams.send(
-                            member.ip(),
-                            peers.datagram().setDemand(demand).build().toByteArray())));
-  }
-
   private void datagram(String ip, PeerDatagram datagram) {
     duty.offer(() -> received(ip, datagram));
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -390,11 +390,6 @@
       this.running = running;
     }
 
-    @Override
-    public void load(int inUse, int waiting) {
-      // The hosts' own counts are newer than the runner's.
-    }
-
     @Override
     public void streamStarted(int status, HttpFields headers) {
       call.relay.head(running.number, status, headers);
@@ -587,7 +582,7 @@
     Repetition repetition = call.route.repetition();
     if (repetition == Repetition.IDEMPOTENT) {
       long patience = (long) (call.route.targetLatencyMillis() * HEDGE_PART);
-      if (call.running.size() == 1 && silent >= patience && mayRunBeside(call, nowMillis)) {
+      if (call.running.size() == 1 && silent >= patience && mayRunBeside(call)) {
         hedge(call, nowMillis);
       }
     } else if (repetition == Repetition.RESUMABLE_STREAM
@@ -598,18 +593,18 @@
     }
   }
 
-  private boolean mayRunBeside(Call call, long nowMillis) {
+  private boolean mayRunBeside(Call call) {
     return call.runs + call.running.size() < call.route.maxAttempts()
-        && call.sends < RetryRule.MAX_SENDS
-        && !candidates(call, null, nowMillis).isEmpty()
-        && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis);
+        && call.sends < RetryRule.MAX_SENDS;
   }
 
   private void hedge(Call call, long nowMillis) {
-    log.info("request-hedged", "request", call.id());
-    services
-        .choose(candidates(call, null, nowMillis), random.nextDouble())
-        .ifPresent(candidate -> start(call, candidate.runner(), 0, nowMillis));
+    Optional<Candidate> second =
+        services.choose(candidates(call, null, nowMillis), random.nextDouble());
+    if (second.isPresent() && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis)) {
+      log.info("request-hedged", "request", call.id());
+      start(call, second.get().runner(), 0, nowMillis);
+    }
   }
 
   private void moveSilent(Call call, Call.Running silent, long nowMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -19,6 +19,7 @@
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.HeldItem;
 import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.LoadTime;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
 import org.sequoiahub.core.holding.RunnerOrders;
@@ -121,6 +122,7 @@
   private final EventLog log;
   private final long startedMillis;
   private final long incarnation;
+  private final LoadTime loadTime = new LoadTime(ShelfSettings.DEFAULT.loadMillis());
   private final Map<String, Held> held = new HashMap<>();
 
   /** When this host first saw each runner. */
@@ -493,7 +495,7 @@
 
   private void gained(Held entry, long nowMillis) {
     ShelfSettings times = ShelfSettings.forFleet(enginesKnown, shape.isLarge());
-    entry.shelf = new RunnerShelf(entry.engine, times);
+    entry.shelf = new RunnerShelf(entry.engine, times, loadTime);
     // Unless there was none, the holder before may have ordered until now.
     entry.orderFromMillis =
         isFirstHolder(entry, nowMillis)
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
@@ -0,0 +1,93 @@
+package org.sequoiahub.node.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.schema.peer.AdapterDemand;
+import org.sequoiahub.schema.peer.AdapterWish;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.PeerDatagram;
+
+/**
+ * Tells the hosts that order runners what this host's requests wait for there; runs on the decision
+ * thread.
+ */
+public final class DemandDesk {
+
+  /** Wishes are told again this often (ms): a datagram may be lost. */
+  private static final long PERIOD_MILLIS = 60;
+
+  private final String self;
+  private final Members<HostState> members;
+  private final Holdings holdings;
+  private final Supplier<PeerDatagram.Builder> datagrams;
+  private final BiConsumer<String, byte[]> sender;
+  private long toldMillis = Long.MIN_VALUE / 2;
+
+  /**
+   * Creates a desk.
+   *
+   * @param self this host's name
+   * @param datagrams begins a datagram of this host
+   * @param sender sends bytes to an IP number
+   */
+  public DemandDesk(
+      String self,
+      Members<HostState> members,
+      Holdings holdings,
+      Supplier<PeerDatagram.Builder> datagrams,
+      BiConsumer<String, byte[]> sender) {
+    this.self = self;
+    this.members = members;
+    this.holdings = holdings;
+    this.datagrams = datagrams;
+    this.sender = sender;
+  }
+
+  /** Tells what requests wait for, by runner, if it is time to. */
+  public void tell(Map<String, List<Wish>> wishes, long nowMillis) {
+    if (nowMillis - toldMillis < PERIOD_MILLIS) {
+      return;
+    }
+    toldMillis = nowMillis;
+    Map<String, AdapterDemand.Builder> byHost = new HashMap<>();
+    wishes.forEach((runner, list) -> add(runner, list, byHost));
+    byHost.forEach(this::send);
+  }
+
+  private void add(String runner, List<Wish> wishes, Map<String, AdapterDemand.Builder> byHost) {
+    holdings
+        .find(runner)
+        .ifPresent(
+            holding -> {
+              AdapterDemand.Builder demand =
+                  byHost.computeIfAbsent(holding.host(), host -> AdapterDemand.newBuilder());
+              wishes.forEach(wish -> demand.addWishes(StateCodec.encode(runner, wish)));
+            });
+  }
+
+  /** Tells that a runner refused a request for an adapter that it should have. */
+  public void refused(String runner, String target) {
+    AdapterWish wish =
+        AdapterWish.newBuilder().setRunner(runner).setAdapter(target).setRefused(true).build();
+    holdings
+        .find(runner)
+        .ifPresent(holding -> send(holding.host(), AdapterDemand.newBuilder().addWishes(wish)));
+  }
+
+  private void send(String host, AdapterDemand.Builder demand) {
+    if (!host.equals(self)) {
+      members
+          .find(host)
+          .ifPresent(
+              member ->
+                  sender.accept(
+                      member.ip(), datagrams.get().setDemand(demand).build().toByteArray()));
+    }
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
@@ -68,8 +68,8 @@
   private final DigestBuilder gossip = new DigestBuilder(GOSSIP_WORDS, 0);
   private final DigestBuilder near = new DigestBuilder(NEAR_WORDS, NEAR_HOLDINGS);
   private final Map<String, Long> welcomedMillis = new HashMap<>();
-  private long farMillis = Long.MIN_VALUE / 2;
-  private long nearMillis = Long.MIN_VALUE / 2;
+  private long farDueMillis = Long.MIN_VALUE;
+  private long nearDueMillis = Long.MIN_VALUE;
 
   /**
    * Creates a desk.
@@ -107,14 +107,14 @@
     if (!shape.isLarge() || !shape.isDelegate()) {
       return;
     }
-    List<Member<HostState>> delegates = shape.farDelegates();
-    delegates.addAll(shape.strangers(random, nowMillis));
-    if (nowMillis - farMillis >= Math.max(PERIOD_MILLIS, delegates.size() * FAR_MILLIS)) {
-      farMillis = nowMillis;
+    if (nowMillis >= farDueMillis) {
+      List<Member<HostState>> delegates = shape.farDelegates();
+      delegates.addAll(shape.strangers(random, nowMillis));
+      farDueMillis = nowMillis + Math.max(PERIOD_MILLIS, delegates.size() * FAR_MILLIS);
       tellFar(delegates, nowMillis);
     }
-    if (nowMillis - nearMillis >= PERIOD_MILLIS) {
-      nearMillis = nowMillis;
+    if (nowMillis >= nearDueMillis) {
+      nearDueMillis = nowMillis + PERIOD_MILLIS;
       tellNear(nowMillis);
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import org.sequoiahub.core.call.Target;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.HeldItem;
 import org.sequoiahub.core.holding.Holdings;
@@ -114,9 +115,8 @@
 
   /** Decodes a wish for an adapter. */
   public static Wish decode(AdapterWish wish) {
-    int slash = wish.getAdapter().indexOf('/');
-    String model = slash < 0 ? wish.getAdapter() : wish.getAdapter().substring(0, slash);
-    String adapter = slash < 0 ? "" : wish.getAdapter().substring(slash + 1);
-    return new Wish(model, adapter, wish.getWaiting(), wish.getPriority());
+    String target = wish.getAdapter();
+    return new Wish(
+        Target.model(target), Target.adapter(target), wish.getWaiting(), wish.getPriority());
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -68,9 +68,6 @@
       request.abort(new IOException("answer to another request"));
       return;
     }
-    if (answer.running() >= 0) {
-      listener.load(answer.running(), answer.waiting());
-    }
     boolean good = HttpStatus.isSuccess(response.getStatus());
     if (good && (!answer.intact() || answer.requestId().isEmpty())) {
       end(new Outcome.Lost("answer without digest or id"));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
@@ -6,9 +6,6 @@
 /** Follows one attempt, on an HTTP client thread. */
 public interface AttemptListener {
 
-  /** Told what the runner says of its load with an answer; negative numbers if it did not say. */
-  void load(int running, int waiting);
-
   /** Told of the head of a good stream, just before its first piece. */
   void streamStarted(int status, HttpFields headers);
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -38,9 +38,6 @@
     private final StringBuffer pieces = new StringBuffer();
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
 
-    @Override
-    public void load(int running, int waiting) {}
-
     @Override
     public void streamStarted(int status, HttpFields headers) {}
 
