--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -322,6 +322,39 @@
       stream(1, "/s/", "warm", "a1").get(60, TimeUnit.SECONDS);
       first.streams(100_000, 20);
       second.streams(100_000, 20);
+      String request =
+          "POST /s/x HTTP/1.1\r\nHost: h.example\r\n"
+              + (Headers.REQUEST_ID + ": gone\r\n" + Headers.MODEL + ": m/a1\r\n")
+              + (Headers.TOKENS + ": 100,20\r\nContent-Length: 0\r\n\r\n");
+      try (Socket socket =
+          new Socket(InetAddress.getByName(LoopbackFleet.ip(1)), fleet.callerPort())) {
+        socket.getOutputStream().write(request.getBytes(UTF_8));
+        LoopbackFleet.await("the run", () -> runs("gone") == 1);
+      }
+      LoopbackFleet.await(
+          "the runner to be told",
+          () -> first.cancelled().contains("gone") || second.cancelled().contains("gone"));
+    }
+  }
+
+  @Nested
+  class StreamsOnClosingConnections {
+    /**
+     * Symptom: half a stream is taken for a whole one.
+     *
+     * <p>Events: a host is asked to stop and tells callers to close their connections; a stream is
+     * still on its way when the process ends.
+     *
+     * <p>Cause: the stream's end was marked by the end of its connection only.
+     */
+    @Test
+    void haveAnEndMarkOfTheirOwn() throws Exception {
+      fleet.configure(LoopbackFleet.route("/s/", "streaming", "llm", true));
+      fleet.startRunner("i-1", "llm", "m");
+      fleet.startNode(1);
+      fleet.startNode(2);
+      ready(1);
+      ready(2);
       String request =
           String.join(
               "\r\n",
