--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -16,7 +16,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.call.Generation;
@@ -68,8 +67,6 @@
   /** Deadline of a request that names none and whose route is generous (ms). */
   private static final long MAX_DEADLINE_MILLIS = 120_000;
 
-  private static final double MILLIS = 1_000;
-
   private final FleetView fleet;
   private final UpstreamClient upstreams;
   private final SharedRetryBudget budget;
@@ -84,6 +81,7 @@
   private final Histogram firstEventMillis;
   private final Histogram wholeMillis;
   private final EventLog log;
+  private final OwnAnswers answers;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lookedMillis;
   private boolean stopping;
@@ -114,6 +112,7 @@
     this.changed = changed;
     this.random = random;
     this.log = log;
+    this.answers = new OwnAnswers(metrics, log);
   }
 
   /** Takes a request whose body has been read. */
@@ -125,16 +124,16 @@
     }
     Optional<RoutingTable> table = fleet.table();
     if (table.isEmpty()) {
-      refuse(exchange, headers, "no configuration yet", NO_RUNNER_RETRY_MILLIS);
+      answers.refuse(exchange, headers, "no configuration yet", NO_RUNNER_RETRY_MILLIS);
       return;
     }
     Optional<Route> route = table.get().find(exchange.host(), exchange.path());
     if (route.isEmpty()) {
-      finishOwn(exchange, headers, HttpStatus.NOT_FOUND_404, "no route", -1);
+      answers.finish(exchange, headers, HttpStatus.NOT_FOUND_404, "no route", -1);
       return;
     }
     if (headers.requestId().isEmpty()) {
-      finishOwn(exchange, headers, HttpStatus.BAD_REQUEST_400, "the request has no id", -1);
+      answers.finish(exchange, headers, HttpStatus.BAD_REQUEST_400, "the request has no id", -1);
       return;
     }
     accept(exchange, headers, table.get(), route.get(), now);
@@ -531,22 +530,16 @@
 
   /** Gives the caller a runner's whole answer. */
   private void pass(Call call, Outcome.Answered answered, long now) {
-    if (promisesNotRun(answered.status())) {
+    if (OwnAnswers.promisesNotRun(answered.status())) {
       // The runner does not say that it has not run; the status alone would.
-      finishOwn(call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
+      answers.finish(
+          call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
     } else {
       call.exchange.answer(answered.status(), answered.headers(), answered.body());
     }
     done(call, answered.status(), "", now);
   }
 
-  private static boolean promisesNotRun(int status) {
-    return status == HttpStatus.TOO_MANY_REQUESTS_429
-        || status == HttpStatus.SERVICE_UNAVAILABLE_503
-        || status == HttpStatus.REQUEST_TIMEOUT_408
-        || status == HttpStatus.MISDIRECTED_REQUEST_421;
-  }
-
   /** Ends a request that cannot be served, with a status that tells the truth. */
   private void giveUp(Call call, String why, long retryMillis) {
     cancelAll(call, "given up");
@@ -554,10 +547,10 @@
     if (started) {
       call.exchange.breakOff(why);
     } else if (call.runs > 0) {
-      finishOwn(call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, why, -1);
+      answers.finish(call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, why, -1);
     } else {
       long retry = Math.max(BUSY_RETRY_MILLIS, retryMillis);
-      refuse(call.exchange, call.headers, why, retry);
+      answers.refuse(call.exchange, call.headers, why, retry);
     }
     done(call, started ? 0 : call.runs > 0 ? 502 : 503, why, clock.getAsLong());
   }
@@ -569,9 +562,9 @@
     if (call.exchange.isStarted()) {
       call.exchange.breakOff("deadline");
     } else if (handedOn || call.runs > 0) {
-      finishOwn(call.exchange, call.headers, HttpStatus.GATEWAY_TIMEOUT_504, "deadline", -1);
+      answers.finish(call.exchange, call.headers, HttpStatus.GATEWAY_TIMEOUT_504, "deadline", -1);
     } else {
-      refuse(call.exchange, call.headers, "deadline", 0);
+      answers.refuse(call.exchange, call.headers, "deadline", 0);
     }
     done(call, HttpStatus.GATEWAY_TIMEOUT_504, "deadline", clock.getAsLong());
   }
@@ -632,25 +625,6 @@
     changed.run();
   }
 
-  private void refuse(
-      CallerExchange exchange, CallerHeaders headers, String why, long retryMillis) {
-    finishOwn(exchange, headers, HttpStatus.SERVICE_UNAVAILABLE_503, why, retryMillis);
-  }
-
-  private void finishOwn(
-      CallerExchange exchange, CallerHeaders headers, int status, String why, long retryMillis) {
-    HttpFields.Mutable fields = HttpFields.build();
-    if (!headers.requestId().isEmpty()) {
-      fields.put(CallerDialect.requestId(headers.requestId()));
-    }
-    if (retryMillis >= 0) {
-      fields.put(HttpHeader.RETRY_AFTER, Double.toString(retryMillis / MILLIS));
-    }
-    metrics.counter("answers.own." + status).inc();
-    log.info("own-answer", "request", headers.requestId(), "status", status, "why", why);
-    exchange.answer(status, fields, why);
-  }
-
   private void done(Call call, int status, String why, long now) {
     metrics.counter("requests.ended." + status).inc();
     if (status == HttpStatus.OK_200) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -28,8 +28,6 @@
 import org.sequoiahub.core.holding.ShelfSettings;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.Members;
-import org.sequoiahub.core.member.Members.Member;
-import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.peer.FleetShape;
@@ -88,12 +86,6 @@
    */
   private static final long SUSPENSION_MILLIS = 400;
 
-  /** Hosts are being restarted in turn if one said this long ago at most that it leaves (ms). */
-  private static final long ROLLING_MILLIS = 10_000;
-
-  /** A host that started this much later than the oldest has been restarted (ms). */
-  private static final long RESTARTED_MILLIS = 5_000;
-
   /**
    * A granter that started this long before a runner was first seen here has seen every lease of it
    * (ms): a runner is seen within a second, and a lease lasts one.
@@ -111,6 +103,7 @@
   private final HostSettings settings;
   private final Members<HostState> members;
   private final FleetShape shape;
+  private final HolderChoice choice;
   private final LeaseGranter granter;
   private final Holdings holdings;
   private final FleetLoad loads;
@@ -124,7 +117,6 @@
   private final Runnable changed;
   private final EventLog log;
   private final long startedMillis;
-  private final long incarnation;
   private final LoadTime loadTime = new LoadTime(ShelfSettings.DEFAULT.loadMillis());
   private final Map<String, Held> held = new HashMap<>();
 
@@ -202,9 +194,9 @@
       Runnable changed,
       EventLog log) {
     this.settings = settings;
-    this.incarnation = incarnation;
     this.members = members;
     this.shape = shape;
+    this.choice = new HolderChoice(settings, incarnation, members, shape);
     this.holdings = holdings;
     this.loads = loads;
     this.orders = orders;
@@ -407,52 +399,13 @@
         && nowMillis - holding.get().toldMillis() < HOLDER_SILENT_MILLIS) {
       return false;
     }
-    return firstChoice(runner, nowMillis).equals(settings.host());
+    return choice.isThisHost(runner, nowMillis);
   }
 
   private boolean hasOtherSeeds() {
     return settings.seeds().stream().anyMatch(ip -> !ip.equals(settings.ip()));
   }
 
-  /**
-   * The host that should order a runner: one of its failure domain if there is any.
-   *
-   * <p>Hosts are restarted in turn, and each change of the holder costs the runner some seconds
-   * without orders. So while one leaves, those that have been restarted already are preferred: the
-   * others are likely to be next.
-   */
-  private String firstChoice(RunnerEntry runner, long nowMillis) {
-    Map<String, String> domains = new HashMap<>();
-    domains.put(settings.host(), settings.failureDomain());
-    Map<String, Long> starts = new HashMap<>();
-    starts.put(settings.host(), incarnation);
-    boolean rolling = false;
-    for (Member<HostState> member : members.reachable(nowMillis)) {
-      HostState state = member.state();
-      rolling |= member.leaving() && nowMillis - member.heardMillis() < ROLLING_MILLIS;
-      if (members.isSound(member.host(), nowMillis) && state != null) {
-        domains.put(member.host(), state.getFailureDomain());
-        starts.put(member.host(), member.incarnation());
-      }
-    }
-    // In a large fleet few hosts order many runners each: claims go to every host.
-    Set<String> candidates = new HashSet<>(domains.keySet());
-    if (shape.isLarge()) {
-      candidates.retainAll(shape.delegates());
-    }
-    long oldest = starts.values().stream().min(Long::compare).orElse(incarnation);
-    Set<String> restarted = new HashSet<>(candidates);
-    restarted.removeIf(host -> starts.getOrDefault(host, 0L) - oldest < RESTARTED_MILLIS);
-    if (rolling && !restarted.isEmpty()) {
-      candidates = restarted;
-    }
-    Set<String> near = new HashSet<>(candidates);
-    near.removeIf(host -> !runner.failureDomain().equals(domains.get(host)));
-    // By address: a runner that restarts there stays with its holder, which needs no wait.
-    return Rendezvous.first(runner.address(), near.isEmpty() ? candidates : near, host -> host)
-        .orElse(settings.host());
-  }
-
   private void claim(long nowMillis) {
     Set<String> electorate = members.electorate(nowMillis);
     boolean due = false;
@@ -506,7 +459,7 @@
     if (!lately && entry.shelf != null) {
       log.warning("runner-lost", "runner", entry.runner.id());
       held.remove(entry.runner.id());
-    } else if (!lately && !firstChoice(entry.runner, nowMillis).equals(settings.host())) {
+    } else if (!lately && !choice.isThisHost(entry.runner, nowMillis)) {
       // Hosts that granted the claim would refuse the right host for the rest of the lease.
       held.remove(entry.runner.id());
       release(Set.of(entry.runner.id()), nowMillis);
