--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -461,7 +461,7 @@
       if (wish.getRefused()) {
         holder.missing(wish.getRunner(), wish.getAdapter(), nowMillis);
       } else {
-        holder.remoteWish(from, wish.getRunner(), StateCodec.decode(wish), nowMillis);
+        holder.remoteWish(from, wish.getRunner(), StateCodec.decodeWish(wish), nowMillis);
       }
     }
     if (shape.isLarge()) {
@@ -519,7 +519,9 @@
     StateCodec.addUses(state, complete ? allUses() : changedUses());
     Set<String> ordered = leaving || !withHoldings ? Set.of() : holder.ordered(now);
     for (String runner : ordered) {
-      holdings.find(runner).ifPresent(h -> state.addHoldings(StateCodec.encode(runner, h, now)));
+      holdings
+          .find(runner)
+          .ifPresent(h -> state.addHoldings(StateCodec.encodeHolding(runner, h, now)));
     }
     return state;
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -287,7 +287,7 @@
                     digest.addHoldings(
                         HeldBy.newBuilder()
                             .setHost(settings.host())
-                            .setHolding(StateCodec.encode(runner, holding, nowMillis))));
+                            .setHolding(StateCodec.encodeHolding(runner, holding, nowMillis))));
       }
     }
     if (digest.getHoldingsCount() > 0) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
@@ -67,7 +67,7 @@
             holding -> {
               AdapterDemand.Builder demand =
                   byHost.computeIfAbsent(holding.host(), host -> AdapterDemand.newBuilder());
-              wishes.forEach(wish -> demand.addWishes(StateCodec.encode(runner, wish)));
+              wishes.forEach(wish -> demand.addWishes(StateCodec.encodeWish(runner, wish)));
             });
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
@@ -101,7 +101,7 @@
     digest.setLoadsTold(true);
     sums.forEach(
         (runner, use) ->
-            digest.addLoads(StateCodec.encode(runner, use, withAdapters.test(runner))));
+            digest.addLoads(StateCodec.encodeLoad(runner, use, withAdapters.test(runner))));
   }
 
   static void addWord(Digest.Builder digest, Member<HostState> member, long nowMillis) {
@@ -124,7 +124,7 @@
     digest.addHoldings(
         HeldBy.newBuilder()
             .setHost(holding.host())
-            .setHolding(StateCodec.encode(runner, holding, nowMillis)));
+            .setHolding(StateCodec.encodeHolding(runner, holding, nowMillis)));
   }
 
   private static String brief(Member<HostState> member) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
@@ -192,7 +192,7 @@
       if (!held.getHost().equals(settings.host())) {
         holdings.told(
             held.getHolding().getRunner(),
-            StateCodec.decode(held.getHost(), held.getHolding(), nowMillis));
+            StateCodec.decodeHolding(held.getHost(), held.getHolding(), nowMillis));
       }
     }
     if (digest.getLoadsTold()) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -102,15 +102,15 @@
 
   /** Returns the other hosts to tell as delegates of this host's group. */
   public List<Member<HostState>> nearDelegates() {
-    return delegates(true);
+    return toTell(true);
   }
 
   /** Returns the hosts to tell as delegates of the other groups. */
   public List<Member<HostState>> farDelegates() {
-    return delegates(false);
+    return toTell(false);
   }
 
-  private List<Member<HostState>> delegates(boolean near) {
+  private List<Member<HostState>> toTell(boolean near) {
     List<Member<HostState>> chosen = new ArrayList<>();
     for (String host : told) {
       if (!host.equals(settings.host()) && isNear(host) == near) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -23,11 +23,11 @@
 
   /** Adds what a host has in flight. */
   public static void addUses(HostState.Builder state, Map<String, FleetLoad.Use> uses) {
-    uses.forEach((runner, use) -> state.addLoads(encode(runner, use, true)));
+    uses.forEach((runner, use) -> state.addLoads(encodeLoad(runner, use, true)));
   }
 
   /** Encodes what is in flight at a runner. */
-  static RunnerLoad.Builder encode(String runner, FleetLoad.Use use, boolean withAdapters) {
+  static RunnerLoad.Builder encodeLoad(String runner, FleetLoad.Use use, boolean withAdapters) {
     RunnerLoad.Builder load =
         RunnerLoad.newBuilder()
             .setRunner(runner)
@@ -58,7 +58,7 @@
   }
 
   /** Encodes what a runner holds. */
-  public static Holding encode(String runner, Holdings.Holding holding, long nowMillis) {
+  public static Holding encodeHolding(String runner, Holdings.Holding holding, long nowMillis) {
     Holding.Builder message =
         Holding.newBuilder()
             .setRunner(runner)
@@ -80,13 +80,13 @@
       String host, HostState state, long nowMillis) {
     Map<String, Holdings.Holding> holdings = new HashMap<>();
     for (Holding message : state.getHoldingsList()) {
-      holdings.put(message.getRunner(), decode(host, message, nowMillis));
+      holdings.put(message.getRunner(), decodeHolding(host, message, nowMillis));
     }
     return holdings;
   }
 
   /** Decodes what a runner holds, as the host that orders it told. */
-  static Holdings.Holding decode(String host, Holding message, long nowMillis) {
+  static Holdings.Holding decodeHolding(String host, Holding message, long nowMillis) {
     Map<String, HeldItem> items = new HashMap<>();
     for (HeldAdapter adapter : message.getAdaptersList()) {
       items.put(
@@ -104,7 +104,7 @@
   }
 
   /** Encodes a wish for an adapter. */
-  public static AdapterWish encode(String runner, Wish wish) {
+  public static AdapterWish encodeWish(String runner, Wish wish) {
     return AdapterWish.newBuilder()
         .setRunner(runner)
         .setAdapter(wish.target())
@@ -114,7 +114,7 @@
   }
 
   /** Decodes a wish for an adapter. */
-  public static Wish decode(AdapterWish wish) {
+  public static Wish decodeWish(AdapterWish wish) {
     String target = wish.getAdapter();
     return new Wish(
         Target.model(target), Target.adapter(target), wish.getWaiting(), wish.getPriority());
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -316,7 +316,7 @@
         for (String runner : desk.ordered(now)) {
           holdings
               .find(runner)
-              .ifPresent(h -> state.addHoldings(StateCodec.encode(runner, h, now)));
+              .ifPresent(h -> state.addHoldings(StateCodec.encodeHolding(runner, h, now)));
         }
       }
       return state;
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -150,7 +150,7 @@
     }
     faults.undoAll();
     boolean recovered = await(this::isEveryHostReady);
-    boolean served = recovered && await(() -> isServed(callers));
+    final boolean served = recovered && await(() -> isServed(callers));
     later.shutdown();
     await(() -> callers.open() == 0);
     Map<String, HostProcess> byName = new HashMap<>();
