--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -19,8 +19,8 @@
 public final class FleetShape {
 
   /**
-   * The choice is made anew this often (ms). A host is suspected only after a second, and ranking 40
-   * hosts ten times a second took a sixth of the decision threads of an idle fleet (7 of 42
+   * The choice is made anew this often (ms). A host is suspected only after a second, and ranking
+   * 40 hosts ten times a second took a sixth of the decision threads of an idle fleet (7 of 42
    * samples).
    */
   private static final long REFRESH_MILLIS = 400;
