Runners are known by incarnation, records are decoded strictly, a stopping host takes only what it can finish

A runner may start again under its id: what dies with the process (residency, prompt memory, load, health, orders, lease) is now kept under (id, start). Entries by other writers with fields missing or of another type were coerced (a text became 0 or 1) and are now refused with the field's name; a bad one replaces nothing.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerOrders.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerOrders.java
@@ -1,7 +1,6 @@
 package org.sequoiahub.core.holding;
 
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.upstream.RunnerEntry;
 
 /** Gives orders to runners and reads their reports; replies may come on any thread. */
@@ -24,6 +23,6 @@
       long timeoutMillis,
       Consumer<OrderReply> listener);
 
-  /** Reads a runner's report; null if there was none. */
-  void report(RunnerEntry runner, long timeoutMillis, Consumer<@Nullable RunnerReport> listener);
+  /** Reads a runner's report. */
+  void report(RunnerEntry runner, long timeoutMillis, Consumer<ReportReply> listener);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerReport.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerReport.java
@@ -6,6 +6,7 @@
 /**
  * A runner's own account of what it holds, some hundred milliseconds old.
  *
+ * @param startedAtMillis the time of day of its start (ms since 1970); 0 if it does not say
  * @param sequence orders that it accepted since its start
  * @param busy whether an order for a base model is in progress
  * @param models base models that it holds
@@ -13,6 +14,7 @@
  * @param coming adapters on their way, with their versions
  */
 public record RunnerReport(
+    long startedAtMillis,
     long sequence,
     boolean busy,
     Set<String> models,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
@@ -30,7 +30,11 @@
   private final Map<String, Known> known = new HashMap<>();
   private long revision;
 
-  /** A change of one runner. */
+  /**
+   * A change of one runner.
+   *
+   * @param id the id that the runner answers to
+   */
   public record Change(String id, long revision, @Nullable RunnerEntry entry) {}
 
   /** Returns the store revision up to which this book is complete. */
@@ -54,9 +58,14 @@
           change.id, new Known(change.revision, current.entry, nowMillis, current.goneAtMillis));
       return true;
     }
+    RunnerEntry before = current == null ? null : current.entry;
+    if (before != null && entry.isOlderThan(before)) {
+      return false;
+    }
+    boolean sameLife = before != null && before.incarnation().equals(entry.incarnation());
     long goneAt =
         entry.remainingMillis() >= 0 ? nowMillis + entry.remainingMillis() : Long.MAX_VALUE;
-    if (current != null) {
+    if (current != null && sameLife) {
       goneAt = Math.min(goneAt, current.goneAtMillis);
     }
     known.put(change.id, new Known(change.revision, entry, -1, goneAt));
@@ -68,12 +77,17 @@
     revision = Math.max(revision, upTo);
   }
 
-  /** Takes in a whole reading at {@code atRevision}: what it lacks has left. */
-  public void replace(Collection<Change> entries, long atRevision, long nowMillis) {
+  /**
+   * Takes in a whole reading at {@code atRevision}: what it lacks has left.
+   *
+   * @param unreadable runners whose entries are there and cannot be read; what was known holds
+   */
+  public void replace(
+      Collection<Change> entries, Set<String> unreadable, long atRevision, long nowMillis) {
     if (atRevision < revision) {
       return;
     }
-    Set<String> present = new HashSet<>();
+    Set<String> present = new HashSet<>(unreadable);
     for (Change entry : entries) {
       present.add(entry.id);
       apply(entry, nowMillis);
@@ -107,8 +121,8 @@
   }
 
   /** Returns whether a runner's entry vanished. */
-  public boolean vanished(String id) {
-    Known runner = known.get(id);
+  public boolean vanished(String runnerId) {
+    Known runner = known.get(runnerId);
     return runner == null || runner.vanishedMillis >= 0;
   }
 
@@ -118,9 +132,15 @@
     return Optional.ofNullable(runner == null ? null : runner.entry);
   }
 
-  /** Returns the runners that are known, those that left a while ago included. */
-  public Set<String> ids() {
-    return Set.copyOf(known.keySet());
+  /** Returns the keys of the incarnations that are known, of runners that left included. */
+  public Set<String> incarnations() {
+    Set<String> keys = new HashSet<>();
+    for (Known runner : known.values()) {
+      if (runner.entry != null) {
+        keys.add(runner.entry.id());
+      }
+    }
+    return keys;
   }
 
   /** Forgets runners that vanished long ago. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerEntry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerEntry.java
@@ -6,7 +6,8 @@
 /**
  * What a runner published of itself.
  *
- * @param id names one start of the runner; a restart has another
+ * @param incarnation which runner, and which of its lives
+ * @param sequence a count that only grows in one life: an entry with a lower one is an old copy
  * @param service the service that it belongs to
  * @param address its host:port, which another runner may get later
  * @param failureDomain where it runs
@@ -18,7 +19,8 @@
  * @param heldAdapters adapters as model/adapter, with the version of each
  */
 public record RunnerEntry(
-    String id,
+    RunnerIncarnation incarnation,
+    long sequence,
     String service,
     String address,
     String failureDomain,
@@ -34,4 +36,25 @@
     heldModels = Set.copyOf(heldModels);
     heldAdapters = Map.copyOf(heldAdapters);
   }
+
+  /** Returns the key of the incarnation, under which all that is known of it is kept. */
+  public String id() {
+    return incarnation.key();
+  }
+
+  /** Returns the id that the runner answers to; a restart may keep it. */
+  public String instance() {
+    return incarnation.runner();
+  }
+
+  /**
+   * Returns whether this is an old copy of what {@code known} replaced: of an earlier life, or an
+   * earlier word of the same one.
+   */
+  public boolean isOlderThan(RunnerEntry known) {
+    boolean sameLife = incarnation.equals(known.incarnation);
+    boolean startKnown = incarnation.startedAtMillis() != RunnerIncarnation.UNKNOWN_START;
+    return incarnation.isBefore(known.incarnation)
+        || (sameLife && startKnown && sequence < known.sequence);
+  }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -14,6 +14,7 @@
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.call.PromptPart;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerIncarnation;
 
 class GenerationPlacementTest {
 
@@ -30,7 +31,18 @@
   }
 
   private static RunnerEntry runner(String id) {
-    return new RunnerEntry(id, "s", "10.0.0.1:80", "d", 64, false, -1, 0, Set.of("m"), Map.of());
+    return new RunnerEntry(
+        RunnerIncarnation.of(id),
+        0,
+        "s",
+        "10.0.0.1:80",
+        "d",
+        64,
+        false,
+        -1,
+        0,
+        Set.of("m"),
+        Map.of());
   }
 
   private static Candidate candidate(String id, boolean present, long ahead, int unread) {
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
@@ -98,6 +98,6 @@
   }
 
   private static RunnerReport report(Map<String, Integer> adapters) {
-    return new RunnerReport(1, false, Set.of("m"), adapters, Map.of());
+    return new RunnerReport(0, 1, false, Set.of("m"), adapters, Map.of());
   }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
@@ -148,6 +148,6 @@
     Map<String, Integer> coming = new HashMap<>();
     readyAt.forEach(
         (target, ready) -> (ready <= now ? there : coming).put(target, versions.get(target)));
-    return new RunnerReport(sequence, false, Set.of("m"), there, coming);
+    return new RunnerReport(0, sequence, false, Set.of("m"), there, coming);
   }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerBookTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerBookTest.java
@@ -20,7 +20,17 @@
 
   private static RunnerEntry entry(String id, boolean leaving, long remaining) {
     return new RunnerEntry(
-        id, "s", "10.0.0.1:80", "d", 4, leaving, remaining, 0, Set.of(), Map.of());
+        RunnerIncarnation.of(id),
+        0,
+        "s",
+        "10.0.0.1:80",
+        "d",
+        4,
+        leaving,
+        remaining,
+        0,
+        Set.of(),
+        Map.of());
   }
 
   /**
@@ -95,12 +105,90 @@
       RunnerBook book = new RunnerBook();
       book.apply(new Change("old", 1, entry("old", false, -1)), 0);
       book.apply(new Change("new", 9, entry("new", false, -1)), 0);
-      book.replace(List.of(), 5, 10);
+      book.replace(List.of(), Set.of(), 5, 10);
       assertThat(book.vanished("old")).isTrue();
       assertThat(book.vanished("new")).isFalse();
     }
   }
 
+  @Nested
+  class RestartUnderTheSameId {
+    private static RunnerEntry life(long startedAtMillis, long sequence, boolean leaving) {
+      return new RunnerEntry(
+          new RunnerIncarnation("r", startedAtMillis),
+          sequence,
+          "s",
+          "10.0.0.1:80",
+          "d",
+          4,
+          leaving,
+          -1,
+          0,
+          Set.of(),
+          Map.of());
+    }
+
+    /**
+     * Symptom: what was known of a runner before its restart (its adapters, its load) is used for
+     * the new process, which refuses all that is sent there.
+     *
+     * <p>Events: a runner crashes and starts again under its id; its count begins anew.
+     *
+     * <p>Cause: lives were told apart by the id alone.
+     */
+    @Test
+    void newLifeReplacesTheOldAndHasAnotherKey() {
+      RunnerBook book = new RunnerBook();
+      book.apply(new Change("r", 1, life(1_000, 40, true)), 0);
+      book.apply(new Change("r", 2, life(2_000, 0, false)), 10);
+      assertThat(book.usable(20)).containsExactly(life(2_000, 0, false));
+      assertThat(book.incarnations()).containsExactly("r/2000");
+    }
+
+    /**
+     * Symptom: a runner that leaves gets requests, or the present life of one is forgotten.
+     *
+     * <p>Events: an old copy of the entry is written after a newer one.
+     *
+     * <p>Cause looked for: the store's revision taken as the only measure of age.
+     */
+    @Test
+    void oldCopiesChangeNothing() {
+      RunnerBook book = new RunnerBook();
+      book.apply(new Change("r", 1, life(2_000, 7, true)), 0);
+      assertThat(book.apply(new Change("r", 2, life(1_000, 90, false)), 10)).isFalse();
+      assertThat(book.apply(new Change("r", 3, life(2_000, 6, false)), 10)).isFalse();
+      assertThat(book.usable(20)).isEmpty();
+      assertThat(book.find("r")).hasValue(life(2_000, 7, true));
+    }
+
+    /** The same, in any order of arrival: the latest life and its latest word decide. */
+    @Property(tries = 2_000, seed = "20261220")
+    void latestWordOfTheLatestLifeWins(
+        @ForAll @Size(min = 1, max = 30) List<@IntRange(min = 0, max = 24) Integer> words) {
+      RunnerBook book = new RunnerBook();
+      int latest = -1;
+      int revision = 0;
+      for (int word : words) {
+        book.apply(new Change("r", ++revision, life(1 + word / 5, word % 5, false)), 0);
+        latest = Math.max(latest, word);
+      }
+      RunnerEntry known = book.find("r").orElseThrow();
+      assertThat(known).isEqualTo(life(1 + latest / 5, latest % 5, false));
+    }
+  }
+
+  @Nested
+  class UnreadableEntries {
+    @Test
+    void wholeReadingWithUnreadableEntryKeepsWhatWasKnown() {
+      RunnerBook book = new RunnerBook();
+      book.apply(new Change("r", 1, entry("r", false, -1)), 0);
+      book.replace(List.of(), Set.of("r"), 5, 10);
+      assertThat(book.vanished("r")).isFalse();
+    }
+  }
+
   @Nested
   class ShortNotice {
     @Test
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.MemberSettings;
@@ -101,15 +102,6 @@
   /** Runners that vanished this long ago are forgotten (ms). */
   private static final long FORGET_MILLIS = 60_000;
 
-  /** After the request to stop, new requests are still taken for this part of the time. */
-  private static final double TAKE_PART = 0.45;
-
-  /**
-   * The process ends after this part of the time until the kill, whatever is in progress: what is
-   * left over of 8 s covers a slow host's exit (0.6 s were too few).
-   */
-  private static final double END_PART = 0.86;
-
   private static final int ANSWER_ADDRESSES = 64;
 
   private final HostSettings host;
@@ -297,7 +289,7 @@
     if (leaving) {
       return;
     }
-    final long stopMillis = MonotonicClock.SYSTEM.nowMillis();
+    Shutdown shutdown = new Shutdown(MonotonicClock.SYSTEM.nowMillis(), host.shutdownMillis());
     leaving = true;
     log.info("stopping");
     duty.put(
@@ -306,14 +298,12 @@
           refreshAddresses(now);
           holder.stop();
           peers.tellAll(now);
-          calls.stop();
+          calls.stop(shutdown);
         });
-    long takeUntil = stopMillis + (long) (host.shutdownMillis() * TAKE_PART);
-    long end = stopMillis + (long) (host.shutdownMillis() * END_PART);
     boolean idle = false;
-    while (MonotonicClock.SYSTEM.nowMillis() < end && !idle) {
+    while (MonotonicClock.SYSTEM.nowMillis() < shutdown.endMillis() && !idle) {
       TimeUnit.MILLISECONDS.sleep(50);
-      idle = MonotonicClock.SYSTEM.nowMillis() > takeUntil && inProgress() == 0;
+      idle = !shutdown.isFirstPart(MonotonicClock.SYSTEM.nowMillis()) && inProgress() == 0;
     }
     log.info("stopped", "in_progress", inProgress());
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -26,7 +26,7 @@
   final long arrivedMillis;
 
   /** When nobody wants the answer any more. */
-  final long endMillis;
+  private long endMillis;
 
   final StreamRelay relay;
   final List<Running> running = new ArrayList<>();
@@ -91,6 +91,15 @@
     return Math.min(endMillis, arrivedMillis + route.patienceMillis());
   }
 
+  long endMillis() {
+    return endMillis;
+  }
+
+  /** Ends the request at a moment at the latest. */
+  void endBy(long millis) {
+    endMillis = Math.min(endMillis, millis);
+  }
+
   String id() {
     return headers.requestId();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -25,6 +25,7 @@
 import org.sequoiahub.core.dispatch.RetryRule;
 import org.sequoiahub.core.dispatch.RetryRule.Ending;
 import org.sequoiahub.core.dispatch.ServicePlacement;
+import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.retry.SharedRetryBudget;
@@ -84,7 +85,7 @@
   private final OwnAnswers answers;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lookedMillis;
-  private boolean stopping;
+  private @Nullable Shutdown shutdown;
 
   /**
    * Creates a desk.
@@ -119,7 +120,7 @@
   public void arrived(CallerExchange exchange) {
     final long now = clock.getAsLong();
     CallerHeaders headers = CallerDialect.decode(exchange.headers());
-    if (stopping) {
+    if (shutdown != null) {
       exchange.closeAfterwards();
     }
     Optional<RoutingTable> table = fleet.table();
@@ -144,16 +145,18 @@
     String service = route.service(random.nextDouble());
     Optional<ServiceSpec> spec = table.service(service);
     boolean engine = spec.isPresent() && spec.get().engine() != null;
-    long wanted = headers.deadlineMillis() > 0 ? headers.deadlineMillis() : MAX_DEADLINE_MILLIS;
+    long deadline = headers.deadlineMillis() > 0 ? headers.deadlineMillis() : MAX_DEADLINE_MILLIS;
+    long wanted = Math.min(deadline, route.timeoutMillis());
+    long end = now + wanted;
+    if (shutdown != null) {
+      if (!shutdown.takes(wanted, now)) {
+        answers.refuse(exchange, headers, "stopping", BUSY_RETRY_MILLIS);
+        return;
+      }
+      end = Math.min(end, shutdown.lastWordMillis());
+    }
     Call call =
-        new Call(
-            exchange,
-            headers,
-            route,
-            service,
-            engine ? headers.generation() : null,
-            now,
-            now + Math.min(wanted, route.timeoutMillis()));
+        new Call(exchange, headers, route, service, engine ? headers.generation() : null, now, end);
     calls.add(call);
     metrics.counter("requests.accepted").inc();
     budget.request(service, now);
@@ -175,7 +178,7 @@
         cancelAll(call, "the caller has gone");
         call.exchange.breakOff("the caller has gone");
         finished(call);
-      } else if (nowMillis >= call.endMillis) {
+      } else if (nowMillis >= call.endMillis()) {
         expired(call);
       } else if (call.running.isEmpty()) {
         place(call, nowMillis);
@@ -211,10 +214,14 @@
         Math.min(first.priority(), second.priority()));
   }
 
-  /** Asks callers to close their connections from now on. */
-  public void stop() {
-    stopping = true;
-    calls.forEach(call -> call.exchange.closeAfterwards());
+  /** Asks callers to close their connections, and takes only what can be finished. */
+  public void stop(Shutdown begun) {
+    shutdown = begun;
+    calls.forEach(
+        call -> {
+          call.exchange.closeAfterwards();
+          call.endBy(begun.lastWordMillis());
+        });
   }
 
   /** Returns how many requests are in progress. */
@@ -343,8 +350,8 @@
     String lastEvent = call.relay.lastEventId();
     RunnerHeaders ours =
         new RunnerHeaders(
-            runner.id(),
-            call.endMillis - nowMillis,
+            runner.instance(),
+            call.endMillis() - nowMillis,
             call.generation == null ? -1 : call.route.priority(),
             fleet.newestVersion(call.adapter()),
             lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent);
@@ -357,7 +364,7 @@
         "send",
         call.sends,
         "left_ms",
-        call.endMillis - nowMillis,
+        call.endMillis() - nowMillis,
         "unread",
         unreadTokens,
         "adapter",
@@ -514,7 +521,7 @@
             call.sends,
             call.runs,
             call.route.maxAttempts(),
-            call.endMillis - now);
+            call.endMillis() - now);
     boolean allowed =
         again
             && (!RetryRule.drawsOnBudget(ending)
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -200,7 +200,7 @@
         residency.ordered,
         results.failureRate(nowMillis),
         results.latencyMillis(),
-        book.vanished(runner.id()),
+        book.vanished(runner.instance()),
         runner.failureDomain().equals(failureDomain));
   }
 
@@ -249,7 +249,7 @@
 
   /** Forgets runners that are gone and refusals that no longer matter. */
   public void forget(long nowMillis) {
-    Set<String> known = book.ids();
+    Set<String> known = book.incarnations();
     health.keySet().retainAll(known);
     prompts.keySet().retainAll(known);
     refusedUntil.values().removeIf(until -> until < nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -22,8 +22,8 @@
 import org.sequoiahub.core.holding.LoadTime;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
+import org.sequoiahub.core.holding.ReportReply;
 import org.sequoiahub.core.holding.RunnerOrders;
-import org.sequoiahub.core.holding.RunnerReport;
 import org.sequoiahub.core.holding.RunnerShelf;
 import org.sequoiahub.core.holding.ShelfSettings;
 import org.sequoiahub.core.holding.Wish;
@@ -537,21 +537,21 @@
     orders.report(
         entry.runner,
         ORDER_TIMEOUT_MILLIS,
-        report -> decisions.accept(() -> reported(entry, report)));
+        reply -> decisions.accept(() -> reported(entry, reply)));
   }
 
-  private void reported(Held entry, @Nullable RunnerReport report) {
+  private void reported(Held entry, ReportReply reply) {
     entry.reporting = false;
     RunnerShelf shelf = entry.shelf;
     if (shelf == null || held.get(entry.runner.id()) != entry) {
       return;
     }
     long now = clock.getAsLong();
-    if (report == null) {
-      log.info("report-missing", "runner", entry.runner.id());
+    if (reply instanceof ReportReply.Missing missing) {
+      log.info("report-missing", "runner", entry.runner.id(), "why", missing.why());
       return;
     }
-    shelf.adopt(report, now);
+    shelf.adopt(((ReportReply.Given) reply).report(), now);
     pump(entry.runner.id(), now);
     tell(entry, now);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +29,12 @@
  */
 public final class StoreDesk implements StoreListener {
 
+  /**
+   * Keys for which it is remembered that their unreadable value was logged: more than the runners
+   * of one deployment, so that a writer of many bad keys fills neither the log nor the memory.
+   */
+  private static final int MAX_IGNORED = 4_096;
+
   private final RecordDecoder decoder;
   private final RunnerBook book;
   private final Consumer<RoutingTable> tables;
@@ -39,6 +47,15 @@
   private long newestOperator;
   private long runnersRevision;
 
+  /** The revision of each key that was logged as unreadable last; the oldest keys are forgotten. */
+  private final Map<String, Long> ignoredRevisions =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_IGNORED;
+        }
+      };
+
   /**
    * Creates a desk.
    *
@@ -62,11 +79,14 @@
   public void whole(String prefix, List<StoredItem> items, long revision, long nowMillis) {
     if (prefix.equals(StoredKeys.RUNNER_PREFIX)) {
       List<Change> entries = new ArrayList<>();
+      Set<String> unreadable = new HashSet<>();
       for (StoredItem item : items) {
-        runnerChange(item, entries);
+        if (!runnerChange(item, entries)) {
+          unreadable.add(StoredKeys.runnerId(item.key()));
+        }
       }
       entries.forEach(this::noteWhetherItMatters);
-      book.replace(entries, revision, nowMillis);
+      book.replace(entries, unreadable, revision, nowMillis);
       missing(items, revision).forEach(this::noteRemoval);
     } else {
       items.forEach(item -> operatorChange(item, nowMillis));
@@ -99,6 +119,7 @@
         before != null
             && now != null
             && !book.vanished(change.id())
+            && before.incarnation().equals(now.incarnation())
             && before.address().equals(now.address())
             && before.leaving() == now.leaving();
     if (!same) {
@@ -177,7 +198,8 @@
     return runners.values().stream().filter(item -> item.revision() > revision).toList();
   }
 
-  private void runnerChange(StoredItem item, List<Change> entries) {
+  /** Adds the change that an item is; returns whether it could be read. */
+  private boolean runnerChange(StoredItem item, List<Change> entries) {
     String id = StoredKeys.runnerId(item.key());
     byte @Nullable [] value = item.value();
     if (value == null) {
@@ -187,14 +209,23 @@
         RunnerEntry entry = decoder.runner(id, value);
         entries.add(new Change(id, item.revision(), entry));
       } catch (DecodeException e) {
-        log.warning("record-ignored", "key", item.key(), "why", e.getMessage());
-        return;
+        ignored(item, e);
+        return false;
       }
     }
     StoredItem before = runners.get(item.key());
     if (before == null || before.revision() < item.revision()) {
       runners.put(item.key(), item);
     }
+    return true;
+  }
+
+  /** Logs an item that cannot be read, once: each whole reading brings it again. */
+  private void ignored(StoredItem item, DecodeException problem) {
+    Long logged = ignoredRevisions.put(item.key(), item.revision());
+    if (logged == null || logged != item.revision()) {
+      log.warning("record-ignored", "key", item.key(), "why", problem.getMessage());
+    }
   }
 
   private boolean apply(Change change, long nowMillis) {
@@ -202,13 +233,20 @@
     RunnerEntry before = book.find(change.id()).orElse(null);
     boolean news = book.apply(change, nowMillis);
     RunnerEntry entry = change.entry();
-    if (news && (before == null || entry == null || entry.leaving() != before.leaving())) {
+    boolean matters =
+        before == null
+            || entry == null
+            || entry.leaving() != before.leaving()
+            || !entry.incarnation().equals(before.incarnation());
+    if (news && matters) {
       log.info(
           "runner-changed",
           "runner",
           change.id(),
           "revision",
           change.revision(),
+          "started_at",
+          entry == null ? -1 : entry.incarnation().startedAtMillis(),
           "present",
           entry != null,
           "leaving",
@@ -241,7 +279,7 @@
         log.info("adapter-version", "adapter", version.target(), "version", version.version());
       }
     } catch (DecodeException e) {
-      log.warning("record-ignored", "key", item.key(), "why", e.getMessage());
+      ignored(item, e);
       return false;
     }
     operator.put(item.key(), item);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -468,4 +468,66 @@
           });
     }
   }
+
+  /**
+   * Symptom: after a runner's restart all requests for its adapters are refused there.
+   *
+   * <p>Events: a runner crashes, starts again under its id with nothing in it, and writes its
+   * entry.
+   *
+   * <p>Cause: what it held, its count of orders and its lease were kept under the id alone.
+   */
+  @Nested
+  class RestartUnderTheSameId {
+    private StandinRunner runner;
+
+    @BeforeEach
+    void start() throws Exception {
+      fleet.configure(LoopbackFleet.route("/m/", "streaming", "llm", true));
+      runner = fleet.startRunner("i-1", "llm", "m");
+      fleet.startNode(1);
+      fleet.startNode(2);
+      ready(1);
+      served("first");
+    }
+
+    private void served(String name) throws InterruptedException {
+      int[] number = {0};
+      LoopbackFleet.await(name, () -> status(name + number[0]++) == 200);
+    }
+
+    @Test
+    void adaptersAreBroughtAgain() throws Exception {
+      runner.restart();
+      fleet.publish(runner, "ready");
+      // Until the entry is read requests are refused; the answer that counts is the one that comes.
+      served("new");
+      assertThat(runner.overloads()).isEqualTo(0);
+    }
+
+    @Test
+    void entryOfAnotherWriterLeavesTheRunnerInUse() throws Exception {
+      fleet.store.put("servers/i-1", "{\"service\":7,\"state\":\"asleep\"}");
+      fleet.store.put("servers/ghost", "not JSON");
+      fleet.publish(fleet.startRunner("i-2", "other", ""), "ready");
+      assertThat(stream("q1").getStatus()).isEqualTo(200);
+      assertThat(runner.runs()).containsKey("q1");
+    }
+
+    private int status(String id) {
+      try {
+        return stream(id).getStatus();
+      } catch (Exception e) {
+        return 0;
+      }
+    }
+
+    private ContentResponse stream(String id) throws Exception {
+      return fleet
+          .request(1, "/m/x", id)
+          .method(HttpMethod.POST)
+          .headers(h -> h.put("Model", "m/a1").put("Token-Counts", "10,5"))
+          .send();
+    }
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -17,6 +17,7 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
+import org.sequoiahub.core.holding.ReportReply;
 import org.sequoiahub.core.holding.RunnerOrders;
 import org.sequoiahub.core.holding.RunnerReport;
 import org.sequoiahub.core.holding.Wish;
@@ -25,6 +26,7 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerDesk;
 import org.sequoiahub.node.peer.StateCodec;
@@ -190,7 +192,19 @@
     final Set<String> held = new HashSet<>();
 
     Runner(String id, String address) {
-      this.entry = new RunnerEntry(id, "llm", address, "z", 8, false, -1, 0, Set.of("m"), Map.of());
+      this.entry =
+          new RunnerEntry(
+              RunnerIncarnation.of(id),
+              0,
+              "llm",
+              address,
+              "z",
+              8,
+              false,
+              -1,
+              0,
+              Set.of("m"),
+              Map.of());
     }
 
     OrderReply order(Host from, Order order, long expected, String holder, long token) {
@@ -403,8 +417,7 @@
     }
 
     @Override
-    public void report(
-        RunnerEntry runner, long timeoutMillis, Consumer<@Nullable RunnerReport> listener) {
+    public void report(RunnerEntry runner, long timeoutMillis, Consumer<ReportReply> listener) {
       int sentIn = life;
       after(
           delay(),
@@ -414,12 +427,12 @@
                 Map<String, Integer> adapters = new HashMap<>();
                 candidate.held.forEach(target -> adapters.put(target, 1));
                 RunnerReport report =
-                    new RunnerReport(candidate.sequence, false, Set.of("m"), adapters, Map.of());
-                answer(sentIn, () -> listener.accept(report));
+                    new RunnerReport(0, candidate.sequence, false, Set.of("m"), adapters, Map.of());
+                answer(sentIn, () -> listener.accept(new ReportReply.Given(report)));
                 return;
               }
             }
-            answer(sentIn, () -> listener.accept(null));
+            answer(sentIn, () -> listener.accept(new ReportReply.Missing("no such runner")));
           });
     }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerIncarnation;
 
 /** A runner on loopback that answers each request with the bytes it was given, or breaks off. */
 final class ScriptedRunner implements AutoCloseable {
@@ -39,7 +40,8 @@
 
   RunnerEntry entry() {
     String address = "127.0.0.1:" + server.getLocalPort();
-    return new RunnerEntry("i-1", "s", address, "d", 4, false, -1, 0, Set.of(), Map.of());
+    return new RunnerEntry(
+        RunnerIncarnation.of("i-1"), 0, "s", address, "d", 4, false, -1, 0, Set.of(), Map.of());
   }
 
   /** The heads of the requests so far. */
