--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
@@ -11,6 +11,8 @@
  * @param heldAheadTokens prompt tokens of requests that wait to be sent there
  * @param unreadTokens prompt tokens of the request that are still to be read there
  * @param adapterWaitMillis until the adapter can serve there; 0 if it does or none is needed
+ * @param kept whether it dropped the adapter so lately that it brings it back quickly
+ * @param adapterUses requests that use the adapter or wait for it, at all runners
  * @param present whether the model and the adapter are there or on their way
  * @param roomForAdapter whether the adapter could be loaded at once
  * @param ordered whether some host may order the runner now
@@ -26,6 +28,8 @@
     long heldAheadTokens,
     int unreadTokens,
     long adapterWaitMillis,
+    boolean kept,
+    int adapterUses,
     boolean present,
     boolean roomForAdapter,
     boolean ordered,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -32,12 +32,25 @@
    *
    * @param candidate the runner
    * @param firstTokenMillis expected time to the first token
+   * @param score the same with what the choice costs others
    */
-  public record Choice(Candidate candidate, double firstTokenMillis) {}
+  public record Choice(Candidate candidate, double firstTokenMillis, double score) {}
 
-  /** Returns the best of the candidates. */
+  /**
+   * Returns the best of the candidates.
+   *
+   * <p>A request that waits for an adapter stays where it waits unless another runner gains it
+   * more than {@link PlacementSettings#moveMillis}: each move begins another wait at its end. Moved
+   * for any gain, two hundred requests of a day went to and fro for seconds, and their adapters
+   * were brought to both runners.
+   *
+   * @param waitingAt the runner where the request waits; empty if it waits nowhere
+   */
   public Optional<Choice> choose(
-      Generation generation, StreamLimits limits, Collection<Candidate> candidates) {
+      Generation generation,
+      StreamLimits limits,
+      Collection<Candidate> candidates,
+      String waitingAt) {
     List<Candidate> ranked =
         Rendezvous.ranking(generation.target(), candidates, candidate -> candidate.runner().id());
     Choice best = null;
@@ -47,28 +60,31 @@
       double expected = expectedMillis(candidate);
       double score = expected + penalty(candidate) + fetchCost(candidate, rank);
       score += harm(candidate, limits);
+      score -= candidate.runner().id().equals(waitingAt) ? settings.moveMillis() : 0;
       if (score < bestScore) {
         bestScore = score;
-        best = new Choice(candidate, expected);
+        best = new Choice(candidate, expected, score);
       }
     }
     return Optional.ofNullable(best);
   }
 
-  /** Returns the expected time to the first token at one runner (ms). */
+  /**
+   * Returns the expected time to the first token at one runner (ms).
+   *
+   * <p>While an adapter is on its way the prompts ahead are read and slots become free.
+   */
   public double expectedMillis(Candidate candidate) {
-    double reading =
-        (candidate.unreadAheadTokens() + candidate.heldAheadTokens() + candidate.unreadTokens())
-            / settings.readTokensPerMilli();
+    long ahead = candidate.unreadAheadTokens() + candidate.heldAheadTokens();
     long overSlots = Math.max(0, candidate.inFlight() + 1 - candidate.runner().slots());
+    double queue = ahead / settings.readTokensPerMilli() + overSlots * settings.slotWaitMillis();
     double expected =
-        reading
-            + overSlots * settings.slotWaitMillis()
+        Math.max(queue, candidate.adapterWaitMillis())
+            + candidate.unreadTokens() / settings.readTokensPerMilli()
             + candidate.inFlight() * settings.perRequestMillis();
     if (candidate.present()) {
-      return expected + candidate.adapterWaitMillis();
+      return expected;
     }
-    expected += candidate.adapterWaitMillis();
     expected += candidate.roomForAdapter() ? 0 : settings.noRoomMillis();
     expected += candidate.ordered() ? 0 : settings.unorderedMillis();
     return expected;
@@ -123,9 +139,11 @@
    * where the adapter is asked for again, and hosts that decide at the same moment agree.
    */
   private double fetchCost(Candidate candidate, int rank) {
-    if (candidate.present()) {
+    if (candidate.present() || candidate.kept()) {
       return 0;
     }
-    return settings.fetchMillis() + Math.min(rank, MAX_RANK) * settings.rankMillis();
+    double cost = settings.fetchMillis() + Math.min(rank, MAX_RANK) * settings.rankMillis();
+    // An adapter that many use at once pays for a second runner soon.
+    return cost / (1 + candidate.adapterUses());
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -12,6 +12,7 @@
  * @param vanishedMillis cost of a runner that may be gone
  * @param farMillis cost of leaving the failure domain; bytes between domains are dear
  * @param fetchMillis cost, beyond the wait, of bringing an adapter to a runner
+ * @param moveMillis what a request that waits must gain to wait elsewhere: one load
  * @param rankMillis the same for each runner before it in the adapter's order
  * @param pieceTokens prompt tokens that a runner reads in one step
  * @param pieceTokensPerMilli how fast it reads them, with what long contexts cost
@@ -28,6 +29,7 @@
     long vanishedMillis,
     long farMillis,
     long fetchMillis,
+    long moveMillis,
     long rankMillis,
     int pieceTokens,
     double pieceTokensPerMilli,
@@ -41,5 +43,5 @@
    * tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 600, 100, 4_096, 31, 100, 80);
+      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 600, 250, 100, 4_096, 31, 100, 80);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -2,6 +2,8 @@
 
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -9,8 +11,13 @@
 /** What the runners hold, as told by the hosts that order them. */
 public final class Holdings {
 
+  private static final LinkedHashSet<String> NONE_DROPPED = new LinkedHashSet<>();
+
   private final Map<String, Holding> byRunner = new HashMap<>();
 
+  /** The adapters that each runner was seen to drop, the latest last. */
+  private final Map<String, LinkedHashSet<String>> dropped = new HashMap<>();
+
   /**
    * What one runner holds.
    *
@@ -20,6 +27,8 @@
    * @param items its adapters by name, those on their way included
    * @param models its base models
    * @param freePlaces places for adapters that are empty or hold idle ones
+   * @param bringMillis how long an adapter would take that nobody has asked for yet
+   * @param kept how many dropped adapters the runner is believed to bring back quickly
    */
   public record Holding(
       String host,
@@ -27,7 +36,9 @@
       long toldMillis,
       Map<String, HeldItem> items,
       Set<String> models,
-      int freePlaces) {
+      int freePlaces,
+      long bringMillis,
+      int kept) {
     /** Copies the collections. */
     public Holding {
       items = Map.copyOf(items);
@@ -40,9 +51,39 @@
     Holding current = byRunner.get(runner);
     if (current == null || holding.token >= current.token) {
       byRunner.put(runner, holding);
+      if (current != null && !current.items.keySet().equals(holding.items.keySet())) {
+        noteDropped(runner, current, holding);
+      }
+    }
+  }
+
+  private void noteDropped(String runner, Holding before, Holding now) {
+    LinkedHashSet<String> list = dropped.computeIfAbsent(runner, id -> new LinkedHashSet<>());
+    list.removeAll(now.items.keySet());
+    for (String target : before.items.keySet()) {
+      if (!now.items.containsKey(target)) {
+        list.remove(target);
+        list.add(target);
+      }
+    }
+    Iterator<String> oldest = list.iterator();
+    while (list.size() > now.kept && oldest.hasNext()) {
+      oldest.next();
+      oldest.remove();
     }
   }
 
+  /** Returns whether a runner dropped an adapter so lately that it brings it back quickly. */
+  public boolean isKept(String runner, String target) {
+    return dropped.getOrDefault(runner, NONE_DROPPED).contains(target);
+  }
+
+  /** Forgets the runners that are not among {@code known}. */
+  public void retain(Set<String> known) {
+    byRunner.keySet().retainAll(known);
+    dropped.keySet().retainAll(known);
+  }
+
   /** Returns what a runner holds, if its holder told. */
   public Optional<Holding> find(String runner) {
     return Optional.ofNullable(byRunner.get(runner));
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -502,6 +502,22 @@
     return Math.max(0, engine.adapterPlaces() - taken);
   }
 
+  /**
+   * Returns how long an adapter would take that nobody has asked for yet (ms): its load, and those
+   * of the adapters that are asked for already and have not been ordered.
+   *
+   * @param runners how many runners share what the store brings
+   */
+  public long bringMillis(int transitElsewhere, int runners) {
+    long load = loadMillis("", transitElsewhere);
+    long queued =
+        wishedMillis.keySet().stream()
+            .filter(target -> !items.containsKey(target) && !warm.contains(target))
+            .count();
+    double share = Math.max(1.0, (double) estimates.limit().limit() / Math.max(1, runners));
+    return load + (long) (queued * load / Math.min(share, settings.transitPerRunner()));
+  }
+
   /** Returns the number of orders that the runner has accepted; negative if not known. */
   public long sequence() {
     return sequence;
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/WarmCapacity.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/WarmCapacity.java
@@ -31,6 +31,11 @@
     return depth < Math.min(known * REACH, ceiling);
   }
 
+  /** Returns how many are believed. */
+  public int size() {
+    return (int) Math.min(known, ceiling);
+  }
+
   /** Records that an adapter came quickly. */
   void cameQuickly(int depth) {
     known = Math.max(known, depth + 1);
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -48,12 +48,12 @@
   private static Candidate candidate(String id, boolean present, long ahead, int unread) {
     long wait = present ? 0 : 250;
     return new Candidate(
-        runner(id), 3, ahead, 0, unread, wait, present, true, true, 0, 0, false, true);
+        runner(id), 3, ahead, 0, unread, wait, false, 0, present, true, true, 0, 0, false, true);
   }
 
   private String choose(Generation generation, List<Candidate> candidates) {
     return placement
-        .choose(generation, new StreamLimits(500, 5), candidates)
+        .choose(generation, new StreamLimits(500, 5), candidates, "")
         .orElseThrow()
         .candidate()
         .runner()
@@ -108,7 +108,7 @@
     private Candidate withStreams(String id, boolean present, int streams) {
       long wait = present ? 0 : 250;
       return new Candidate(
-          runner(id), streams, 0, 0, 20_000, wait, present, true, true, 0, 0, false, true);
+          runner(id), streams, 0, 0, 20_000, wait, false, 0, present, true, true, 0, 0, false, true);
     }
 
     /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -4,7 +4,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -50,9 +49,6 @@
   /** How often callers are looked after that may have gone (ms). */
   private static final long LOOK_MILLIS = 100;
 
-  /** A waiting request moves to another runner only if it gains this much (ms). */
-  private static final double MOVE_GAIN_MILLIS = 120;
-
   /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
   private static final long NO_RUNNER_RETRY_MILLIS = 500;
 
@@ -249,13 +245,15 @@
 
   private void placeGeneration(Call call, Generation generation, long nowMillis) {
     List<Candidate> candidates = candidates(call, generation, nowMillis);
+    RunnerEntry before = call.waitingAt;
     Optional<GenerationPlacement.Choice> chosen =
-        generations.choose(generation, limits(call), candidates);
+        generations.choose(
+            generation, limits(call), candidates, before == null ? "" : before.id());
     if (chosen.isEmpty()) {
       giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
       return;
     }
-    GenerationPlacement.Choice choice = stay(call, candidates, chosen.get());
+    GenerationPlacement.Choice choice = chosen.get();
     Candidate candidate = choice.candidate();
     if (nowMillis + choice.firstTokenMillis() > call.firstEventByMillis()) {
       // Whoever returns sooner is refused again.
@@ -275,23 +273,6 @@
     return new StreamLimits(fleet.pauseMillis(call.service), tokensPerEvent);
   }
 
-  /** Keeps a waiting request where it waits, unless moving gains enough. */
-  private GenerationPlacement.Choice stay(
-      Call call, Collection<Candidate> candidates, GenerationPlacement.Choice chosen) {
-    RunnerEntry waitingAt = call.waitingAt;
-    if (waitingAt == null) {
-      return chosen;
-    }
-    for (Candidate candidate : candidates) {
-      if (candidate.runner().id().equals(waitingAt.id())) {
-        double here = generations.expectedMillis(candidate);
-        boolean move = here - chosen.firstTokenMillis() > MOVE_GAIN_MILLIS;
-        return move ? chosen : new GenerationPlacement.Choice(candidate, here);
-      }
-    }
-    return chosen;
-  }
-
   private void waitAt(Call call, Candidate candidate) {
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
@@ -326,12 +307,19 @@
 
   private List<Candidate> candidates(Call call, @Nullable Generation generation, long nowMillis) {
     List<Candidate> candidates = new ArrayList<>();
-    for (RunnerEntry runner : fleet.usable(call.service, nowMillis)) {
+    List<RunnerEntry> usable = fleet.usable(call.service, nowMillis);
+    int adapterUses = fleet.adapterUses(usable, generation, nowMillis);
+    for (RunnerEntry runner : usable) {
       boolean running = call.running.stream().anyMatch(r -> r.runner.id().equals(runner.id()));
       if (!call.tried.contains(runner.id()) && !running) {
         boolean counted = call.waitingAt != null && call.waitingAt.id().equals(runner.id());
         candidates.add(
-            fleet.candidate(runner, generation, counted ? call.waitingTokens : -1, nowMillis));
+            fleet.candidate(
+                runner,
+                generation,
+                counted ? call.waitingTokens : -1,
+                adapterUses,
+                nowMillis));
       }
     }
     return candidates;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -29,6 +29,9 @@
   /** Wait assumed for an adapter that nobody has ordered yet (ms). */
   private static final long LOAD_MILLIS = 250;
 
+  /** Wait assumed for an adapter that the runner dropped lately (ms): a tenth of a load. */
+  private static final long RELOAD_MILLIS = 25;
+
   /** Wait after a refusal for an adapter (ms). */
   private static final long REFUSED_MILLIS = 50;
 
@@ -180,9 +183,14 @@
    *
    * @param countedTokens prompt tokens with which the request is counted there already; negative if
    *     it is not
+   * @param adapterUses requests that use the generation's adapter or wait for it, at all runners
    */
   Candidate candidate(
-      RunnerEntry runner, @Nullable Generation generation, int countedTokens, long nowMillis) {
+      RunnerEntry runner,
+      @Nullable Generation generation,
+      int countedTokens,
+      int adapterUses,
+      long nowMillis) {
     boolean counted = countedTokens >= 0;
     int inFlight = loads.requests(runner.id(), nowMillis) - (counted ? 1 : 0);
     long held = loads.heldTokens(runner.id(), nowMillis) - Math.max(0, countedTokens);
@@ -195,6 +203,8 @@
         Math.max(0, held),
         generation == null ? 0 : memory(runner).unreadTokens(generation),
         residency.waitMillis,
+        residency.kept,
+        adapterUses,
         residency.present,
         residency.room,
         residency.ordered,
@@ -204,11 +214,33 @@
         runner.failureDomain().equals(failureDomain));
   }
 
-  private record Residency(boolean present, long waitMillis, boolean room, boolean ordered) {}
+  /** Returns how many requests use a generation's adapter or wait for it, at all runners. */
+  int adapterUses(List<RunnerEntry> runners, @Nullable Generation generation, long nowMillis) {
+    if (generation == null || !generation.usesAdapter()) {
+      return 0;
+    }
+    int uses = 0;
+    for (RunnerEntry runner : runners) {
+      uses += loads.uses(runner.id(), generation.target(), nowMillis);
+    }
+    return uses;
+  }
+
+  private record Residency(
+      boolean present, long waitMillis, boolean kept, boolean room, boolean ordered) {
+
+    static Residency present(long waitMillis, boolean ordered) {
+      return new Residency(true, waitMillis, false, true, ordered);
+    }
+
+    static Residency absent(long waitMillis, boolean room, boolean ordered) {
+      return new Residency(false, waitMillis, false, room, ordered);
+    }
+  }
 
   private Residency residency(RunnerEntry runner, @Nullable Generation generation, long nowMillis) {
     if (generation == null) {
-      return new Residency(true, 0, true, true);
+      return Residency.present(0, true);
     }
     Optional<Holdings.Holding> told = holdings.find(runner.id());
     if (told.isEmpty()) {
@@ -217,24 +249,28 @@
           !generation.usesAdapter() || runner.heldAdapters().containsKey(generation.target());
       boolean present = model && adapter;
       long wait = present ? 0 : model ? LOAD_MILLIS : MODEL_LOAD_MILLIS;
-      return new Residency(present, wait, true, false);
+      return present ? Residency.present(0, false) : Residency.absent(wait, true, false);
     }
     Holdings.Holding holding = told.get();
     boolean ordered = isSound.test(holding.host(), nowMillis);
     if (!holding.models().contains(generation.model())) {
-      return new Residency(false, MODEL_LOAD_MILLIS, true, ordered);
+      return Residency.absent(MODEL_LOAD_MILLIS, true, ordered);
     }
     if (!generation.usesAdapter()) {
-      return new Residency(true, 0, true, ordered);
+      return Residency.present(0, ordered);
     }
     HeldItem item = holding.items().get(generation.target());
     int wanted = newestVersion(generation.target());
     if (item != null && item.version() >= wanted) {
       long coming = Math.max(0, item.readyMillis() - nowMillis);
       long refused = refusedMillis(runner, generation.target(), nowMillis);
-      return new Residency(true, Math.max(coming, refused), true, ordered);
+      return Residency.present(Math.max(coming, refused), ordered);
+    }
+    boolean room = holding.freePlaces() > 0;
+    if (item == null && holdings.isKept(runner.id(), generation.target())) {
+      return new Residency(false, RELOAD_MILLIS, true, room, ordered);
     }
-    return new Residency(false, LOAD_MILLIS, holding.freePlaces() > 0, ordered);
+    return Residency.absent(Math.max(LOAD_MILLIS, holding.bringMillis()), room, ordered);
   }
 
   private PromptMemory memory(RunnerEntry runner) {
@@ -253,5 +289,6 @@
     health.keySet().retainAll(known);
     prompts.keySet().retainAll(known);
     refusedUntil.values().removeIf(until -> until < nowMillis);
+    holdings.retain(known);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -648,7 +648,15 @@
     Optional<Holdings.Holding> before = holdings.find(runner);
     holdings.told(
         runner,
-        new Holdings.Holding(settings.host(), entry.token, nowMillis, items, shelf.models(), free));
+        new Holdings.Holding(
+            settings.host(),
+            entry.token,
+            nowMillis,
+            items,
+            shelf.models(),
+            free,
+            shelf.bringMillis(holdings.transitElsewhere(runner, nowMillis), enginesKnown),
+            estimates == null ? 0 : estimates.warm().size()));
     boolean same =
         before.isPresent()
             && before.get().items().equals(items)
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -64,6 +64,8 @@
             .setRunner(runner)
             .setToken(holding.token())
             .setFreeSlots(holding.freePlaces())
+            .setBringMs((int) holding.bringMillis())
+            .setKept(holding.kept())
             .addAllModels(holding.models());
     for (HeldItem item : holding.items().values()) {
       message.addAdapters(
@@ -100,7 +102,9 @@
         nowMillis,
         items,
         new HashSet<>(message.getModelsList()),
-        message.getFreeSlots());
+        message.getFreeSlots(),
+        message.getBringMs(),
+        message.getKept());
   }
 
   /** Encodes a wish for an adapter. */
