--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -43,5 +43,5 @@
    * tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(35, 30, 4, 500, 4_500, 3_000, 2_000, 2, 600, 250, 100, 4_096, 31, 100, 80);
+      new PlacementSettings(35, 30, 12, 100, 4_500, 3_000, 2_000, 2, 600, 250, 100, 4_096, 31, 100, 80);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -27,7 +27,9 @@
    * @param items its adapters by name, those on their way included
    * @param models its base models
    * @param freePlaces places for adapters that are empty or hold idle ones
-   * @param bringMillis how long an adapter would take that nobody has asked for yet
+   * @param bringMillis how long an adapter takes from the weight store once it is ordered
+   * @param queueMillis how long adapters wait lately until they are ordered
+   * @param ordersFromMillis from when on the holder may order the runner
    * @param kept how many dropped adapters the runner is believed to bring back quickly
    */
   public record Holding(
@@ -38,6 +40,8 @@
       Set<String> models,
       int freePlaces,
       long bringMillis,
+      long queueMillis,
+      long ordersFromMillis,
       int kept) {
     /** Copies the collections. */
     public Holding {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
@@ -31,6 +31,9 @@
   /** Demand halves in this time (ms): popularity moves within seconds. */
   private static final double HALF_LIFE_MILLIS = 4_000;
 
+  /** Weight of the newest wait for a load; about the last five decide, a fifth of a second's. */
+  private static final double NEWEST_WAIT = 0.2;
+
   private final EngineSpec engine;
   private final ShelfSettings settings;
   private final LoadEstimates estimates;
@@ -49,6 +52,9 @@
   private long nextOrderMillis = Long.MIN_VALUE / 2;
   private int refusals;
 
+  /** How long adapters lately waited until their load was ordered. */
+  private double queuedMillis;
+
   /**
    * Creates a shelf of which nothing is known until {@link #adopt}.
    *
@@ -200,8 +206,11 @@
   }
 
   /**
-   * Returns the wishes in the order in which they are met: the most urgent first, and among these
-   * the one whose requests have waited longest together.
+   * Returns the wishes in the order in which they are met: the most urgent first, of these the ones
+   * that can still be in time, and of these the one whose requests have waited longest together.
+   *
+   * <p>After an outage more requests wait than adapters come in their time; oldest first, all of
+   * them would be late.
    *
    * <p>By number alone a single request for a rare adapter waited for seconds, as there was always
    * another adapter that two wanted; by age alone one load for many came after many for one.
@@ -216,6 +225,7 @@
     List<Wish> ordered = new ArrayList<>(joined.values());
     ordered.sort(
         Comparator.comparingInt(Wish::priority)
+            .thenComparing(wish -> wish.inTime() == 0)
             .thenComparingLong(wish -> -waitedTogether(wish, nowMillis))
             .thenComparing(Wish::target));
     return ordered;
@@ -344,6 +354,10 @@
       modelOrderMillis = nowMillis;
     } else if (order.operation() == Operation.LOAD) {
       long ready = nowMillis + estimates.time().millis();
+      Long wished = wishedMillis.get(order.target());
+      if (wished != null) {
+        queuedMillis += NEWEST_WAIT * (nowMillis - wished - queuedMillis);
+      }
       items.put(
           order.target(),
           new Item(order.target(), Math.max(1, order.version()), State.COMING, ready, nowMillis));
@@ -502,20 +516,23 @@
     return Math.max(0, engine.adapterPlaces() - taken);
   }
 
+  /** Returns how long an adapter takes from the weight store once its load is ordered (ms). */
+  public long bringMillis(int transitElsewhere) {
+    return loadMillis("", transitElsewhere);
+  }
+
   /**
-   * Returns how long an adapter would take that nobody has asked for yet (ms): its load, and those
-   * of the adapters that are asked for already and have not been ordered.
-   *
-   * @param runners how many runners share what the store brings
+   * Returns how long adapters wait here lately until their load is ordered (ms): for a place, for
+   * the store, or for the loads before them.
    */
-  public long bringMillis(int transitElsewhere, int runners) {
-    long load = loadMillis("", transitElsewhere);
-    long queued =
-        wishedMillis.keySet().stream()
-            .filter(target -> !items.containsKey(target) && !warm.contains(target))
-            .count();
-    double share = Math.max(1.0, (double) estimates.limit().limit() / Math.max(1, runners));
-    return load + (long) (queued * load / Math.min(share, settings.transitPerRunner()));
+  public long queueMillis(long nowMillis) {
+    long oldest = 0;
+    for (Map.Entry<String, Long> wish : wishedMillis.entrySet()) {
+      if (!items.containsKey(wish.getKey())) {
+        oldest = Math.max(oldest, nowMillis - wish.getValue());
+      }
+    }
+    return oldest == 0 ? 0 : Math.max(oldest, Math.round(queuedMillis));
   }
 
   /** Returns the number of orders that the runner has accepted; negative if not known. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
@@ -8,14 +8,19 @@
  * @param model the base model
  * @param adapter the adapter, empty for the model itself
  * @param waiting how many requests wait
+ * @param inTime how many of them can still have their first event within their target latency
  * @param priority the most urgent one's priority, 0 first
  */
-public record Wish(String model, String adapter, int waiting, int priority) {
+public record Wish(String model, String adapter, int waiting, int inTime, int priority) {
 
   /** Returns this wish together with one of other requests for the same adapter. */
-  Wish plus(Wish other) {
+  public Wish plus(Wish other) {
     return new Wish(
-        model, adapter, waiting + other.waiting, Math.min(priority, other.priority));
+        model,
+        adapter,
+        waiting + other.waiting,
+        inTime + other.inTime,
+        Math.min(priority, other.priority));
   }
 
   /** Returns model and adapter as one name. */
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
@@ -64,7 +64,7 @@
     }
 
     private Wish wish(int number) {
-      return new Wish("m", "a" + number, 1, 0);
+      return new Wish("m", "a" + number, 1, 1, 0);
     }
   }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
@@ -96,7 +96,7 @@
 
   private Optional<Order> next() {
     List<Wish> wishes = new ArrayList<>();
-    wished.forEach(target -> wishes.add(new Wish("m", target.substring(2), 1, 0)));
+    wished.forEach(target -> wishes.add(new Wish("m", target.substring(2), 1, 1, 0)));
     Optional<Order> next =
         shelf.next(
             wishes,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -354,7 +354,7 @@
 
   private void tick(long nowMillis) {
     calls.tick(nowMillis);
-    Map<String, List<Wish>> wishes = calls.wishes();
+    Map<String, List<Wish>> wishes = calls.wishes(nowMillis);
     holder.localWishes(wishes, nowMillis);
     demands.tell(wishes, nowMillis);
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
@@ -507,8 +507,8 @@
             .setRunnersRevision(store.newestRunnersRevision());
     state.setLoadsComplete(complete);
     StateCodec.addUses(state, complete ? allUses() : changedUses());
-    Set<String> ordered = leaving || !withHoldings ? Set.of() : holder.ordered(now);
-    for (String runner : ordered) {
+    Set<String> leased = leaving || !withHoldings ? Set.of() : holder.leased(now);
+    for (String runner : leased) {
       holdings
           .find(runner)
           .ifPresent(h -> state.addHoldings(StateCodec.encodeHolding(runner, h, now)));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -40,6 +40,9 @@
   /** Where the request waits for an adapter; null if it does not wait. */
   @Nullable RunnerEntry waitingAt;
 
+  /** Since when it waits there (ms). */
+  long waitingSinceMillis;
+
   /** Prompt tokens that were counted at {@link #waitingAt}. */
   int waitingTokens;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
@@ -49,6 +49,9 @@
   /** How often callers are looked after that may have gone (ms). */
   private static final long LOOK_MILLIS = 100;
 
+  /** For this long a request waits where it began to, unless its adapter is elsewhere (ms). */
+  private static final long SETTLED_MILLIS = 400;
+
   /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
   private static final long NO_RUNNER_RETRY_MILLIS = 500;
 
@@ -185,16 +188,18 @@
   }
 
   /** Returns what requests wait for, by runner. */
-  public Map<String, List<Wish>> wishes() {
+  public Map<String, List<Wish>> wishes(long nowMillis) {
     Map<String, Map<String, Wish>> byRunner = new HashMap<>();
     for (Call call : calls) {
       RunnerEntry runner = call.waitingAt;
       Generation generation = call.generation;
       if (runner != null && generation != null) {
-        Wish wish = new Wish(generation.model(), generation.adapter(), 1, call.route.priority());
+        int inTime = nowMillis - call.arrivedMillis < call.route.targetLatencyMillis() ? 1 : 0;
+        Wish wish =
+            new Wish(generation.model(), generation.adapter(), 1, inTime, call.route.priority());
         byRunner
             .computeIfAbsent(runner.id(), id -> new HashMap<>())
-            .merge(wish.target(), wish, CallDesk::joined);
+            .merge(wish.target(), wish, Wish::plus);
       }
     }
     Map<String, List<Wish>> wishes = new HashMap<>();
@@ -202,14 +207,6 @@
     return wishes;
   }
 
-  private static Wish joined(Wish first, Wish second) {
-    return new Wish(
-        first.model(),
-        first.adapter(),
-        first.waiting() + second.waiting(),
-        Math.min(first.priority(), second.priority()));
-  }
-
   /** Asks callers to close their connections, and takes only what can be finished. */
   public void stop(Shutdown begun) {
     shutdown = begun;
@@ -244,7 +241,8 @@
   }
 
   private void placeGeneration(Call call, Generation generation, long nowMillis) {
-    List<Candidate> candidates = candidates(call, generation, nowMillis);
+    List<Candidate> candidates =
+        worthMoving(call, candidates(call, generation, nowMillis), nowMillis);
     RunnerEntry before = call.waitingAt;
     Optional<GenerationPlacement.Choice> chosen =
         generations.choose(
@@ -264,8 +262,28 @@
     if (there && generations.mayRead(candidate, limits(call))) {
       start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
-      waitAt(call, candidate);
+      waitAt(call, candidate, nowMillis);
+    }
+  }
+
+  /**
+   * Returns the candidates that a waiting request chooses from: for a while only the runner where
+   * it waits and those that have its adapter. What hosts tell of queues changes from one datagram
+   * to the next, and each move begins another wait at its end.
+   */
+  private static List<Candidate> worthMoving(
+      Call call, List<Candidate> candidates, long nowMillis) {
+    RunnerEntry before = call.waitingAt;
+    if (before == null || nowMillis - call.waitingSinceMillis >= SETTLED_MILLIS) {
+      return candidates;
+    }
+    boolean usable = candidates.stream().anyMatch(c -> c.runner().id().equals(before.id()));
+    if (!usable) {
+      return candidates;
     }
+    return candidates.stream()
+        .filter(c -> c.present() || c.runner().id().equals(before.id()))
+        .toList();
   }
 
   private StreamLimits limits(Call call) {
@@ -273,13 +291,14 @@
     return new StreamLimits(fleet.pauseMillis(call.service), tokensPerEvent);
   }
 
-  private void waitAt(Call call, Candidate candidate) {
+  private void waitAt(Call call, Candidate candidate, long nowMillis) {
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
       return;
     }
     stopWaiting(call);
     call.waitingAt = candidate.runner();
+    call.waitingSinceMillis = nowMillis;
     call.waitingTokens = candidate.unreadTokens();
     fleet.loads().add(candidate.runner().id(), 1, 0, call.waitingTokens, call.adapter());
     log.info(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -252,6 +252,8 @@
       return present ? Residency.present(0, false) : Residency.absent(wait, true, false);
     }
     Holdings.Holding holding = told.get();
+    long queue =
+        holding.queueMillis() + Math.max(0, holding.ordersFromMillis() - nowMillis);
     boolean ordered = isSound.test(holding.host(), nowMillis);
     if (!holding.models().contains(generation.model())) {
       return Residency.absent(MODEL_LOAD_MILLIS, true, ordered);
@@ -268,9 +270,10 @@
     }
     boolean room = holding.freePlaces() > 0;
     if (item == null && holdings.isKept(runner.id(), generation.target())) {
-      return new Residency(false, RELOAD_MILLIS, true, room, ordered);
+      return new Residency(false, queue + RELOAD_MILLIS, true, room, ordered);
     }
-    return Residency.absent(Math.max(LOAD_MILLIS, holding.bringMillis()), room, ordered);
+    long bring = Math.max(LOAD_MILLIS, holding.bringMillis());
+    return Residency.absent(queue + bring, room, ordered);
   }
 
   private PromptMemory memory(RunnerEntry runner) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
@@ -371,6 +371,17 @@
     return ordered;
   }
 
+  /** Returns the runners whose lease this host has, those included that it may not order yet. */
+  public Set<String> leased(long nowMillis) {
+    Set<String> leased = new HashSet<>();
+    for (Held entry : held.values()) {
+      if (entry.shelf != null && nowMillis - entry.heldMillis < LEASE_MILLIS) {
+        leased.add(entry.runner.id());
+      }
+    }
+    return leased;
+  }
+
   private boolean mayOrder(Held entry, long nowMillis) {
     return entry.shelf != null
         && nowMillis - entry.heldMillis < LEASE_MILLIS
@@ -452,7 +463,8 @@
     RunnerShelf shelf = entry.shelf;
     boolean reportWanted =
         shelf != null && shelf.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
-    if (reportWanted && nowMillis >= entry.orderFromMillis && !entry.reporting) {
+    // Also while orders must wait: what the runner holds serves requests meanwhile.
+    if (reportWanted && !entry.reporting) {
       report(entry, nowMillis);
     }
     pump(entry.runner.id(), nowMillis);
@@ -655,7 +667,9 @@
             items,
             shelf.models(),
             free,
-            shelf.bringMillis(holdings.transitElsewhere(runner, nowMillis), enginesKnown),
+            shelf.bringMillis(holdings.transitElsewhere(runner, nowMillis)),
+            shelf.queueMillis(nowMillis),
+            entry.orderFromMillis,
             estimates == null ? 0 : estimates.warm().size()));
     boolean same =
         before.isPresent()
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.Members;
@@ -19,7 +21,7 @@
  */
 public final class DemandDesk {
 
-  /** Wishes are told again this often (ms): a datagram may be lost. */
+  /** Wishes that have not changed are told again this often (ms): a datagram may be lost. */
   private static final long PERIOD_MILLIS = 60;
 
   private final String self;
@@ -27,6 +29,7 @@
   private final Holdings holdings;
   private final Supplier<PeerDatagram.Builder> datagrams;
   private final BiConsumer<String, byte[]> sender;
+  private Map<String, Set<String>> told = Map.of();
   private long toldMillis = Long.MIN_VALUE / 2;
 
   /**
@@ -51,9 +54,19 @@
 
   /** Tells what requests wait for, by runner, if it is time to. */
   public void tell(Map<String, List<Wish>> wishes, long nowMillis) {
-    if (nowMillis - toldMillis < PERIOD_MILLIS) {
+    Map<String, Set<String>> targets = new HashMap<>();
+    wishes.forEach(
+        (runner, list) ->
+            targets.put(runner, list.stream().map(Wish::target).collect(Collectors.toSet())));
+    // A new wish is told at once: up to 60 ms of the 250 that a load takes were lost before it.
+    boolean anyNew =
+        targets.entrySet().stream()
+            .anyMatch(
+                entry -> !told.getOrDefault(entry.getKey(), Set.of()).containsAll(entry.getValue()));
+    if (!anyNew && nowMillis - toldMillis < PERIOD_MILLIS) {
       return;
     }
+    told = targets;
     toldMillis = nowMillis;
     Map<String, AdapterDemand.Builder> byHost = new HashMap<>();
     wishes.forEach((runner, list) -> add(runner, list, byHost));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -65,6 +65,8 @@
             .setToken(holding.token())
             .setFreeSlots(holding.freePlaces())
             .setBringMs((int) holding.bringMillis())
+            .setQueueMs((int) holding.queueMillis())
+            .setOrdersInMs((int) Math.max(0, holding.ordersFromMillis() - nowMillis))
             .setKept(holding.kept())
             .addAllModels(holding.models());
     for (HeldItem item : holding.items().values()) {
@@ -104,6 +106,8 @@
         new HashSet<>(message.getModelsList()),
         message.getFreeSlots(),
         message.getBringMs(),
+        message.getQueueMs(),
+        nowMillis + message.getOrdersInMs(),
         message.getKept());
   }
 
@@ -113,6 +117,7 @@
         .setRunner(runner)
         .setAdapter(wish.target())
         .setWaiting(wish.waiting())
+        .setInTime(wish.inTime())
         .setPriority(wish.priority())
         .build();
   }
@@ -121,6 +126,10 @@
   public static Wish decodeWish(AdapterWish wish) {
     String target = wish.getAdapter();
     return new Wish(
-        Target.model(target), Target.adapter(target), wish.getWaiting(), wish.getPriority());
+        Target.model(target),
+        Target.adapter(target),
+        wish.getWaiting(),
+        wish.getInTime(),
+        wish.getPriority());
   }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -345,7 +345,7 @@
       Map<String, List<Wish>> wishes = new HashMap<>();
       for (Runner runner : runners) {
         known.put(runner.entry, ENGINE);
-        Wish wish = new Wish("m", "a" + random.nextInt(9), 1, 0);
+        Wish wish = new Wish("m", "a" + random.nextInt(9), 1, 1, 0);
         wishes.put(runner.entry.id(), List.of(wish));
       }
       running.tick(known, now);
