--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
@@ -30,8 +30,8 @@
   /**
    * The figures that the users' sheets give: 250 ms a load, a tenth of it for one held recently, 8
    * at full speed over all runners, 4 at a runner, reports up to 200 ms old. {@code idleMillis} is
-   * two and a half times the time in which other hosts tell what they have in flight (40 ms); {@code
-   * remembered} is a guess below what runners were seen to keep.
+   * two and a half times the time in which other hosts tell what they have in flight (40 ms);
+   * {@code remembered} is a guess below what runners were seen to keep.
    */
   public static final ShelfSettings DEFAULT =
       new ShelfSettings(250, 25, 32, 8, 4, 100, 5_000, 40, 500);
