--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/TransitLimit.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/TransitLimit.java
@@ -17,8 +17,8 @@
  */
 public final class TransitLimit {
 
-  /** Growth for each load in time before the first late one: doubles 8 in 16 loads. */
-  private static final double FAST_STEP = 0.5;
+  /** Growth for each load in time before the first late one: doubles 8 in 8 loads. */
+  private static final double FAST_STEP = 1;
 
   /**
    * Growth after it. One more than the store brings at full speed makes all that are on their way
--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -526,7 +526,7 @@
       return fleet
           .request(1, "/m/x", id)
           .method(HttpMethod.POST)
-          .headers(h -> h.put("Model", "m/a1").put("Token-Counts", "10,5"))
+          .headers(h -> h.put(Headers.MODEL, "m/a1").put(Headers.TOKENS, "10,5"))
           .send();
     }
   }
