--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Wish.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Demand.java
@@ -11,11 +11,11 @@
  * @param inTime how many of them can still have their first event within their target latency
  * @param priority the most urgent one's priority, 0 first
  */
-public record Wish(String model, String adapter, int waiting, int inTime, int priority) {
+public record Demand(String model, String adapter, int waiting, int inTime, int priority) {
 
-  /** Returns this wish together with one of other requests for the same adapter. */
-  public Wish plus(Wish other) {
-    return new Wish(
+  /** Returns this demand together with one of other requests for the same adapter. */
+  public Demand plus(Demand other) {
+    return new Demand(
         model,
         adapter,
         waiting + other.waiting,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/LoadEstimates.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/LoadEstimates.java
@@ -10,7 +10,7 @@
 public record LoadEstimates(LoadTime time, TransitLimit limit, WarmCapacity warm) {
 
   /** Returns the estimates of a fleet of which nothing was seen yet. */
-  public static LoadEstimates of(ShelfSettings settings, int runners) {
+  public static LoadEstimates of(ResidencySettings settings, int runners) {
     return new LoadEstimates(
         new LoadTime(settings.loadMillis()),
         new TransitLimit(settings.freeTransit(), runners * settings.transitPerRunner()),
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/ShelfSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/ResidencySettings.java
@@ -13,7 +13,7 @@
  * @param lateMillis how much later an adapter is expected that was not there when it should be
  * @param reportAgeMillis how old a report may be; one read sooner after an order may not show it
  */
-public record ShelfSettings(
+public record ResidencySettings(
     long loadMillis,
     long reloadMillis,
     int remembered,
@@ -33,8 +33,8 @@
    * two and a half times the time in which other hosts tell what they have in flight (40 ms);
    * {@code remembered} is a guess below what runners were seen to keep.
    */
-  public static final ShelfSettings DEFAULT =
-      new ShelfSettings(250, 25, 32, 8, 4, 100, 5_000, 40, 500);
+  public static final ResidencySettings DEFAULT =
+      new ResidencySettings(250, 25, 32, 8, 4, 100, 5_000, 40, 500);
 
   /**
    * In a large fleet what a host has in flight reaches the holder through a delegate (ms): up to
@@ -50,9 +50,9 @@
    *
    * @param large whether hosts tell each other what they have in flight through delegates
    */
-  public static ShelfSettings forFleet(int runners, boolean large) {
+  public static ResidencySettings forFleet(int runners, boolean large) {
     int transit = Math.max(DEFAULT.freeTransit, (int) (runners * TRANSIT_PER_RUNNER));
-    return new ShelfSettings(
+    return new ResidencySettings(
         DEFAULT.loadMillis,
         DEFAULT.reloadMillis,
         DEFAULT.remembered,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerShelf.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerResidency.java
@@ -26,26 +26,26 @@
  * taken from the sending of a load until an unload is confirmed or a report, sampled after the last
  * uncertain order, shows it empty. Orders are given one at a time.
  */
-public final class RunnerShelf {
+public final class RunnerResidency {
 
-  /** Demand halves in this time (ms): popularity moves within seconds. */
+  /** Use halves in this time (ms): popularity moves within seconds. */
   private static final double HALF_LIFE_MILLIS = 4_000;
 
   /** Weight of the newest wait for a load; about the last five decide, a fifth of a second's. */
   private static final double NEWEST_WAIT = 0.2;
 
-  /** By how much more a wish counts than one that is a rank less urgent than the first. */
+  /** By how much more a demand counts than one that is a rank less urgent than the first. */
   private static final double RANK_WEIGHT = 0.1;
 
   private final EngineSpec engine;
-  private final ShelfSettings settings;
+  private final ResidencySettings settings;
   private final LoadEstimates estimates;
   private final Map<String, Item> items = new LinkedHashMap<>();
   private final Set<String> models = new HashSet<>();
   private final WarmAdapters warm;
 
   /** Since when requests have waited here for each adapter that is not there. */
-  private final Map<String, Long> wishedMillis = new HashMap<>();
+  private final Map<String, Long> demandedMillis = new HashMap<>();
 
   private long sequence = -1;
   private @Nullable Order outstanding;
@@ -59,11 +59,11 @@
   private double queuedMillis;
 
   /**
-   * Creates a shelf of which nothing is known until {@link #adopt}.
+   * Creates a residency of which nothing is known until {@link #adopt}.
    *
-   * @param estimates what all shelves of a holder have learnt from their loads
+   * @param estimates what all residencies of a holder have learnt from their loads
    */
-  public RunnerShelf(EngineSpec engine, ShelfSettings settings, LoadEstimates estimates) {
+  public RunnerResidency(EngineSpec engine, ResidencySettings settings, LoadEstimates estimates) {
     this.engine = requireNonNull(engine, "engine must not be null");
     this.settings = requireNonNull(settings, "settings must not be null");
     this.estimates = requireNonNull(estimates, "estimates must not be null");
@@ -102,8 +102,8 @@
     long orderedMillis;
     long readyMillis;
     long usedMillis;
-    double demand;
-    long demandMillis;
+    double recentUse;
+    long recentUseMillis;
 
     Item(String target, int version, State state, long readyMillis, long nowMillis) {
       this.target = target;
@@ -111,13 +111,13 @@
       this.state = state;
       this.readyMillis = readyMillis;
       this.usedMillis = nowMillis;
-      this.demandMillis = nowMillis;
+      this.recentUseMillis = nowMillis;
     }
 
     void used(int requests, long nowMillis) {
-      double decay = Math.pow(0.5, (nowMillis - demandMillis) / HALF_LIFE_MILLIS);
-      demand = demand * decay + requests * (nowMillis - demandMillis) / HALF_LIFE_MILLIS;
-      demandMillis = nowMillis;
+      double decay = Math.pow(0.5, (nowMillis - recentUseMillis) / HALF_LIFE_MILLIS);
+      recentUse = recentUse * decay + requests * (nowMillis - recentUseMillis) / HALF_LIFE_MILLIS;
+      recentUseMillis = nowMillis;
       if (requests > 0) {
         usedMillis = nowMillis;
       }
@@ -168,8 +168,8 @@
     Item item = new Item(target, version, state, ready, nowMillis);
     if (before != null) {
       item.usedMillis = before.usedMillis;
-      item.demand = before.demand;
-      item.demandMillis = before.demandMillis;
+      item.recentUse = before.recentUse;
+      item.recentUseMillis = before.recentUseMillis;
     }
     items.put(target, item);
   }
@@ -177,13 +177,13 @@
   /**
    * Returns the order to give now.
    *
-   * @param wishes what requests wait for, at this runner
+   * @param demands what requests wait for, at this runner
    * @param uses how many requests of all hosts use an adapter here
    * @param newest the newest published version of an adapter, 0 if none was published
    * @param transitElsewhere adapters on their way to other runners
    */
   public Optional<Order> next(
-      Collection<Wish> wishes,
+      Collection<Demand> demands,
       ToIntFunction<String> uses,
       ToIntFunction<String> newest,
       int transitElsewhere,
@@ -196,9 +196,9 @@
     if (outdated.isPresent()) {
       return outdated;
     }
-    List<Wish> ordered = inTurn(wishes, nowMillis);
-    for (Wish wish : ordered) {
-      Optional<Order> order = serve(wish, ordered, newest, transitElsewhere, nowMillis);
+    List<Demand> ordered = inTurn(demands, nowMillis);
+    for (Demand demand : ordered) {
+      Optional<Order> order = serve(demand, ordered, newest, transitElsewhere, nowMillis);
       if (order.isPresent()) {
         return order;
       }
@@ -209,7 +209,7 @@
   }
 
   /**
-   * Returns the wishes in the order in which they are met: those that can still be in time first,
+   * Returns the demands in the order in which they are met: those that can still be in time first,
    * of these the one whose requests have waited longest together, urgent ones counting for more.
    *
    * <p>Strictly by urgency, the long prompts of a less urgent route waited behind each short one's
@@ -221,24 +221,24 @@
    * <p>By number alone a single request for a rare adapter waited for seconds, as there was always
    * another adapter that two wanted; by age alone one load for many came after many for one.
    */
-  private List<Wish> inTurn(Collection<Wish> wishes, long nowMillis) {
-    Map<String, Wish> joined = new HashMap<>();
-    for (Wish wish : wishes) {
-      joined.merge(wish.target(), wish, Wish::plus);
-    }
-    wishedMillis.keySet().retainAll(joined.keySet());
-    joined.keySet().forEach(target -> wishedMillis.putIfAbsent(target, nowMillis));
-    List<Wish> ordered = new ArrayList<>(joined.values());
+  private List<Demand> inTurn(Collection<Demand> demands, long nowMillis) {
+    Map<String, Demand> joined = new HashMap<>();
+    for (Demand demand : demands) {
+      joined.merge(demand.target(), demand, Demand::plus);
+    }
+    demandedMillis.keySet().retainAll(joined.keySet());
+    joined.keySet().forEach(target -> demandedMillis.putIfAbsent(target, nowMillis));
+    List<Demand> ordered = new ArrayList<>(joined.values());
     ordered.sort(
-        Comparator.comparing((Wish wish) -> wish.inTime() == 0)
-            .thenComparingDouble(wish -> -waitedTogether(wish, nowMillis))
-            .thenComparing(Wish::target));
+        Comparator.comparing((Demand demand) -> demand.inTime() == 0)
+            .thenComparingDouble(demand -> -waitedTogether(demand, nowMillis))
+            .thenComparing(Demand::target));
     return ordered;
   }
 
-  private double waitedTogether(Wish wish, long nowMillis) {
-    long since = wishedMillis.getOrDefault(wish.target(), nowMillis);
-    return wish.waiting() * (nowMillis - since + 1) / (1 + wish.priority() * RANK_WEIGHT);
+  private double waitedTogether(Demand demand, long nowMillis) {
+    long since = demandedMillis.getOrDefault(demand.target(), nowMillis);
+    return demand.waiting() * (nowMillis - since + 1) / (1 + demand.priority() * RANK_WEIGHT);
   }
 
   private void settle(ToIntFunction<String> uses, long nowMillis) {
@@ -273,24 +273,25 @@
   }
 
   private Optional<Order> serve(
-      Wish wish,
-      List<Wish> wishes,
+      Demand demand,
+      List<Demand> demands,
       ToIntFunction<String> newest,
       int transitElsewhere,
       long nowMillis) {
-    if (!models.contains(wish.model())) {
-      return loadModel(wish.model(), nowMillis);
+    if (!models.contains(demand.model())) {
+      return loadModel(demand.model(), nowMillis);
     }
-    if (wish.adapter().isEmpty() || items.containsKey(wish.target())) {
+    if (demand.adapter().isEmpty() || items.containsKey(demand.target())) {
       return Optional.empty();
     }
-    if (!mayBring(wish.target(), transitElsewhere)) {
+    if (!mayBring(demand.target(), transitElsewhere)) {
       return Optional.empty();
     }
-    if (hasRoom(wish.model())) {
-      return Optional.of(order(Operation.LOAD, wish.target(), newest.applyAsInt(wish.target())));
+    if (hasRoom(demand.model())) {
+      return Optional.of(
+          order(Operation.LOAD, demand.target(), newest.applyAsInt(demand.target())));
     }
-    return leastWorth(wishes, nowMillis).map(item -> order(Operation.UNLOAD, item.target, 0));
+    return leastWorth(demands, nowMillis).map(item -> order(Operation.UNLOAD, item.target, 0));
   }
 
   /**
@@ -323,14 +324,14 @@
    * {@link #settle}); one that was used a moment ago may have a request on its way from a host that
    * has not told of it yet.
    */
-  private Optional<Item> leastWorth(List<Wish> wishes, long nowMillis) {
-    Set<String> wished = new HashSet<>();
-    wishes.forEach(wish -> wished.add(wish.target()));
+  private Optional<Item> leastWorth(List<Demand> demands, long nowMillis) {
+    Set<String> demanded = new HashSet<>();
+    demands.forEach(demand -> demanded.add(demand.target()));
     return items.values().stream()
-        .filter(item -> item.state == State.READY && !wished.contains(item.target))
+        .filter(item -> item.state == State.READY && !demanded.contains(item.target))
         .filter(item -> nowMillis - item.usedMillis >= settings.idleMillis())
         .min(
-            Comparator.comparingDouble((Item item) -> item.demand)
+            Comparator.comparingDouble((Item item) -> item.recentUse)
                 .thenComparingLong(item -> item.usedMillis));
   }
 
@@ -361,9 +362,9 @@
       modelOrderMillis = nowMillis;
     } else if (order.operation() == Operation.LOAD) {
       long ready = nowMillis + estimates.time().millis();
-      Long wished = wishedMillis.get(order.target());
-      if (wished != null) {
-        queuedMillis += NEWEST_WAIT * (nowMillis - wished - queuedMillis);
+      Long demanded = demandedMillis.get(order.target());
+      if (demanded != null) {
+        queuedMillis += NEWEST_WAIT * (nowMillis - demanded - queuedMillis);
       }
       items.put(
           order.target(),
@@ -534,9 +535,9 @@
    */
   public long queueMillis(long nowMillis) {
     long oldest = 0;
-    for (Map.Entry<String, Long> wish : wishedMillis.entrySet()) {
-      if (!items.containsKey(wish.getKey())) {
-        oldest = Math.max(oldest, nowMillis - wish.getValue());
+    for (Map.Entry<String, Long> demand : demandedMillis.entrySet()) {
+      if (!items.containsKey(demand.getKey())) {
+        oldest = Math.max(oldest, nowMillis - demand.getValue());
       }
     }
     return oldest == 0 ? 0 : Math.max(oldest, Math.round(queuedMillis));
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerBook.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -17,7 +17,7 @@
  * <p>For each runner the newest store revision wins, wherever it came from, so a reading that is
  * late or stale never brings a runner back that has left since.
  */
-public final class RunnerBook {
+public final class RunnerRegistry {
 
   /**
    * How long a runner whose entry vanished is still used when nothing better is there (ms). Entries
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/LoadQueueTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/LoadQueueTest.java
@@ -34,7 +34,7 @@
   private static final class World {
     final Random random = new Random(11);
     final int fullSpeed;
-    final List<RunnerShelf> shelves = new ArrayList<>();
+    final List<RunnerResidency> residencies = new ArrayList<>();
     final List<Map<String, Double>> loading = new ArrayList<>();
     final List<Map<String, Long>> waiting = new ArrayList<>();
     final List<Map<String, Long>> used = new ArrayList<>();
@@ -45,9 +45,10 @@
     World(int fullSpeed, LoadEstimates estimates) {
       this.fullSpeed = fullSpeed;
       for (int i = 0; i < RUNNERS; i++) {
-        RunnerShelf shelf = new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, estimates);
-        shelf.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), now);
-        shelves.add(shelf);
+        RunnerResidency residency =
+            new RunnerResidency(ENGINE, ResidencySettings.DEFAULT, estimates);
+        residency.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), now);
+        residencies.add(residency);
         loading.add(new LinkedHashMap<>());
         waiting.add(new LinkedHashMap<>());
         used.add(new HashMap<>());
@@ -81,38 +82,38 @@
     }
 
     private void order(int i) {
-      List<Wish> wishes = new ArrayList<>();
-      waiting.get(i).keySet().forEach(adapter -> wishes.add(new Wish("m", adapter, 1, 1, 0)));
+      List<Demand> demands = new ArrayList<>();
+      waiting.get(i).keySet().forEach(adapter -> demands.add(new Demand("m", adapter, 1, 1, 0)));
       for (int round = 0; round < 2; round++) {
         int elsewhere = inTransit() - loading.get(i).size();
         Optional<Order> next =
-            shelves
+            residencies
                 .get(i)
-                .next(wishes, t -> used.get(i).containsKey(t) ? 1 : 0, t -> 0, elsewhere, now);
+                .next(demands, t -> used.get(i).containsKey(t) ? 1 : 0, t -> 0, elsewhere, now);
         if (next.isEmpty()) {
           return;
         }
         Order order = next.get();
-        shelves.get(i).sent(order, now);
+        residencies.get(i).sent(order, now);
         boolean load = order.operation() == Operation.LOAD;
         if (load) {
           loading.get(i).put(order.target(), 1.0);
         }
         OrderReply reply = load ? OrderReply.ACCEPTED : OrderReply.DONE;
-        shelves.get(i).replied(order, reply, elsewhere, now);
+        residencies.get(i).replied(order, reply, elsewhere, now);
       }
     }
 
     private void serve(int i) {
       used.get(i).values().removeIf(until -> now >= until);
-      for (HeldItem item : shelves.get(i).held()) {
+      for (HeldItem item : residencies.get(i).held()) {
         String adapter = item.target().substring(2);
         Long since = waiting.get(i).get(adapter);
         if (since == null || now < item.readyMillis()) {
           continue;
         }
         if (loading.get(i).getOrDefault(item.target(), 0.0) > 1e-9) {
-          shelves.get(i).missing(item.target(), now);
+          residencies.get(i).missing(item.target(), now);
         } else {
           loading.get(i).remove(item.target());
           waiting.get(i).remove(adapter);
@@ -166,11 +167,12 @@
 
   @Nested
   class OrderOfLoads {
-    private final RunnerShelf shelf =
-        new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, LoadEstimates.of(ShelfSettings.DEFAULT, 6));
+    private final RunnerResidency residency =
+        new RunnerResidency(
+            ENGINE, ResidencySettings.DEFAULT, LoadEstimates.of(ResidencySettings.DEFAULT, 6));
 
-    private String first(long now, Wish... wishes) {
-      return shelf.next(List.of(wishes), t -> 0, t -> 0, 0, now).orElseThrow().target();
+    private String first(long now, Demand... demands) {
+      return residency.next(List.of(demands), t -> 0, t -> 0, 0, now).orElseThrow().target();
     }
 
     /**
@@ -182,18 +184,18 @@
      */
     @Test
     void singleRequestIsNotPassedForEver() {
-      shelf.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), 1_000);
-      Wish rare = new Wish("m", "rare", 1, 1, 0);
-      assertThat(first(10_000, rare, new Wish("m", "b1", 2, 2, 0))).isEqualTo("m/b1");
-      assertThat(first(10_100, rare, new Wish("m", "b2", 2, 2, 0))).isEqualTo("m/rare");
+      residency.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), 1_000);
+      Demand rare = new Demand("m", "rare", 1, 1, 0);
+      assertThat(first(10_000, rare, new Demand("m", "b1", 2, 2, 0))).isEqualTo("m/b1");
+      assertThat(first(10_100, rare, new Demand("m", "b2", 2, 2, 0))).isEqualTo("m/rare");
     }
 
     @Test
     void thoseThatCanBeInTimeComeBeforeThoseThatCannot() {
-      shelf.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), 1_000);
-      Wish late = new Wish("m", "late", 5, 0, 0);
+      residency.adopt(new RunnerReport(0, 0, false, Set.of("m"), Map.of(), Map.of()), 1_000);
+      Demand late = new Demand("m", "late", 5, 0, 0);
       first(10_000, late);
-      assertThat(first(12_000, late, new Wish("m", "new", 1, 1, 0))).isEqualTo("m/new");
+      assertThat(first(12_000, late, new Demand("m", "new", 1, 1, 0))).isEqualTo("m/new");
     }
   }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/ShelfWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/ResidencyWorld.java
@@ -14,22 +14,23 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 
-/** A runner as the platform's pages describe it, beside the shelf that orders it. */
-final class ShelfWorld {
+/** A runner as the platform's pages describe it, beside the residency that orders it. */
+final class ResidencyWorld {
 
   private static final int PLACES = 4;
   private static final long LOAD_MILLIS = 250;
   private static final EngineSpec ENGINE =
       new EngineSpec(8, 10_000, 1_000, PLACES, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
 
-  private final RunnerShelf shelf =
-      new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, LoadEstimates.of(ShelfSettings.DEFAULT, 8));
+  private final RunnerResidency residency =
+      new RunnerResidency(
+          ENGINE, ResidencySettings.DEFAULT, LoadEstimates.of(ResidencySettings.DEFAULT, 8));
   private final Map<String, Long> readyAt = new LinkedHashMap<>();
   private final Map<String, Integer> versions = new HashMap<>();
   private final Map<String, Integer> published = new HashMap<>();
   private final Map<String, Integer> running = new HashMap<>();
   private final Set<String> leaving = new LinkedHashSet<>();
-  private final Set<String> wished = new LinkedHashSet<>();
+  private final Set<String> demanded = new LinkedHashSet<>();
   private long sequence;
   private long now = 1_000_000;
 
@@ -38,8 +39,8 @@
     dropLeaving();
   }
 
-  void wish(String target) {
-    wished.add(target);
+  void demand(String target) {
+    demanded.add(target);
   }
 
   void start(String target) {
@@ -50,7 +51,7 @@
 
   void finish(String target) {
     running.computeIfPresent(target, (t, count) -> count > 1 ? count - 1 : null);
-    wished.remove(target);
+    demanded.remove(target);
     dropLeaving();
   }
 
@@ -59,7 +60,7 @@
   }
 
   void pump() {
-    next().ifPresent(order -> shelf.replied(order, execute(order), 0, now));
+    next().ifPresent(order -> residency.replied(order, execute(order), 0, now));
   }
 
   void pumpAndLoseReply() {
@@ -67,44 +68,44 @@
         .ifPresent(
             order -> {
               execute(order);
-              shelf.replied(order, OrderReply.UNKNOWN, 0, now);
+              residency.replied(order, OrderReply.UNKNOWN, 0, now);
             });
   }
 
   void pumpAndRefuse() {
-    next().ifPresent(order -> shelf.replied(order, OrderReply.CONFLICT, 0, now));
+    next().ifPresent(order -> residency.replied(order, OrderReply.CONFLICT, 0, now));
   }
 
   void report() {
-    if (shelf.reportDue(now)) {
-      shelf.adopt(currentReport(), now);
-      assertThat(shelf.sequence()).isEqualTo(sequence);
+    if (residency.reportDue(now)) {
+      residency.adopt(currentReport(), now);
+      assertThat(residency.sequence()).isEqualTo(sequence);
     }
   }
 
-  /** With nothing running, every wish is met in the end. */
+  /** With nothing running, every demand is met in the end. */
   void settle() {
     running.clear();
     for (int round = 0; round < 200; round++) {
       pass(300);
       report();
       pump();
-      wished.removeIf(target -> readyAt.getOrDefault(target, Long.MAX_VALUE) <= now);
+      demanded.removeIf(target -> readyAt.getOrDefault(target, Long.MAX_VALUE) <= now);
     }
-    assertWithMessage("wishes that were never met").that(wished).isEmpty();
+    assertWithMessage("demands that were never met").that(demanded).isEmpty();
   }
 
   private Optional<Order> next() {
-    List<Wish> wishes = new ArrayList<>();
-    wished.forEach(target -> wishes.add(new Wish("m", target.substring(2), 1, 1, 0)));
+    List<Demand> demands = new ArrayList<>();
+    demanded.forEach(target -> demands.add(new Demand("m", target.substring(2), 1, 1, 0)));
     Optional<Order> next =
-        shelf.next(
-            wishes,
+        residency.next(
+            demands,
             target -> running.getOrDefault(target, 0),
             target -> published.getOrDefault(target, 0),
             0,
             now);
-    next.ifPresent(order -> shelf.sent(order, now));
+    next.ifPresent(order -> residency.sent(order, now));
     return next;
   }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfPropertiesTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerResidencyPropertiesTest.java
@@ -20,35 +20,36 @@
  *
  * <p>Cause looked for: a place believed empty whose order had an unknown outcome.
  */
-class RunnerShelfPropertiesTest {
+class RunnerResidencyPropertiesTest {
 
   private static final int MAX_TARGET = 14;
 
   @Property(tries = 3_000, seed = "20261210")
-  void neverOrdersMoreThanPlaces(@ForAll("chains") ActionChain<ShelfWorld> chain) {
+  void neverOrdersMoreThanPlaces(@ForAll("chains") ActionChain<ResidencyWorld> chain) {
     chain.run().settle();
   }
 
   @Provide
-  Arbitrary<ActionChain<ShelfWorld>> chains() {
-    return ActionChain.startWith(ShelfWorld::new)
-        .withAction(8, onTarget("wish", ShelfWorld::wish))
-        .withAction(3, onTarget("start", ShelfWorld::start))
-        .withAction(4, onTarget("finish", ShelfWorld::finish))
-        .withAction(1, onTarget("publish", ShelfWorld::publish))
-        .withAction(10, just("pump", ShelfWorld::pump))
-        .withAction(2, just("loseReply", ShelfWorld::pumpAndLoseReply))
-        .withAction(2, just("refuse", ShelfWorld::pumpAndRefuse))
-        .withAction(4, just("report", ShelfWorld::report))
+  Arbitrary<ActionChain<ResidencyWorld>> chains() {
+    return ActionChain.startWith(ResidencyWorld::new)
+        .withAction(8, onTarget("demand", ResidencyWorld::demand))
+        .withAction(3, onTarget("start", ResidencyWorld::start))
+        .withAction(4, onTarget("finish", ResidencyWorld::finish))
+        .withAction(1, onTarget("publish", ResidencyWorld::publish))
+        .withAction(10, just("pump", ResidencyWorld::pump))
+        .withAction(2, just("loseReply", ResidencyWorld::pumpAndLoseReply))
+        .withAction(2, just("refuse", ResidencyWorld::pumpAndRefuse))
+        .withAction(4, just("report", ResidencyWorld::report))
         .withAction(8, pass())
         .withMaxTransformations(80);
   }
 
-  private static Action<ShelfWorld> just(String label, Consumer<ShelfWorld> event) {
+  private static Action<ResidencyWorld> just(String label, Consumer<ResidencyWorld> event) {
     return Action.just(Transformer.mutate(label, event));
   }
 
-  private static Action<ShelfWorld> onTarget(String label, BiConsumer<ShelfWorld, String> event) {
+  private static Action<ResidencyWorld> onTarget(
+      String label, BiConsumer<ResidencyWorld, String> event) {
     return new Event(
         Arbitraries.integers()
             .between(1, MAX_TARGET)
@@ -57,17 +58,17 @@
                     Transformer.mutate(label + " a" + n, world -> event.accept(world, "m/a" + n))));
   }
 
-  private static Action<ShelfWorld> pass() {
+  private static Action<ResidencyWorld> pass() {
     return new Event(
         Arbitraries.longs()
             .between(1, 900)
             .map(millis -> Transformer.mutate("pass " + millis, world -> world.pass(millis))));
   }
 
-  private record Event(Arbitrary<Transformer<ShelfWorld>> events)
-      implements Action.Independent<ShelfWorld> {
+  private record Event(Arbitrary<Transformer<ResidencyWorld>> events)
+      implements Action.Independent<ResidencyWorld> {
     @Override
-    public Arbitrary<Transformer<ShelfWorld>> transformer() {
+    public Arbitrary<Transformer<ResidencyWorld>> transformer() {
       return events;
     }
   }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerShelfTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/RunnerResidencyTest.java
@@ -10,13 +10,14 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 
-class RunnerShelfTest {
+class RunnerResidencyTest {
 
   private static final EngineSpec ENGINE =
       new EngineSpec(8, 10_000, 1_000, 4, 3, 4, List.of(new ModelSpec("m", 800, 10, 500)));
 
-  private final RunnerShelf shelf =
-      new RunnerShelf(ENGINE, ShelfSettings.DEFAULT, LoadEstimates.of(ShelfSettings.DEFAULT, 8));
+  private final RunnerResidency residency =
+      new RunnerResidency(
+          ENGINE, ResidencySettings.DEFAULT, LoadEstimates.of(ResidencySettings.DEFAULT, 8));
 
   @Nested
   class LoadsThatTakeLongerThanExpected {
@@ -33,29 +34,29 @@
      */
     @Test
     void areExpectedLaterNextTime() {
-      shelf.adopt(report(Map.of()), 1_000);
+      residency.adopt(report(Map.of()), 1_000);
       int refused = 0;
       long now = 10_000;
       for (int load = 0; load < 200; load++) {
         final long start = now;
-        Order order = shelf.next(List.of(wish(load)), target -> 0, target -> 0, 0, now).get();
+        Order order = residency.next(List.of(demand(load)), target -> 0, target -> 0, 0, now).get();
         while (order.operation() == Order.Operation.UNLOAD) {
-          shelf.sent(order, now);
-          shelf.replied(order, OrderReply.DONE, 0, now);
-          order = shelf.next(List.of(wish(load)), target -> 0, target -> 0, 0, now).get();
+          residency.sent(order, now);
+          residency.replied(order, OrderReply.DONE, 0, now);
+          order = residency.next(List.of(demand(load)), target -> 0, target -> 0, 0, now).get();
         }
-        shelf.sent(order, now);
-        shelf.replied(order, OrderReply.ACCEPTED, 0, now);
+        residency.sent(order, now);
+        residency.replied(order, OrderReply.ACCEPTED, 0, now);
         String target = order.target();
         long ready =
-            shelf.held().stream()
+            residency.held().stream()
                 .filter(item -> item.target().equals(target))
                 .findFirst()
                 .get()
                 .readyMillis();
         if (ready < start + 288) {
           refused++;
-          shelf.missing(target, ready);
+          residency.missing(target, ready);
         }
         assertThat(ready).isAtMost(start + 288 + 40);
         now += 5_000;
@@ -63,8 +64,8 @@
       assertThat(refused).isAtMost(20);
     }
 
-    private Wish wish(int number) {
-      return new Wish("m", "a" + number, 1, 1, 0);
+    private Demand demand(int number) {
+      return new Demand("m", "a" + number, 1, 1, 0);
     }
   }
 
@@ -80,20 +81,20 @@
      */
     @Test
     void isNotToldAsHeldUntilTheNextReport() {
-      shelf.adopt(report(Map.of("m/a1", 1)), 1_000);
-      shelf.missing("m/a1", 5_000);
-      assertThat(shelf.held()).isEmpty();
-      assertThat(shelf.reportDue(5_000)).isTrue();
-      shelf.adopt(report(Map.of("m/a1", 1)), 5_100);
-      assertThat(shelf.held()).hasSize(1);
+      residency.adopt(report(Map.of("m/a1", 1)), 1_000);
+      residency.missing("m/a1", 5_000);
+      assertThat(residency.held()).isEmpty();
+      assertThat(residency.reportDue(5_000)).isTrue();
+      residency.adopt(report(Map.of("m/a1", 1)), 5_100);
+      assertThat(residency.held()).hasSize(1);
     }
 
     @Test
     void isToldAsComingWhileItMayBeLate() {
-      shelf.adopt(report(Map.of("m/a1", 1)), 1_000);
-      shelf.missing("m/a1", 1_100);
-      assertThat(shelf.held()).hasSize(1);
-      assertThat(shelf.held().get(0).readyMillis()).isGreaterThan(1_100);
+      residency.adopt(report(Map.of("m/a1", 1)), 1_000);
+      residency.missing("m/a1", 1_100);
+      assertThat(residency.held()).hasSize(1);
+      assertThat(residency.held().get(0).readyMillis()).isGreaterThan(1_100);
     }
   }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerBookTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerRegistryTest.java
@@ -14,9 +14,9 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.sequoiahub.core.upstream.RunnerBook.Change;
+import org.sequoiahub.core.upstream.RunnerRegistry.Change;
 
-class RunnerBookTest {
+class RunnerRegistryTest {
 
   private static RunnerEntry entry(String id, boolean leaving, long remaining) {
     return new RunnerEntry(
@@ -43,7 +43,7 @@
   @Property(tries = 2_000, seed = "20261212")
   void newestRevisionWinsInAnyOrder(
       @ForAll @Size(max = 40) List<@IntRange(min = 1, max = 30) Integer> arrivals) {
-    RunnerBook book = new RunnerBook();
+    RunnerRegistry book = new RunnerRegistry();
     Map<String, Change> newest = new HashMap<>();
     for (int revision : arrivals) {
       String id = "r" + revision % 3;
@@ -62,7 +62,7 @@
           }
         });
     List<String> usable =
-        book.usable(RunnerBook.VANISHED_GRACE_MILLIS).stream().map(RunnerEntry::id).toList();
+        book.usable(RunnerRegistry.VANISHED_GRACE_MILLIS).stream().map(RunnerEntry::id).toList();
     assertThat(usable).containsExactlyElementsIn(expected);
   }
 
@@ -74,17 +74,17 @@
   class Vanishing {
     @Test
     void isUsedForShortWhileOnly() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, entry("r", false, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
       assertThat(book.usable(200)).hasSize(1);
       assertThat(book.vanished("r")).isTrue();
-      assertThat(book.usable(100 + RunnerBook.VANISHED_GRACE_MILLIS)).isEmpty();
+      assertThat(book.usable(100 + RunnerRegistry.VANISHED_GRACE_MILLIS)).isEmpty();
     }
 
     @Test
     void comesBackWithNewerEntry() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, entry("r", false, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
       book.apply(new Change("r", 3, entry("r", false, -1)), 9_000);
@@ -94,7 +94,7 @@
 
     @Test
     void leavingRunnerIsNotUsedEvenWhenItsEntryVanishes() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, entry("r", true, -1)), 0);
       book.apply(new Change("r", 2, null), 100);
       assertThat(book.usable(101)).isEmpty();
@@ -102,7 +102,7 @@
 
     @Test
     void wholeReadingRemovesWhatItLacksButNothingNewer() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("old", 1, entry("old", false, -1)), 0);
       book.apply(new Change("new", 9, entry("new", false, -1)), 0);
       book.replace(List.of(), Set.of(), 5, 10);
@@ -138,7 +138,7 @@
      */
     @Test
     void newLifeReplacesTheOldAndHasAnotherKey() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, life(1_000, 40, true)), 0);
       book.apply(new Change("r", 2, life(2_000, 0, false)), 10);
       assertThat(book.usable(20)).containsExactly(life(2_000, 0, false));
@@ -154,7 +154,7 @@
      */
     @Test
     void oldCopiesChangeNothing() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, life(2_000, 7, true)), 0);
       assertThat(book.apply(new Change("r", 2, life(1_000, 90, false)), 10)).isFalse();
       assertThat(book.apply(new Change("r", 3, life(2_000, 6, false)), 10)).isFalse();
@@ -166,7 +166,7 @@
     @Property(tries = 2_000, seed = "20261220")
     void latestWordOfTheLatestLifeWins(
         @ForAll @Size(min = 1, max = 30) List<@IntRange(min = 0, max = 24) Integer> words) {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       int latest = -1;
       int revision = 0;
       for (int word : words) {
@@ -182,7 +182,7 @@
   class UnreadableEntries {
     @Test
     void wholeReadingWithUnreadableEntryKeepsWhatWasKnown() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, entry("r", false, -1)), 0);
       book.replace(List.of(), Set.of("r"), 5, 10);
       assertThat(book.vanished("r")).isFalse();
@@ -193,7 +193,7 @@
   class ShortNotice {
     @Test
     void goneWhenItsTimeIsUp() {
-      RunnerBook book = new RunnerBook();
+      RunnerRegistry book = new RunnerRegistry();
       book.apply(new Change("r", 1, entry("r", false, 1_500)), 0);
       assertThat(book.usable(1_499)).hasSize(1);
       assertThat(book.usable(1_500)).isEmpty();
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -128,13 +128,14 @@
     String holder = settings.getHostId() + "/" + Long.toHexString(incarnation);
     EngineClient engines = new EngineClient(http);
     LocalView view = new LocalView(new DefaultRecordParser());
-    LeaseDesk leases = new LeaseDesk(settings, holder, clients, events, now);
-    LoadTurnDesk turns = new LoadTurnDesk(settings, clients, events, metrics);
-    RunnerDesk runners =
-        new RunnerDesk(settings, (int) incarnation, engines, leases, turns, events, metrics, log);
-    JobDesk jobs = new JobDesk(settings, engines, runners, events, tracing, metrics, log);
-    ServiceDesk services =
-        new ServiceDesk(
+    LeaseService leases = new LeaseService(settings, holder, clients, events, now);
+    LoadTurnService turns = new LoadTurnService(settings, clients, events, metrics);
+    OwnedRunnerController runners =
+        new OwnedRunnerController(
+            settings, (int) incarnation, engines, leases, turns, events, metrics, log);
+    JobScheduler jobs = new JobScheduler(settings, engines, runners, events, tracing, metrics, log);
+    ServiceForwarder services =
+        new ServiceForwarder(
             settings, incarnation, new ServiceClient(http), events, tracing, metrics, log);
     return new DispatcherDuty(
         settings,
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/DispatcherDuty.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/DispatcherDuty.java
@@ -13,18 +13,18 @@
 import org.sequoiahub.wire.LocalView;
 import org.sequoiahub.wire.WireConnection;
 
-/** Hands each event to the desk that it is for; all state lives on one thread. */
+/** Hands each event to the service that it is for; all state lives on one thread. */
 final class DispatcherDuty {
 
   private static final long STATUS_MILLIS = 200;
 
   private final DispatcherSettings settings;
   private final LocalView view;
-  private final RunnerDesk runners;
-  private final JobDesk jobs;
-  private final ServiceDesk services;
-  private final LeaseDesk leases;
-  private final LoadTurnDesk turns;
+  private final OwnedRunnerController runners;
+  private final JobScheduler jobs;
+  private final ServiceForwarder services;
+  private final LeaseService leases;
+  private final LoadTurnService turns;
   private final MonotonicClock clock;
   private final EventLog log;
   private @Nullable Runnable drained;
@@ -35,11 +35,11 @@
   DispatcherDuty(
       DispatcherSettings settings,
       LocalView view,
-      RunnerDesk runners,
-      JobDesk jobs,
-      ServiceDesk services,
-      LeaseDesk leases,
-      LoadTurnDesk turns,
+      OwnedRunnerController runners,
+      JobScheduler jobs,
+      ServiceForwarder services,
+      LeaseService leases,
+      LoadTurnService turns,
       MonotonicClock clock,
       MetricRegistry metrics,
       EventLog log) {
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/JobScheduler.java
@@ -35,7 +35,7 @@
 import org.sequoiahub.wire.WireConnection;
 
 /** The inference requests at this dispatcher and the streams of their answers. */
-final class JobDesk implements RunnerDesk.Requests {
+final class JobScheduler implements OwnedRunnerController.Requests {
 
   private static final int MAX_RESUMES = 5;
   private static final long CANCEL_TIMEOUT_MILLIS = 2_000;
@@ -45,7 +45,7 @@
 
   private final DispatcherSettings settings;
   private final EngineClient engines;
-  private final RunnerDesk runners;
+  private final OwnedRunnerController runners;
   private final Consumer<DispatcherEvent> events;
   private final Tracing tracing;
   private final EventLog log;
@@ -60,10 +60,10 @@
   private Fleet fleet = Fleet.EMPTY;
   private long nowMillis;
 
-  JobDesk(
+  JobScheduler(
       DispatcherSettings settings,
       EngineClient engines,
-      RunnerDesk runners,
+      OwnedRunnerController runners,
       Consumer<DispatcherEvent> events,
       Tracing tracing,
       MetricRegistry metrics,
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/LeaseDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/LeaseService.java
@@ -19,7 +19,7 @@
 import org.sequoiahub.wire.WireConnection;
 
 /** Grants leases to other dispatchers and collects them for the runners of this one. */
-final class LeaseDesk {
+final class LeaseService {
 
   private final DispatcherSettings settings;
   private final String holder;
@@ -28,7 +28,7 @@
   private final LeaseGranter granter;
   private Fleet fleet = Fleet.EMPTY;
 
-  LeaseDesk(
+  LeaseService(
       DispatcherSettings settings,
       String holder,
       WireClients clients,
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/LoadTurnDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/LoadTurnService.java
@@ -28,7 +28,7 @@
  * <p>One dispatcher, computed from the host list, keeps the turns of the fleet. When it cannot be
  * reached, an asker falls back to its own share of the store's rate.
  */
-final class LoadTurnDesk {
+final class LoadTurnService {
 
   private final DispatcherSettings settings;
   private final WireClients clients;
@@ -39,7 +39,7 @@
   private LoadTurns<TurnKey> ownShare;
   private Fleet fleet = Fleet.EMPTY;
 
-  LoadTurnDesk(
+  LoadTurnService(
       DispatcherSettings settings,
       WireClients clients,
       Consumer<DispatcherEvent> events,
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/RunnerDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/OwnedRunnerController.java
@@ -30,7 +30,7 @@
 import org.sequoiahub.schema.settings.DispatcherSettings;
 
 /** The runners that this dispatcher owns or claims, and the orders to their engines. */
-final class RunnerDesk {
+final class OwnedRunnerController {
 
   private static final int TERMS_BEFORE_DROP = 3;
   private static final int TERMS_LEFT_TO_OWNER = 5;
@@ -40,8 +40,8 @@
   private final DispatcherSettings settings;
   private final int fencingTag;
   private final EngineClient engines;
-  private final LeaseDesk leases;
-  private final LoadTurnDesk turns;
+  private final LeaseService leases;
+  private final LoadTurnService turns;
   private final Consumer<DispatcherEvent> events;
   private final EventLog log;
   private final PolicySettings policy;
@@ -54,12 +54,12 @@
   private Fleet fleet = Fleet.EMPTY;
   private boolean stopping;
 
-  RunnerDesk(
+  OwnedRunnerController(
       DispatcherSettings settings,
       int fencingTag,
       EngineClient engines,
-      LeaseDesk leases,
-      LoadTurnDesk turns,
+      LeaseService leases,
+      LoadTurnService turns,
       Consumer<DispatcherEvent> events,
       MetricRegistry metrics,
       EventLog log) {
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/ServiceDesk.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/ServiceForwarder.java
@@ -34,7 +34,7 @@
 import org.sequoiahub.wire.WireConnection;
 
 /** Calls of plain services, and the operations that may run at most once. */
-final class ServiceDesk {
+final class ServiceForwarder {
 
   private static final int MAX_MINTED = 64;
 
@@ -51,7 +51,7 @@
   private Fleet fleet = Fleet.EMPTY;
   private boolean stopping;
 
-  ServiceDesk(
+  ServiceForwarder(
       DispatcherSettings settings,
       long incarnation,
       ServiceClient services,
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
@@ -153,8 +153,8 @@
         settings.getDeployment().equals("dhuwaan")
             ? RouteSettings.dhuwaan()
             : RouteSettings.ashcombe();
-    FlightDesk flights =
-        new FlightDesk(
+    InFlightRequests flights =
+        new InFlightRequests(
             settings,
             view,
             dispatchers,
@@ -164,8 +164,8 @@
             tracing,
             metrics,
             log);
-    ServiceDoor services =
-        new ServiceDoor(settings, view, dispatchers, events, random.split(), tracing);
+    ServiceFrontEnd services =
+        new ServiceFrontEnd(settings, view, dispatchers, events, random.split(), tracing);
     return new EntryDuty(
         settings, view, flights, services, dispatchers, MonotonicClock.SYSTEM, metrics, log);
   }
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/EntryDuty.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/EntryDuty.java
@@ -21,8 +21,8 @@
 
   private final EntrySettings settings;
   private final LocalView view;
-  private final FlightDesk flights;
-  private final ServiceDoor services;
+  private final InFlightRequests flights;
+  private final ServiceFrontEnd services;
   private final DispatcherDirectory dispatchers;
   private final MonotonicClock clock;
   private final EventLog log;
@@ -35,8 +35,8 @@
   EntryDuty(
       EntrySettings settings,
       LocalView view,
-      FlightDesk flights,
-      ServiceDoor services,
+      InFlightRequests flights,
+      ServiceFrontEnd services,
       DispatcherDirectory dispatchers,
       MonotonicClock clock,
       MetricRegistry metrics,
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/FlightDesk.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/InFlightRequests.java
@@ -43,7 +43,7 @@
 import org.sequoiahub.wire.WireClient;
 
 /** The inference requests in progress at this entry. */
-final class FlightDesk {
+final class InFlightRequests {
 
   private static final int OWNERS_TRIED = 3;
   private static final int MAX_RESUMES = 4;
@@ -72,7 +72,7 @@
   private long lastFlight;
   private long nowMillis;
 
-  FlightDesk(
+  InFlightRequests(
       EntrySettings settings,
       LocalView view,
       DispatcherDirectory dispatchers,
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/ServiceDoor.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/ServiceFrontEnd.java
@@ -28,7 +28,7 @@
 import org.sequoiahub.wire.WireClient;
 
 /** Callers' calls of plain services, and their questions which address to use. */
-final class ServiceDoor {
+final class ServiceFrontEnd {
 
   private static final int ALTERNATIVES = 3;
   private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -43,7 +43,7 @@
   private int inProgress;
   private boolean stopping;
 
-  ServiceDoor(
+  ServiceFrontEnd(
       EntrySettings settings,
       LocalView view,
       DispatcherDirectory dispatchers,
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/package-info.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/package-info.java
@@ -1,4 +1,4 @@
-/** The callers' door: inference, plain services and address answers over HTTP. */
+/** The callers' side: inference, plain services and address answers over HTTP. */
 @NullMarked
 package org.sequoiahub.entry;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -17,34 +17,34 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.dispatch.Shutdown;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
-import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.CallerLimits;
 import org.sequoiahub.core.routing.RoutingTable;
-import org.sequoiahub.core.upstream.RunnerBook;
-import org.sequoiahub.node.call.CallDesk;
+import org.sequoiahub.core.upstream.RunnerRegistry;
 import org.sequoiahub.node.call.FleetView;
-import org.sequoiahub.node.caller.CallerDoor;
-import org.sequoiahub.node.holder.HolderDesk;
+import org.sequoiahub.node.call.RequestCoordinator;
+import org.sequoiahub.node.caller.CallerServer;
+import org.sequoiahub.node.holder.HolderService;
 import org.sequoiahub.node.peer.DatagramPort;
-import org.sequoiahub.node.peer.DemandDesk;
+import org.sequoiahub.node.peer.DemandSender;
 import org.sequoiahub.node.peer.FleetShape;
-import org.sequoiahub.node.peer.PeerDesk;
+import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.RecordExchange;
 import org.sequoiahub.node.peer.StateCodec;
-import org.sequoiahub.node.store.StoreDesk;
 import org.sequoiahub.node.store.StoreFollower;
+import org.sequoiahub.node.store.StoreRegistry;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.Duty;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.runtime.metrics.MetricsText;
 import org.sequoiahub.schema.peer.AdapterDemand;
-import org.sequoiahub.schema.peer.AdapterWish;
+import org.sequoiahub.schema.peer.DemandReport;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.schema.settings.NodeSettings;
@@ -115,18 +115,18 @@
   private final Members<HostState> members;
   private final Holdings holdings = new Holdings();
   private final FleetLoad loads = new FleetLoad();
-  private final RunnerBook book = new RunnerBook();
-  private final StoreDesk store;
+  private final RunnerRegistry book = new RunnerRegistry();
+  private final StoreRegistry store;
   private final StoreFollower operators;
   private final StoreFollower runners;
   private final FleetView fleet;
-  private final CallDesk calls;
-  private final HolderDesk holder;
+  private final RequestCoordinator calls;
+  private final HolderService holder;
   private final FleetShape shape;
-  private final PeerDesk peers;
-  private final DemandDesk demands;
+  private final PeerHeartbeats peers;
+  private final DemandSender demandSender;
   private final RecordExchange exchange;
-  private final CallerDoor door;
+  private final CallerServer callerServer;
   private final DatagramPort datagrams;
   private final WireServer wireServer;
   private final WireClients wireClients;
@@ -155,7 +155,7 @@
             this::defect,
             MonotonicClock.SYSTEM);
     RecordDecoder decoder = new RecordDecoder();
-    this.store = new StoreDesk(decoder, book, this::inForce, this::changed, log);
+    this.store = new StoreRegistry(decoder, book, this::inForce, this::changed, log);
     StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
     this.operators = follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0);
     this.runners =
@@ -173,7 +173,7 @@
     SharedRetryBudget budget =
         new SharedRetryBudget(host.retryRatio(), host.retryAllowance(), host.retryWindowMillis());
     this.calls =
-        new CallDesk(
+        new RequestCoordinator(
             fleet,
             new UpstreamClient(runnerHttp),
             budget,
@@ -188,7 +188,7 @@
     long incarnation = System.currentTimeMillis();
     this.shape = new FleetShape(host, members);
     this.peers =
-        new PeerDesk(
+        new PeerHeartbeats(
             host,
             incarnation,
             members,
@@ -201,9 +201,10 @@
             this::wordOf,
             random,
             log);
-    this.demands = new DemandDesk(host.host(), members, holdings, peers::datagram, datagrams::send);
+    this.demandSender =
+        new DemandSender(host.host(), members, holdings, peers::datagram, datagrams::send);
     this.holder =
-        new HolderDesk(
+        new HolderService(
             host,
             incarnation,
             startedMillis,
@@ -225,8 +226,8 @@
         new RecordExchange(wireClients, host.peerPort(), items -> duty.put(() -> passedOn(items)));
     this.wireServer =
         WireServer.open(network, host.ip(), host.peerPort(), SILENCE_MILLIS, new PeerHandler());
-    this.door =
-        new CallerDoor(
+    this.callerServer =
+        new CallerServer(
             host.ip(),
             host.callerPort(),
             host.readinessPort(),
@@ -251,7 +252,7 @@
     Node node = new Node(host, own, startedMillis);
     node.registerGauges();
     node.duty.start();
-    node.door.start();
+    node.callerServer.start();
     node.log.info(
         "started",
         "domain",
@@ -311,7 +312,7 @@
   /** Leaves the fleet and closes all ports, clients and threads. */
   public void stop() throws Exception {
     leave();
-    door.close();
+    callerServer.close();
     duty.close();
     datagrams.close();
     wireServer.close();
@@ -354,9 +355,9 @@
 
   private void tick(long nowMillis) {
     calls.tick(nowMillis);
-    Map<String, List<Wish>> wishes = calls.wishes(nowMillis);
-    holder.localWishes(wishes, nowMillis);
-    demands.tell(wishes, nowMillis);
+    Map<String, List<Demand>> demands = calls.demands(nowMillis);
+    holder.localDemands(demands, nowMillis);
+    demandSender.tell(demands, nowMillis);
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
       slowTickMillis = nowMillis;
       if (watchesStore()) {
@@ -402,13 +403,13 @@
 
   private void missing(String runner, String target, long nowMillis) {
     holder.missing(runner, target, nowMillis);
-    demands.refused(runner, target);
+    demandSender.refused(runner, target);
   }
 
   private void inForce(RoutingTable table) {
     fleet.table(table);
     limits = table.limits();
-    door.apply(table.limits());
+    callerServer.apply(table.limits());
   }
 
   private void refreshAddresses(long nowMillis) {
@@ -444,18 +445,18 @@
     }
   }
 
-  private void demanded(String from, String ip, AdapterDemand demand, long nowMillis) {
+  private void demanded(String from, String ip, DemandReport report, long nowMillis) {
     Set<String> runners = new HashSet<>();
-    for (AdapterWish wish : demand.getWishesList()) {
-      runners.add(wish.getRunner());
-      if (wish.getRefused()) {
-        holder.missing(wish.getRunner(), wish.getAdapter(), nowMillis);
+    for (AdapterDemand demand : report.getDemandsList()) {
+      runners.add(demand.getRunner());
+      if (demand.getRefused()) {
+        holder.missing(demand.getRunner(), demand.getAdapter(), nowMillis);
       } else {
-        holder.remoteWish(from, wish.getRunner(), StateCodec.decodeWish(wish), nowMillis);
+        holder.remoteDemand(from, demand.getRunner(), StateCodec.decodeDemand(demand), nowMillis);
       }
     }
     if (shape.isLarge()) {
-      holder.answerWishes(ip, runners, nowMillis);
+      holder.answerDemands(ip, runners, nowMillis);
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -20,8 +20,8 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
-import org.sequoiahub.core.upstream.RunnerBook;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerRegistry;
 
 /** All that this host believes of the fleet, for the choice of a runner; decision thread only. */
 public final class FleetView {
@@ -43,7 +43,7 @@
 
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
-  private final RunnerBook book;
+  private final RunnerRegistry book;
   private final Holdings holdings;
   private final FleetLoad loads;
   private final String failureDomain;
@@ -72,7 +72,7 @@
    * @param newestVersion the newest published version of an adapter; 0 if none was published
    */
   public FleetView(
-      RunnerBook book,
+      RunnerRegistry book,
       Holdings holdings,
       FleetLoad loads,
       String failureDomain,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CallDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -26,7 +26,7 @@
 import org.sequoiahub.core.dispatch.ServicePlacement;
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.dispatch.StreamLimits;
-import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Repetition;
@@ -44,7 +44,7 @@
 import org.sequoiahub.usersplatform.CallerDialect.RunnerHeaders;
 
 /** Takes requests from their arrival to their last byte; runs on the decision thread. */
-public final class CallDesk {
+public final class RequestCoordinator {
 
   /** How often callers are looked after that may have gone (ms). */
   private static final long LOOK_MILLIS = 100;
@@ -87,11 +87,11 @@
   private @Nullable Shutdown shutdown;
 
   /**
-   * Creates a desk.
+   * Creates a coordinator.
    *
    * @param changed told when what this host has in flight has changed
    */
-  public CallDesk(
+  public RequestCoordinator(
       FleetView fleet,
       UpstreamClient upstreams,
       SharedRetryBudget budget,
@@ -188,23 +188,23 @@
   }
 
   /** Returns what requests wait for, by runner. */
-  public Map<String, List<Wish>> wishes(long nowMillis) {
-    Map<String, Map<String, Wish>> byRunner = new HashMap<>();
+  public Map<String, List<Demand>> demands(long nowMillis) {
+    Map<String, Map<String, Demand>> byRunner = new HashMap<>();
     for (Call call : calls) {
       RunnerEntry runner = call.waitingAt;
       Generation generation = call.generation;
       if (runner != null && generation != null) {
         int inTime = nowMillis - call.arrivedMillis < call.route.targetLatencyMillis() ? 1 : 0;
-        Wish wish =
-            new Wish(generation.model(), generation.adapter(), 1, inTime, call.route.priority());
+        Demand demand =
+            new Demand(generation.model(), generation.adapter(), 1, inTime, call.route.priority());
         byRunner
             .computeIfAbsent(runner.id(), id -> new HashMap<>())
-            .merge(wish.target(), wish, Wish::plus);
+            .merge(demand.target(), demand, Demand::plus);
       }
     }
-    Map<String, List<Wish>> wishes = new HashMap<>();
-    byRunner.forEach((runner, list) -> wishes.put(runner, List.copyOf(list.values())));
-    return wishes;
+    Map<String, List<Demand>> demands = new HashMap<>();
+    byRunner.forEach((runner, list) -> demands.put(runner, List.copyOf(list.values())));
+    return demands;
   }
 
   /** Asks callers to close their connections, and takes only what can be finished. */
@@ -414,7 +414,7 @@
 
     @Override
     public void ended(Outcome outcome) {
-      decisions.accept(() -> CallDesk.this.ended(call, running, outcome));
+      decisions.accept(() -> RequestCoordinator.this.ended(call, running, outcome));
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerDoor.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
@@ -29,7 +29,7 @@
 import org.sequoiahub.usersplatform.AddressDialect;
 
 /** The ports that callers and the platform connect to. */
-public final class CallerDoor implements AutoCloseable {
+public final class CallerServer implements AutoCloseable {
 
   private static final int MAX_THREADS = 12;
   private static final int MIN_THREADS = 3;
@@ -67,7 +67,7 @@
    * @param metrics the text of the metrics
    * @param requests receives each request once its body has been read
    */
-  public CallerDoor(
+  public CallerServer(
       String ip,
       int callerPort,
       int readinessPort,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -17,16 +17,16 @@
 import org.sequoiahub.core.authority.LeaseGranter;
 import org.sequoiahub.core.authority.LeasedAuthority;
 import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.HeldItem;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.LoadEstimates;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
 import org.sequoiahub.core.holding.ReportReply;
+import org.sequoiahub.core.holding.ResidencySettings;
 import org.sequoiahub.core.holding.RunnerOrders;
-import org.sequoiahub.core.holding.RunnerShelf;
-import org.sequoiahub.core.holding.ShelfSettings;
-import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.core.holding.RunnerResidency;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -49,7 +49,7 @@
  * majority of the hosts granted, and a new holder waits until nothing that the one before ordered
  * can be younger than the platform's lease time.
  */
-public final class HolderDesk {
+public final class HolderService {
 
   /**
    * How long a lease lasts after the sending of its last granted claim (ms). A granter that
@@ -77,8 +77,8 @@
   /** An order is sent only if the lease lasts at least this much longer (ms). */
   private static final long LEASE_MARGIN_MILLIS = 200;
 
-  /** A remote wish counts for this long after it was told (ms); it is repeated every 60 ms. */
-  private static final long WISH_MILLIS = 200;
+  /** A remote demand counts for this long after it was told (ms); it is repeated every 60 ms. */
+  private static final long DEMAND_MILLIS = 200;
 
   /**
    * The steady clock does not count a suspension of the host; the time of day does. A difference of
@@ -137,21 +137,21 @@
   /** The largest number that orders to the runner at an address were seen to bear. */
   private final Map<String, Long> addressTokens = new HashMap<>();
 
-  private final Map<String, Map<String, RemoteWish>> remoteWishes = new HashMap<>();
-  private Map<String, List<Wish>> localWishes = Map.of();
+  private final Map<String, Map<String, RemoteDemand>> remoteDemands = new HashMap<>();
+  private Map<String, List<Demand>> localDemands = Map.of();
   private long clockDifference = Long.MIN_VALUE;
   private boolean stopping;
   private int enginesKnown;
   private @Nullable LoadEstimates estimates;
 
-  private record RemoteWish(Wish wish, long toldMillis) {}
+  private record RemoteDemand(Demand demand, long toldMillis) {}
 
   /** One runner that this host orders or tries to. */
   private static final class Held {
     RunnerEntry runner;
     final EngineSpec engine;
     final LeasedAuthority authority = new LeasedAuthority(LEASE_MILLIS);
-    @Nullable RunnerShelf shelf;
+    @Nullable RunnerResidency residency;
     long gainedMillis;
     long orderFromMillis;
     long token;
@@ -175,7 +175,7 @@
   }
 
   /**
-   * Creates a desk.
+   * Creates a service.
    *
    * @param incarnation which process of this host this is, as the others are told
    * @param startedMillis when this process began: no order of an earlier process of this host is
@@ -186,7 +186,7 @@
    * @param newestVersion the newest published version of an adapter; 0 if none was published
    * @param changed told when what this host tells of its runners has changed
    */
-  public HolderDesk(
+  public HolderService(
       HostSettings settings,
       long incarnation,
       long startedMillis,
@@ -264,9 +264,9 @@
     boolean restarted = !entry.runner.incarnation().equals(runner.incarnation());
     entry.runner = runner;
     if (restarted) {
-      log.info("runner-restarted", "runner", runner.instance(), "held", entry.shelf != null);
+      log.info("runner-restarted", "runner", runner.instance(), "held", entry.residency != null);
       entry.reporting = false;
-      entry.shelf = entry.shelf == null ? null : newShelf(entry);
+      entry.residency = entry.residency == null ? null : newResidency(entry);
     }
   }
 
@@ -289,16 +289,16 @@
   }
 
   /** Sets what this host's own requests wait for, by runner, and orders at once. */
-  public void localWishes(Map<String, List<Wish>> wishes, long nowMillis) {
-    localWishes = wishes;
-    wishes.keySet().forEach(runner -> pump(runner, nowMillis));
+  public void localDemands(Map<String, List<Demand>> demands, long nowMillis) {
+    localDemands = demands;
+    demands.keySet().forEach(runner -> pump(runner, nowMillis));
   }
 
   /** Takes in what another host's requests wait for. */
-  public void remoteWish(String host, String runner, Wish wish, long nowMillis) {
-    remoteWishes
+  public void remoteDemand(String host, String runner, Demand demand, long nowMillis) {
+    remoteDemands
         .computeIfAbsent(runner, id -> new HashMap<>())
-        .put(host + " " + wish.target(), new RemoteWish(wish, nowMillis));
+        .put(host + " " + demand.target(), new RemoteDemand(demand, nowMillis));
     pump(runner, nowMillis);
   }
 
@@ -308,11 +308,11 @@
    * <p>Through delegates it would learn when an adapter comes 0.2 s later on average, which is most
    * of the time that a load takes.
    */
-  public void answerWishes(String ip, Set<String> runners, long nowMillis) {
+  public void answerDemands(String ip, Set<String> runners, long nowMillis) {
     Digest.Builder digest = Digest.newBuilder();
     for (String runner : runners) {
       Held entry = heldLife(runner);
-      if (entry != null && entry.shelf != null) {
+      if (entry != null && entry.residency != null) {
         holdings
             .find(runner)
             .filter(holding -> holding.host().equals(settings.host()))
@@ -332,8 +332,8 @@
   /** Records that a runner refused a request for an adapter that it should have. */
   public void missing(String runner, String target, long nowMillis) {
     Held entry = heldLife(runner);
-    if (entry != null && entry.shelf != null) {
-      entry.shelf.missing(target, nowMillis);
+    if (entry != null && entry.residency != null) {
+      entry.residency.missing(target, nowMillis);
       tell(entry, nowMillis);
     }
   }
@@ -426,13 +426,13 @@
    */
   private boolean mayTell(Held entry, long nowMillis) {
     boolean lasting = nowMillis - entry.gainedMillis >= LEASE_MILLIS;
-    return entry.shelf != null
+    return entry.residency != null
         && nowMillis - entry.heldMillis < LEASE_MILLIS
         && (lasting || nowMillis >= entry.orderFromMillis);
   }
 
   private boolean mayOrder(Held entry, long nowMillis) {
-    return entry.shelf != null
+    return entry.residency != null
         && nowMillis - entry.heldMillis < LEASE_MILLIS
         && entry.authority.rights(nowMillis + LEASE_MARGIN_MILLIS).held()
         && nowMillis >= entry.orderFromMillis;
@@ -504,14 +504,14 @@
     }
     // Nobody else can have ordered while the gap was shorter than what a new holder waits.
     boolean uninterrupted =
-        entry.shelf != null && nowMillis - entry.heldMillis < settings.leaseMillis();
+        entry.residency != null && nowMillis - entry.heldMillis < settings.leaseMillis();
     if (!uninterrupted) {
       gained(entry, nowMillis);
     }
     entry.heldMillis = nowMillis;
-    RunnerShelf shelf = entry.shelf;
+    RunnerResidency residency = entry.residency;
     boolean reportWanted =
-        shelf != null && shelf.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
+        residency != null && residency.reportDue(nowMillis) && nowMillis >= entry.reportDueMillis;
     // Also while orders must wait: what the runner holds serves requests meanwhile.
     if (reportWanted && !entry.reporting) {
       report(entry, nowMillis);
@@ -522,7 +522,7 @@
 
   private void withoutLease(Held entry, long nowMillis) {
     boolean lately = nowMillis - entry.heldMillis < settings.leaseMillis();
-    if (!lately && entry.shelf != null) {
+    if (!lately && entry.residency != null) {
       log.warning("runner-lost", "runner", entry.runner.id());
       held.remove(entry.runner.instance());
     } else if (!lately && !choice.isThisHost(entry.runner, nowMillis)) {
@@ -543,7 +543,7 @@
   }
 
   private void gained(Held entry, long nowMillis) {
-    entry.shelf = newShelf(entry);
+    entry.residency = newResidency(entry);
     entry.gainedMillis = nowMillis;
     // Unless there was none, the holder before may have ordered until now.
     entry.orderFromMillis =
@@ -563,14 +563,14 @@
         entry.token);
   }
 
-  private RunnerShelf newShelf(Held entry) {
-    ShelfSettings times = ShelfSettings.forFleet(enginesKnown, shape.isLarge());
+  private RunnerResidency newResidency(Held entry) {
+    ResidencySettings times = ResidencySettings.forFleet(enginesKnown, shape.isLarge());
     LoadEstimates learnt = estimates;
     if (learnt == null) {
       learnt = LoadEstimates.of(times, enginesKnown);
       estimates = learnt;
     }
-    return new RunnerShelf(entry.engine, times, learnt);
+    return new RunnerResidency(entry.engine, times, learnt);
   }
 
   /**
@@ -617,8 +617,8 @@
       return;
     }
     entry.reporting = false;
-    RunnerShelf shelf = entry.shelf;
-    if (shelf == null || held.get(entry.runner.instance()) != entry) {
+    RunnerResidency residency = entry.residency;
+    if (residency == null || held.get(entry.runner.instance()) != entry) {
       return;
     }
     long now = clock.getAsLong();
@@ -626,7 +626,7 @@
       log.info("report-missing", "runner", entry.runner.id(), "why", missing.why());
       return;
     }
-    shelf.adopt(((ReportReply.Given) reply).report(), now);
+    residency.adopt(((ReportReply.Given) reply).report(), now);
     pump(entry.runner.id(), now);
     tell(entry, now);
   }
@@ -636,32 +636,33 @@
     if (entry == null || !mayOrder(entry, nowMillis)) {
       return;
     }
-    RunnerShelf shelf = entry.shelf;
-    if (shelf == null) {
+    RunnerResidency residency = entry.residency;
+    if (residency == null) {
       return;
     }
     int transit = holdings.transitElsewhere(runnerId, nowMillis);
     Optional<Order> next =
-        shelf.next(
-            wishes(runnerId, nowMillis),
+        residency.next(
+            demands(runnerId, nowMillis),
             target -> loads.uses(runnerId, target, nowMillis),
             newestVersion,
             transit,
             nowMillis);
-    next.ifPresent(order -> send(entry, shelf, order, transit, nowMillis));
+    next.ifPresent(order -> send(entry, residency, order, transit, nowMillis));
   }
 
-  private Collection<Wish> wishes(String runnerId, long nowMillis) {
-    List<Wish> wishes = new ArrayList<>(localWishes.getOrDefault(runnerId, List.of()));
-    Map<String, RemoteWish> remote = remoteWishes.getOrDefault(runnerId, Map.of());
-    remote.values().removeIf(wish -> nowMillis - wish.toldMillis > WISH_MILLIS);
-    remote.values().forEach(wish -> wishes.add(wish.wish));
-    return wishes;
+  private Collection<Demand> demands(String runnerId, long nowMillis) {
+    List<Demand> demands = new ArrayList<>(localDemands.getOrDefault(runnerId, List.of()));
+    Map<String, RemoteDemand> remote = remoteDemands.getOrDefault(runnerId, Map.of());
+    remote.values().removeIf(demand -> nowMillis - demand.toldMillis > DEMAND_MILLIS);
+    remote.values().forEach(demand -> demands.add(demand.demand));
+    return demands;
   }
 
-  private void send(Held entry, RunnerShelf shelf, Order order, int transit, long nowMillis) {
-    long sequence = shelf.sequence();
-    shelf.sent(order, nowMillis);
+  private void send(
+      Held entry, RunnerResidency residency, Order order, int transit, long nowMillis) {
+    long sequence = residency.sequence();
+    residency.sent(order, nowMillis);
     log.info(
         "order",
         "runner",
@@ -681,13 +682,14 @@
         settings.host(),
         entry.token,
         ORDER_TIMEOUT_MILLIS,
-        reply -> decisions.accept(() -> replied(entry, shelf, order, reply, transit)));
+        reply -> decisions.accept(() -> replied(entry, residency, order, reply, transit)));
     tell(entry, nowMillis);
   }
 
-  private void replied(Held entry, RunnerShelf shelf, Order order, OrderReply reply, int transit) {
+  private void replied(
+      Held entry, RunnerResidency residency, Order order, OrderReply reply, int transit) {
     long now = clock.getAsLong();
-    shelf.replied(order, reply, transit, now);
+    residency.replied(order, reply, transit, now);
     if (reply != OrderReply.ACCEPTED && reply != OrderReply.DONE) {
       log.warning(
           "order-failed",
@@ -700,21 +702,21 @@
           "reply",
           reply);
     }
-    if (held.get(entry.runner.instance()) == entry && entry.shelf == shelf) {
+    if (held.get(entry.runner.instance()) == entry && entry.residency == residency) {
       pump(entry.runner.id(), now);
       tell(entry, now);
     }
   }
 
   private void tell(Held entry, long nowMillis) {
-    RunnerShelf shelf = entry.shelf;
-    if (shelf == null || shelf.sequence() < 0 || !mayTell(entry, nowMillis)) {
+    RunnerResidency residency = entry.residency;
+    if (residency == null || residency.sequence() < 0 || !mayTell(entry, nowMillis)) {
       return;
     }
     String runner = entry.runner.id();
     Map<String, HeldItem> items = new HashMap<>();
-    shelf.held().forEach(item -> items.put(item.target(), item));
-    int free = shelf.freePlaces(target -> loads.uses(runner, target, nowMillis));
+    residency.held().forEach(item -> items.put(item.target(), item));
+    int free = residency.freePlaces(target -> loads.uses(runner, target, nowMillis));
     Optional<Holdings.Holding> before = holdings.find(runner);
     holdings.told(
         runner,
@@ -723,16 +725,16 @@
             entry.token,
             nowMillis,
             items,
-            shelf.models(),
+            residency.models(),
             free,
-            shelf.bringMillis(holdings.transitElsewhere(runner, nowMillis)),
-            shelf.queueMillis(nowMillis),
+            residency.bringMillis(holdings.transitElsewhere(runner, nowMillis)),
+            residency.queueMillis(nowMillis),
             entry.orderFromMillis,
             estimates == null ? 0 : estimates.warm().size()));
     boolean same =
         before.isPresent()
             && before.get().items().equals(items)
-            && before.get().models().equals(shelf.models());
+            && before.get().models().equals(residency.models());
     if (!same) {
       changed.run();
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandSender.java
@@ -7,11 +7,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
-import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.schema.peer.AdapterDemand;
-import org.sequoiahub.schema.peer.AdapterWish;
+import org.sequoiahub.schema.peer.DemandReport;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
 
@@ -19,9 +19,9 @@
  * Tells the hosts that order runners what this host's requests wait for there; runs on the decision
  * thread.
  */
-public final class DemandDesk {
+public final class DemandSender {
 
-  /** Wishes that have not changed are told again this often (ms): a datagram may be lost. */
+  /** Demands that have not changed are told again this often (ms): a datagram may be lost. */
   private static final long PERIOD_MILLIS = 60;
 
   private final String self;
@@ -33,13 +33,13 @@
   private long toldMillis = Long.MIN_VALUE / 2;
 
   /**
-   * Creates a desk.
+   * Creates a sender.
    *
    * @param self this host's name
    * @param datagrams begins a datagram of this host
    * @param sender sends bytes to an IP number
    */
-  public DemandDesk(
+  public DemandSender(
       String self,
       Members<HostState> members,
       Holdings holdings,
@@ -53,12 +53,12 @@
   }
 
   /** Tells what requests wait for, by runner, if it is time to. */
-  public void tell(Map<String, List<Wish>> wishes, long nowMillis) {
+  public void tell(Map<String, List<Demand>> demands, long nowMillis) {
     Map<String, Set<String>> targets = new HashMap<>();
-    wishes.forEach(
+    demands.forEach(
         (runner, list) ->
-            targets.put(runner, list.stream().map(Wish::target).collect(Collectors.toSet())));
-    // A new wish is told at once: up to 60 ms of the 250 that a load takes were lost before it.
+            targets.put(runner, list.stream().map(Demand::target).collect(Collectors.toSet())));
+    // A new demand is told at once: up to 60 ms of the 250 that a load takes were lost before it.
     boolean anyNew =
         targets.entrySet().stream()
             .anyMatch(
@@ -69,39 +69,39 @@
     }
     told = targets;
     toldMillis = nowMillis;
-    Map<String, AdapterDemand.Builder> byHost = new HashMap<>();
-    wishes.forEach((runner, list) -> add(runner, list, byHost));
+    Map<String, DemandReport.Builder> byHost = new HashMap<>();
+    demands.forEach((runner, list) -> add(runner, list, byHost));
     byHost.forEach(this::send);
   }
 
-  private void add(String runner, List<Wish> wishes, Map<String, AdapterDemand.Builder> byHost) {
+  private void add(String runner, List<Demand> demands, Map<String, DemandReport.Builder> byHost) {
     holdings
         .find(runner)
         .ifPresent(
             holding -> {
-              AdapterDemand.Builder demand =
-                  byHost.computeIfAbsent(holding.host(), host -> AdapterDemand.newBuilder());
-              wishes.forEach(wish -> demand.addWishes(StateCodec.encodeWish(runner, wish)));
+              DemandReport.Builder report =
+                  byHost.computeIfAbsent(holding.host(), host -> DemandReport.newBuilder());
+              demands.forEach(demand -> report.addDemands(StateCodec.encodeDemand(runner, demand)));
             });
   }
 
   /** Tells that a runner refused a request for an adapter that it should have. */
   public void refused(String runner, String target) {
-    AdapterWish wish =
-        AdapterWish.newBuilder().setRunner(runner).setAdapter(target).setRefused(true).build();
+    AdapterDemand demand =
+        AdapterDemand.newBuilder().setRunner(runner).setAdapter(target).setRefused(true).build();
     holdings
         .find(runner)
-        .ifPresent(holding -> send(holding.host(), AdapterDemand.newBuilder().addWishes(wish)));
+        .ifPresent(holding -> send(holding.host(), DemandReport.newBuilder().addDemands(demand)));
   }
 
-  private void send(String host, AdapterDemand.Builder demand) {
+  private void send(String host, DemandReport.Builder report) {
     if (!host.equals(self)) {
       members
           .find(host)
           .ifPresent(
               member ->
                   sender.accept(
-                      member.ip(), datagrams.get().setDemand(demand).build().toByteArray()));
+                      member.ip(), datagrams.get().setDemand(report).build().toByteArray()));
     }
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -22,7 +22,7 @@
  * group does, and to the hosts of their group what the whole fleet does. Runs on the decision
  * thread.
  */
-public final class DigestDesk {
+public final class DigestExchange {
 
   /**
    * Digests are sent this often (ms). News takes a host's word and two digests, 0.2 s on average;
@@ -72,14 +72,14 @@
   private long nearDueMillis = Long.MIN_VALUE;
 
   /**
-   * Creates a desk.
+   * Creates an exchange.
    *
    * @param datagrams begins a datagram of this host
    * @param ownWord what this host says of itself
    * @param sender sends bytes to an IP number
    * @param wordListener receives each host's newest word
    */
-  public DigestDesk(
+  public DigestExchange(
       HostSettings settings,
       FleetShape shape,
       Members<HostState> members,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -18,7 +18,7 @@
 import org.sequoiahub.usersplatform.HostSettings;
 
 /** Tells the other hosts this host's state and keeps theirs; runs on the decision thread. */
-public final class PeerDesk {
+public final class PeerHeartbeats {
 
   /** Changes within this time go out together (ms): it bounds datagrams under load. */
   private static final long MIN_PERIOD_MILLIS = 40;
@@ -52,7 +52,7 @@
   private final long incarnation;
   private final Members<HostState> members;
   private final FleetShape shape;
-  private final DigestDesk digests;
+  private final DigestExchange digests;
   private final BiConsumer<String, byte[]> sender;
   private final StateSource ownState;
   private final BiConsumer<String, HostState> listener;
@@ -79,14 +79,14 @@
   }
 
   /**
-   * Creates a desk.
+   * Creates the heartbeats of a host.
    *
    * @param sender sends bytes to an IP number
    * @param ownState builds this host's state without the gossip
    * @param listener receives each host's newest state
    * @param wordListener receives the states that were passed on, without loads and holdings
    */
-  public PeerDesk(
+  public PeerHeartbeats(
       HostSettings settings,
       long incarnation,
       Members<HostState> members,
@@ -110,7 +110,7 @@
     this.log = log;
     this.shape = shape;
     this.digests =
-        new DigestDesk(
+        new DigestExchange(
             settings,
             shape,
             members,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.sequoiahub.node.store.StoreDesk;
+import org.sequoiahub.node.store.StoreRegistry;
 import org.sequoiahub.runtime.settings.Endpoint;
 import org.sequoiahub.schema.peer.StorePull;
 import org.sequoiahub.schema.peer.StoreRecords;
@@ -73,7 +73,7 @@
   }
 
   /** Answers another host's pull. */
-  public static Envelope.Builder answer(StorePull pull, StoreDesk store) {
+  public static Envelope.Builder answer(StorePull pull, StoreRegistry store) {
     StoreRecords.Builder records = StoreRecords.newBuilder();
     store.operatorSince(pull.getConfigRevision()).forEach(item -> records.addVersions(entry(item)));
     store.runnersSince(pull.getRunnersRevision()).forEach(item -> records.addRunners(entry(item)));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import org.sequoiahub.core.call.Target;
 import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.HeldItem;
 import org.sequoiahub.core.holding.Holdings;
-import org.sequoiahub.core.holding.Wish;
+import org.sequoiahub.schema.peer.AdapterDemand;
 import org.sequoiahub.schema.peer.AdapterUse;
-import org.sequoiahub.schema.peer.AdapterWish;
 import org.sequoiahub.schema.peer.HeldAdapter;
 import org.sequoiahub.schema.peer.Holding;
 import org.sequoiahub.schema.peer.HostState;
@@ -111,25 +111,25 @@
         message.getKept());
   }
 
-  /** Encodes a wish for an adapter. */
-  public static AdapterWish encodeWish(String runner, Wish wish) {
-    return AdapterWish.newBuilder()
+  /** Encodes a demand for an adapter. */
+  public static AdapterDemand encodeDemand(String runner, Demand demand) {
+    return AdapterDemand.newBuilder()
         .setRunner(runner)
-        .setAdapter(wish.target())
-        .setWaiting(wish.waiting())
-        .setInTime(wish.inTime())
-        .setPriority(wish.priority())
+        .setAdapter(demand.target())
+        .setWaiting(demand.waiting())
+        .setInTime(demand.inTime())
+        .setPriority(demand.priority())
         .build();
   }
 
-  /** Decodes a wish for an adapter. */
-  public static Wish decodeWish(AdapterWish wish) {
-    String target = wish.getAdapter();
-    return new Wish(
+  /** Decodes a demand for an adapter. */
+  public static Demand decodeDemand(AdapterDemand demand) {
+    String target = demand.getAdapter();
+    return new Demand(
         Target.model(target),
         Target.adapter(target),
-        wish.getWaiting(),
-        wish.getInTime(),
-        wish.getPriority());
+        demand.getWaiting(),
+        demand.getInTime(),
+        demand.getPriority());
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreDesk.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -11,9 +11,9 @@
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.routing.RoutingTable;
-import org.sequoiahub.core.upstream.RunnerBook;
-import org.sequoiahub.core.upstream.RunnerBook.Change;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerRegistry;
+import org.sequoiahub.core.upstream.RunnerRegistry.Change;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.DecodeException;
 import org.sequoiahub.usersplatform.RecordDecoder;
@@ -27,7 +27,7 @@
  * <p>For each key the newest revision wins, whether the store or another host told it, so nothing
  * goes back while the process lives.
  */
-public final class StoreDesk implements StoreListener {
+public final class StoreRegistry implements StoreListener {
 
   /**
    * Keys for which it is remembered that their unreadable value was logged: more than the runners
@@ -36,7 +36,7 @@
   private static final int MAX_IGNORED = 4_096;
 
   private final RecordDecoder decoder;
-  private final RunnerBook book;
+  private final RunnerRegistry book;
   private final Consumer<RoutingTable> tables;
   private final Runnable changed;
   private final EventLog log;
@@ -57,14 +57,14 @@
       };
 
   /**
-   * Creates a desk.
+   * Creates a registry.
    *
    * @param tables receives each configuration that comes into force
    * @param changed told when something is news
    */
-  public StoreDesk(
+  public StoreRegistry(
       RecordDecoder decoder,
-      RunnerBook book,
+      RunnerRegistry book,
       Consumer<RoutingTable> tables,
       Runnable changed,
       EventLog log) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -14,13 +14,13 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.dispatch.FleetLoad;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.Order;
 import org.sequoiahub.core.holding.OrderReply;
 import org.sequoiahub.core.holding.ReportReply;
 import org.sequoiahub.core.holding.RunnerOrders;
 import org.sequoiahub.core.holding.RunnerReport;
-import org.sequoiahub.core.holding.Wish;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.routing.EngineSpec;
@@ -28,7 +28,7 @@
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.node.peer.FleetShape;
-import org.sequoiahub.node.peer.PeerDesk;
+import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.StateCodec;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.Digest;
@@ -90,9 +90,9 @@
   List<Digest> ask(int asker, int runner) {
     digests.clear();
     for (Host host : hosts) {
-      HolderDesk desk = host.desk;
-      if (desk != null && desk.ordered(now).contains(runnerId(runner))) {
-        desk.answerWishes("10.0.0." + asker, Set.of(runnerId(runner)), now);
+      HolderService service = host.service;
+      if (service != null && service.ordered(now).contains(runnerId(runner))) {
+        service.answerDemands("10.0.0." + asker, Set.of(runnerId(runner)), now);
       }
     }
     pass(2 * MAX_DELAY_MILLIS);
@@ -140,16 +140,16 @@
   void kill(int host) {
     Host killed = hosts.get(host);
     killed.life++;
-    killed.desk = null;
+    killed.service = null;
     // Also sooner than a lease lasts: a granter must not grant again what it granted before.
     after(40 + random.nextInt(1_260), () -> killed.start(false));
   }
 
   void leave(int host) {
     Host leaving = hosts.get(host);
-    if (leaving.desk != null && !leaving.paused) {
+    if (leaving.service != null && !leaving.paused) {
       leaving.leaving = true;
-      leaving.desk.stop();
+      leaving.service.stop();
       leaving.peers.tellAll(now);
       int life = leaving.life;
       after(
@@ -256,9 +256,9 @@
 
     private Members<HostState> members = new Members<>("", MemberSettings.DEFAULT);
     private Holdings holdings = new Holdings();
-    private @Nullable HolderDesk desk;
+    private @Nullable HolderService service;
     private FleetShape shape = new FleetShape(settings(false), members);
-    private PeerDesk peers = peerDesk(0);
+    private PeerHeartbeats peers = peerDesk(0);
 
     Host(int number) {
       this.number = number;
@@ -286,8 +286,8 @@
           100);
     }
 
-    private PeerDesk peerDesk(long incarnation) {
-      return new PeerDesk(
+    private PeerHeartbeats peerDesk(long incarnation) {
+      return new PeerHeartbeats(
           settings(false),
           incarnation,
           members,
@@ -310,8 +310,8 @@
       inbox.clear();
       shape = new FleetShape(settings(false), members);
       peers = peerDesk(now);
-      desk =
-          new HolderDesk(
+      service =
+          new HolderService(
               settings(firstStart),
               now,
               now,
@@ -333,8 +333,8 @@
     private HostState.Builder state(boolean withHoldings, boolean complete) {
       HostState.Builder state =
           HostState.newBuilder().setFailureDomain("z").setReady(true).setLeaving(leaving);
-      if (withHoldings && !leaving && desk != null) {
-        for (String runner : desk.ordered(now)) {
+      if (withHoldings && !leaving && service != null) {
+        for (String runner : service.ordered(now)) {
           holdings
               .find(runner)
               .ifPresent(h -> state.addHoldings(StateCodec.encodeHolding(runner, h, now)));
@@ -344,26 +344,26 @@
     }
 
     void tick() {
-      HolderDesk running = desk;
+      HolderService running = service;
       if (running == null || paused) {
         return;
       }
       Map<RunnerEntry, EngineSpec> known = new HashMap<>();
-      Map<String, List<Wish>> wishes = new HashMap<>();
+      Map<String, List<Demand>> demands = new HashMap<>();
       for (Runner runner : runners) {
         known.put(runner.entry, ENGINE);
-        Wish wish = new Wish("m", "a" + random.nextInt(9), 1, 1, 0);
-        wishes.put(runner.entry.id(), List.of(wish));
+        Demand demand = new Demand("m", "a" + random.nextInt(9), 1, 1, 0);
+        demands.put(runner.entry.id(), List.of(demand));
       }
       running.tick(known, now);
-      running.localWishes(wishes, now);
+      running.localDemands(demands, now);
       peers.tick(now);
     }
 
     private void deliver(Runnable action) {
       if (paused) {
         inbox.add(action);
-      } else if (desk != null) {
+      } else if (service != null) {
         action.run();
       }
     }
@@ -378,7 +378,7 @@
     }
 
     private void receive(int from, byte[] bytes) {
-      HolderDesk running = desk;
+      HolderService running = service;
       if (running == null) {
         return;
       }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/LargeFleetTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/LargeFleetTest.java
@@ -46,7 +46,7 @@
 
   private void changeAt(PeerWorld.Host host) {
     host.configRevision++;
-    host.desk.changed();
+    host.heartbeats.changed();
     world.pass(NEWS_MILLIS);
     for (PeerWorld.Host other : world.running()) {
       assertWithMessage("revision at host %s", other.number)
@@ -81,7 +81,7 @@
       for (int host : List.of(1, 2, 3, 5)) {
         PeerWorld.Host sender = world.running().get(host);
         sender.loads.add(RUNNER, 2, 100, 0, "m/a1");
-        sender.desk.changed();
+        sender.heartbeats.changed();
       }
       world.pass(NEWS_MILLIS);
       for (PeerWorld.Host host : world.running()) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -53,7 +53,7 @@
     final Holdings holdings = new Holdings();
     final Set<String> words = new HashSet<>();
     final FleetShape shape;
-    final PeerDesk desk;
+    final PeerHeartbeats heartbeats;
     long configRevision = 1_000;
 
     private Host(int number) {
@@ -61,8 +61,8 @@
       this.members = new Members<>("host-" + number, MemberSettings.DEFAULT);
       HostSettings settings = settings(number);
       this.shape = new FleetShape(settings, members);
-      this.desk =
-          new PeerDesk(
+      this.heartbeats =
+          new PeerHeartbeats(
               settings,
               now,
               members,
@@ -176,7 +176,7 @@
         deliver(late.poll());
       }
       for (Host host : running()) {
-        host.desk.tick(now);
+        host.heartbeats.tick(now);
         host.members.forget(now);
       }
     }
@@ -199,9 +199,9 @@
     try {
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
       if (datagram.hasDigest()) {
-        to.desk.receivedDigest("ip-" + arrived.from, datagram.getDigest(), now);
+        to.heartbeats.receivedDigest("ip-" + arrived.from, datagram.getDigest(), now);
       } else {
-        to.desk.received("ip-" + arrived.from, datagram, now);
+        to.heartbeats.received("ip-" + arrived.from, datagram, now);
       }
     } catch (InvalidProtocolBufferException e) {
       throw new AssertionError(e);
