--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -252,7 +252,7 @@
       return present ? Residency.present(0, false) : Residency.absent(wait, true, false);
     }
     Holdings.Holding holding = told.get();
-    long queue = holding.queueMillis() + Math.max(0, holding.ordersFromMillis() - nowMillis);
+    final long queue = holding.queueMillis() + Math.max(0, holding.ordersFromMillis() - nowMillis);
     boolean ordered = isSound.test(holding.host(), nowMillis);
     if (!holding.models().contains(generation.model())) {
       return Residency.absent(MODEL_LOAD_MILLIS, true, ordered);
