--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -40,9 +40,11 @@
 
   /**
    * Reading speed from the users' sheets (38.7 and 38.4 tokens a millisecond, less a tenth for the
-   * steps between); the rest are the delays seen when the case occurs: half a second for a place, a
-   * lease and a half for a new holder. Pieces of 4,096 tokens take 107 ms and, in contexts of 8,000
-   * tokens, 25 to 38 ms more.
+   * steps between); the rest are the delays seen when the case occurs: a lease and a half for a new
+   * holder. A request in flight weighs 12 ms: with 4 ms, 51 requests ran at one runner while 5 ran
+   * at one that had just come, and streams at the first paused. A fetch weighs 700 ms and a late
+   * first event 1,000, about what each costs the callers of a deployment. Pieces of 4,096 tokens
+   * take 107 ms and, in contexts of 8,000 tokens, 25 to 38 ms more.
    */
   public static final PlacementSettings DEFAULT =
       new PlacementSettings(
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerResidency.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerResidency.java
@@ -34,7 +34,7 @@
   /** Weight of the newest wait for a load; about the last five decide, a fifth of a second's. */
   private static final double NEWEST_WAIT = 0.2;
 
-  /** By how much more a demand counts than one that is a rank less urgent than the first. */
+  /** By how much less a demand counts for each rank below the most urgent; a mild preference. */
   private static final double RANK_WEIGHT = 0.1;
 
   private final EngineSpec engine;
@@ -213,7 +213,8 @@
    * of these the one whose requests have waited longest together, urgent ones counting for more.
    *
    * <p>Strictly by urgency, the long prompts of a less urgent route waited behind each short one's
-   * adapter and were the worst served although they are worth most to their callers.
+   * adapter and were the worst served although they are worth most to their callers: 0.70 of their
+   * worth against 0.77 in this order, one day played with each.
    *
    * <p>After an outage more requests wait than adapters come in their time; oldest first, all of
    * them would be late.
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -49,7 +49,10 @@
   /** How often callers are looked after that may have gone (ms). */
   private static final long LOOK_MILLIS = 100;
 
-  /** For this long a request waits where it began to, unless its adapter is elsewhere (ms). */
+  /**
+   * For this long a request waits where it began to, unless its adapter is elsewhere (ms): a load
+   * and a half. Before, 902 of 2,266 waiting requests of a day moved, up to 27 times each.
+   */
   private static final long SETTLED_MILLIS = 400;
 
   /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
