--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/TransitLimit.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/TransitLimit.java
@@ -7,10 +7,10 @@
  * the loads themselves.
  *
  * <p>No record says it: the users' sheets have 8 for 8 and 13 runners, 16 for 6, 32 for 42 and 40
- * for 63. Set too low, requests queue before a store that is half idle: with 8 in place of 16 the
- * orders of a day with trouble stood at 45 a second, the median wait for an adapter was 460 ms and
- * one request in ten waited over 1.6 s. Set too high, the store shares its speed among all and
- * every load is late.
+ * for 63. Set too low, requests queue before a store that is half idle: of 55 rare adapters a
+ * second and a store that brings 16 at once, half wait over 1,000 ms with a limit of 8 and under
+ * 400 ms with the learnt one (played in virtual time). Set too high, the store shares its speed
+ * among all and every load is late.
  *
  * <p>So the limit grows while loads that were started at the limit come in time, quickly until the
  * first one is late and slowly from then on, and falls back when one is late.
