Placing and residency without what they did twice: no behaviour changed

A choice carried a score that nobody read. Each accepted load walked the dropped adapters up to three times, and each demand walked them before the cheaper check; the walk is now one, and last. The sentinel of an empty target in the load time is gone: bringMillis is the store's time. The two loops over held runners share one. The stream limits of a request are worked out once a placing.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -38,9 +38,8 @@
    *
    * @param candidate the runner
    * @param firstTokenMillis expected time to the first token
-   * @param score the same with what the choice costs others
    */
-  public record Choice(Candidate candidate, double firstTokenMillis, double score) {}
+  public record Choice(Candidate candidate, double firstTokenMillis) {}
 
   /**
    * Returns the best of the candidates.
@@ -69,7 +68,7 @@
       score -= candidate.runner().id().equals(waitingAt) ? settings.moveMillis() : 0;
       if (score < bestScore) {
         bestScore = score;
-        best = new Choice(candidate, expected, score);
+        best = new Choice(candidate, expected);
       }
     }
     return Optional.ofNullable(best);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerResidency.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/RunnerResidency.java
@@ -302,8 +302,9 @@
    */
   private boolean mayBring(String target, int transitElsewhere) {
     int coming = coming();
-    boolean fits = warm.contains(target) || coming + transitElsewhere < estimates.limit().limit();
-    return coming == 0 || (coming < settings.transitPerRunner() && fits);
+    return coming == 0
+        || (coming < settings.transitPerRunner()
+            && (coming + transitElsewhere < estimates.limit().limit() || warm.contains(target)));
   }
 
   private boolean hasRoom(String model) {
@@ -431,10 +432,11 @@
     }
     item.unconfirmed = false;
     if (order.operation() == Operation.LOAD) {
-      item.readyMillis = nowMillis + (changed ? loadMillis(order.target(), transitElsewhere) : 0);
       item.orderedMillis = nowMillis;
       item.transit = transitElsewhere + coming();
-      item.warmDepth = warm.contains(order.target()) ? warm.depth(order.target()) : -1;
+      item.warmDepth = warm.depth(order.target());
+      long load = item.warmDepth >= 0 ? settings.reloadMillis() : bringMillis(transitElsewhere);
+      item.readyMillis = nowMillis + (changed ? load : 0);
       item.unproven = changed;
       estimates.time().ordered();
       warm.remove(order.target());
@@ -448,11 +450,8 @@
     }
   }
 
-  /** Returns how long an adapter is expected to take if its load starts now. */
-  public long loadMillis(String target, int transitElsewhere) {
-    if (warm.contains(target)) {
-      return settings.reloadMillis();
-    }
+  /** Returns how long an adapter takes from the weight store once its load is ordered (ms). */
+  public long bringMillis(int transitElsewhere) {
     int transit = transitElsewhere + coming();
     int limit = estimates.limit().limit();
     return estimates.time().millis() * Math.max(transit, limit) / limit;
@@ -525,11 +524,6 @@
     return Math.max(0, engine.adapterPlaces() - taken);
   }
 
-  /** Returns how long an adapter takes from the weight store once its load is ordered (ms). */
-  public long bringMillis(int transitElsewhere) {
-    return loadMillis("", transitElsewhere);
-  }
-
   /**
    * Returns how long adapters wait here lately until their load is ordered (ms): for a place, for
    * the store, or for the loads before them.
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/WarmAdapters.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/WarmAdapters.java
@@ -38,11 +38,13 @@
 
   /** Returns whether the runner is expected to bring an adapter back quickly. */
   boolean contains(String target) {
-    int depth = depth(target);
-    return depth >= 0 && capacity.expects(depth);
+    return depth(target) >= 0;
   }
 
-  /** Returns how many adapters were dropped since this one; negative if it was not dropped. */
+  /**
+   * Returns how many adapters were dropped since this one; negative if it was not dropped, or if
+   * too many were for the runner to bring it back quickly.
+   */
   int depth(String target) {
     if (!dropped.containsKey(target)) {
       return -1;
@@ -54,6 +56,7 @@
       }
       before++;
     }
-    return dropped.size() - before - 1;
+    int depth = dropped.size() - before - 1;
+    return capacity.expects(depth) ? depth : -1;
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -247,9 +247,9 @@
     List<Candidate> candidates =
         worthMoving(call, candidates(call, generation, nowMillis), nowMillis);
     RunnerEntry before = call.waitingAt;
+    StreamLimits limits = limits(call, nowMillis);
     Optional<GenerationPlacement.Choice> chosen =
-        generations.choose(
-            generation, limits(call, nowMillis), candidates, before == null ? "" : before.id());
+        generations.choose(generation, limits, candidates, before == null ? "" : before.id());
     if (chosen.isEmpty()) {
       giveUp(call, "no runner", NO_RUNNER_RETRY_MILLIS);
       return;
@@ -262,7 +262,7 @@
       return;
     }
     boolean there = candidate.present() && candidate.adapterWaitMillis() <= 0;
-    if (there && generations.mayRead(candidate, limits(call, nowMillis))) {
+    if (there && generations.mayRead(candidate, limits)) {
       start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
       waitAt(call, candidate, nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
@@ -396,24 +397,22 @@
 
   /** Returns the runners that this host orders now. */
   public Set<String> ordered(long nowMillis) {
-    Set<String> ordered = new HashSet<>();
-    for (Held entry : held.values()) {
-      if (mayOrder(entry, nowMillis)) {
-        ordered.add(entry.runner.id());
-      }
-    }
-    return ordered;
+    return runners(entry -> mayOrder(entry, nowMillis));
   }
 
   /** Returns the runners of which this host tells the others what they hold. */
   public Set<String> told(long nowMillis) {
-    Set<String> told = new HashSet<>();
+    return runners(entry -> mayTell(entry, nowMillis));
+  }
+
+  private Set<String> runners(Predicate<Held> wanted) {
+    Set<String> runners = new HashSet<>();
     for (Held entry : held.values()) {
-      if (mayTell(entry, nowMillis)) {
-        told.add(entry.runner.id());
+      if (wanted.test(entry)) {
+        runners.add(entry.runner.id());
       }
     }
-    return told;
+    return runners;
   }
 
   /**
