--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -23,7 +23,7 @@
   public static final Use NONE = new Use(0, 0, 0, Map.of());
 
   private final Map<String, Told> others = new HashMap<>();
-  private final Map<String, Own> own = new HashMap<>();
+  private final Map<String, Counts> own = new HashMap<>();
 
   /**
    * What one host has in flight at one runner.
@@ -58,11 +58,23 @@
     }
   }
 
-  private static final class Own {
+  /** What is in flight at one runner, while it is counted. */
+  private static final class Counts {
     int requests;
     long unreadTokens;
     long heldTokens;
     final Map<String, Integer> adapters = new HashMap<>();
+
+    void add(Use use) {
+      requests += use.requests;
+      unreadTokens += use.unreadTokens;
+      heldTokens += use.heldTokens;
+      use.adapters.forEach((adapter, count) -> adapters.merge(adapter, count, Integer::sum));
+    }
+
+    Use use() {
+      return new Use(requests, Math.max(0, unreadTokens), Math.max(0, heldTokens), adapters);
+    }
   }
 
   /**
@@ -108,24 +120,18 @@
 
   /** Returns the sums over this host and those other sources that {@code included} accepts. */
   public Map<String, Use> sums(Predicate<String> included, long nowMillis) {
-    Map<String, Use> sums = own();
+    Map<String, Counts> sums = new HashMap<>();
+    own.forEach((runner, mine) -> sums.computeIfAbsent(runner, id -> new Counts()).add(mine.use()));
     others.forEach(
         (source, told) -> {
           if (included.test(source) && isRecent(told, nowMillis)) {
-            told.uses.forEach((runner, use) -> sums.merge(runner, use, FleetLoad::plus));
+            told.uses.forEach(
+                (runner, use) -> sums.computeIfAbsent(runner, id -> new Counts()).add(use));
           }
         });
-    return sums;
-  }
-
-  private static Use plus(Use first, Use second) {
-    Map<String, Integer> adapters = new HashMap<>(first.adapters);
-    second.adapters.forEach((adapter, count) -> adapters.merge(adapter, count, Integer::sum));
-    return new Use(
-        first.requests + second.requests,
-        first.unreadTokens + second.unreadTokens,
-        first.heldTokens + second.heldTokens,
-        adapters);
+    Map<String, Use> uses = new HashMap<>();
+    sums.forEach((runner, sum) -> uses.put(runner, sum.use()));
+    return uses;
   }
 
   /**
@@ -137,7 +143,7 @@
    * @param target the adapter that the request uses; empty for none
    */
   public void add(String runner, int requests, long unread, long held, String target) {
-    Own use = own.computeIfAbsent(runner, id -> new Own());
+    Counts use = own.computeIfAbsent(runner, id -> new Counts());
     use.requests += requests;
     use.unreadTokens += unread;
     use.heldTokens += held;
@@ -154,7 +160,7 @@
 
   /** Returns how many requests are at a runner. */
   public int requests(String runner, long nowMillis) {
-    Own mine = own.get(runner);
+    Counts mine = own.get(runner);
     int sum = mine == null ? 0 : mine.requests;
     for (Told told : others.values()) {
       sum += isRecent(told, nowMillis) ? use(told, runner).requests : 0;
@@ -164,7 +170,7 @@
 
   /** Returns how many prompt tokens a runner has still to read. */
   public long unreadTokens(String runner, long nowMillis) {
-    Own mine = own.get(runner);
+    Counts mine = own.get(runner);
     long sum = mine == null ? 0 : Math.max(0, mine.unreadTokens);
     for (Told told : others.values()) {
       sum += isRecent(told, nowMillis) ? use(told, runner).unreadTokens : 0;
@@ -174,7 +180,7 @@
 
   /** Returns how many prompt tokens wait to be sent to a runner. */
   public long heldTokens(String runner, long nowMillis) {
-    Own mine = own.get(runner);
+    Counts mine = own.get(runner);
     long sum = mine == null ? 0 : Math.max(0, mine.heldTokens);
     for (Told told : others.values()) {
       sum += isRecent(told, nowMillis) ? use(told, runner).heldTokens : 0;
@@ -184,7 +190,7 @@
 
   /** Returns how many requests use an adapter at a runner or wait for it there. */
   public int uses(String runner, String target, long nowMillis) {
-    Own mine = own.get(runner);
+    Counts mine = own.get(runner);
     int sum = mine == null ? 0 : mine.adapters.getOrDefault(target, 0);
     for (Told told : others.values()) {
       if (isRecent(told, nowMillis)) {
@@ -197,7 +203,7 @@
   /** Returns how many requests use an adapter or wait for it, at all runners. */
   public int usesEverywhere(String target, long nowMillis) {
     int sum = 0;
-    for (Own mine : own.values()) {
+    for (Counts mine : own.values()) {
       sum += mine.adapters.getOrDefault(target, 0);
     }
     for (Told told : others.values()) {
@@ -212,7 +218,7 @@
 
   /** Returns how many requests this host itself has at a runner. */
   public int ownRequests(String runner) {
-    Own mine = own.get(runner);
+    Counts mine = own.get(runner);
     return mine == null ? 0 : mine.requests;
   }
 
@@ -224,11 +230,8 @@
   }
 
   private Use own(String runner) {
-    Own use = own.get(runner);
-    return use == null
-        ? NONE
-        : new Use(
-            use.requests, Math.max(0, use.unreadTokens), Math.max(0, use.heldTokens), use.adapters);
+    Counts use = own.get(runner);
+    return use == null ? NONE : use.use();
   }
 
   private static Use use(Told told, String runner) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -15,6 +15,9 @@
 
   private final Map<String, Holding> byRunner = new HashMap<>();
 
+  /** When the last adapter that is on its way to each runner is there (ms). */
+  private final Map<String, Long> lastReadyMillis = new HashMap<>();
+
   /** The adapters that each runner was seen to drop, the latest last. */
   private final Map<String, LinkedHashSet<String>> dropped = new HashMap<>();
 
@@ -55,12 +58,21 @@
     Holding current = byRunner.get(runner);
     if (current == null || holding.token >= current.token) {
       byRunner.put(runner, holding);
+      lastReadyMillis.put(runner, lastReadyMillis(holding));
       if (current != null && !current.items.keySet().equals(holding.items.keySet())) {
         noteDropped(runner, current, holding);
       }
     }
   }
 
+  private static long lastReadyMillis(Holding holding) {
+    long last = Long.MIN_VALUE;
+    for (HeldItem item : holding.items.values()) {
+      last = Math.max(last, item.readyMillis());
+    }
+    return last;
+  }
+
   private void noteDropped(String runner, Holding before, Holding now) {
     LinkedHashSet<String> list = dropped.computeIfAbsent(runner, id -> new LinkedHashSet<>());
     list.removeAll(now.items.keySet());
@@ -90,6 +102,7 @@
   /** Forgets the runners that are not among {@code known}. */
   public void retain(Set<String> known) {
     byRunner.keySet().retainAll(known);
+    lastReadyMillis.keySet().retainAll(known);
     dropped.keySet().retainAll(known);
   }
 
@@ -109,14 +122,28 @@
     return holding == null ? 0 : holding.token;
   }
 
-  /** Returns how many adapters are on their way to runners other than {@code runner}. */
+  /**
+   * Returns how many adapters are on their way to runners other than {@code runner}.
+   *
+   * <p>Asked before each order; most runners have none, which is known without a look at what they
+   * hold.
+   */
   public int transitElsewhere(String runner, long nowMillis) {
     int transit = 0;
-    for (Map.Entry<String, Holding> entry : byRunner.entrySet()) {
-      if (!entry.getKey().equals(runner)) {
-        for (HeldItem item : entry.getValue().items.values()) {
-          transit += item.readyMillis() > nowMillis ? 1 : 0;
-        }
+    for (Map.Entry<String, Long> last : lastReadyMillis.entrySet()) {
+      if (last.getValue() > nowMillis && !last.getKey().equals(runner)) {
+        transit += transit(last.getKey(), nowMillis);
+      }
+    }
+    return transit;
+  }
+
+  private int transit(String runner, long nowMillis) {
+    Holding holding = byRunner.get(runner);
+    int transit = 0;
+    if (holding != null) {
+      for (HeldItem item : holding.items.values()) {
+        transit += item.readyMillis() > nowMillis ? 1 : 0;
       }
     }
     return transit;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -99,6 +99,18 @@
   /** Reports of one runner are asked for this far apart at least (ms): each has a price. */
   private static final long REPORT_PERIOD_MILLIS = 400;
 
+  /**
+   * What a held runner holds is worked out again this often although no order, reply or report
+   * changed it (ms): the rest of it, queue and free places, changes slowly.
+   */
+  private static final long TELL_MILLIS = 100;
+
+  /**
+   * A host that waits is told again after this time what a runner holds although nothing changed
+   * (ms): a datagram may be lost, and a load takes 250 ms and more.
+   */
+  private static final long ANSWER_MILLIS = 400;
+
   private static final int TOKEN_TAG = 1_024;
 
   private final HostSettings settings;
@@ -147,6 +159,9 @@
 
   private record RemoteDemand(Demand demand, long toldMillis) {}
 
+  /** That a host was told what a runner holds after so many changes of it. */
+  private record Answer(long changes, long atMillis) {}
+
   /** One runner that this host orders or tries to. */
   private static final class Held {
     RunnerEntry runner;
@@ -158,6 +173,13 @@
     long token;
     boolean reporting;
     long reportDueMillis;
+    long tellDueMillis;
+
+    /** Counts the changes of what the runner holds. */
+    long changes;
+
+    /** What each host that waits for the runner was answered last, by its IP number. */
+    final Map<String, Answer> answers = new HashMap<>();
 
     /** When the lease was last known to be held. */
     long heldMillis = Long.MIN_VALUE / 2;
@@ -297,10 +319,14 @@
 
   /** Takes in what another host's requests wait for. */
   public void remoteDemand(String host, String runner, Demand demand, long nowMillis) {
-    remoteDemands
-        .computeIfAbsent(runner, id -> new HashMap<>())
-        .put(host + " " + demand.target(), new RemoteDemand(demand, nowMillis));
-    pump(runner, nowMillis);
+    RemoteDemand before =
+        remoteDemands
+            .computeIfAbsent(runner, id -> new HashMap<>())
+            .put(host + " " + demand.target(), new RemoteDemand(demand, nowMillis));
+    // Repeated ones are looked at with the next tick: at 70 hosts they come 300 times a second.
+    if (before == null || nowMillis - before.toldMillis > DEMAND_MILLIS) {
+      pump(runner, nowMillis);
+    }
   }
 
   /**
@@ -313,7 +339,7 @@
     Digest.Builder digest = Digest.newBuilder();
     for (String runner : runners) {
       Held entry = heldLife(runner);
-      if (entry != null && entry.residency != null) {
+      if (entry != null && entry.residency != null && answerIsDue(entry, ip, nowMillis)) {
         holdings
             .find(runner)
             .filter(holding -> holding.host().equals(settings.host()))
@@ -330,6 +356,16 @@
     }
   }
 
+  private static boolean answerIsDue(Held entry, String ip, long nowMillis) {
+    Answer last = entry.answers.get(ip);
+    boolean due =
+        last == null || last.changes != entry.changes || nowMillis - last.atMillis >= ANSWER_MILLIS;
+    if (due) {
+      entry.answers.put(ip, new Answer(entry.changes, nowMillis));
+    }
+    return due;
+  }
+
   /** Records that a runner refused a request for an adapter that it should have. */
   public void missing(String runner, String target, long nowMillis) {
     Held entry = heldLife(runner);
@@ -516,7 +552,9 @@
       report(entry, nowMillis);
     }
     pump(entry.runner.id(), nowMillis);
-    tell(entry, nowMillis);
+    if (nowMillis >= entry.tellDueMillis) {
+      tell(entry, nowMillis);
+    }
   }
 
   private void withoutLease(Held entry, long nowMillis) {
@@ -712,6 +750,7 @@
     if (residency == null || residency.sequence() < 0 || !mayTell(entry, nowMillis)) {
       return;
     }
+    entry.tellDueMillis = nowMillis + TELL_MILLIS;
     String runner = entry.runner.id();
     Map<String, HeldItem> items = new HashMap<>();
     residency.held().forEach(item -> items.put(item.target(), item));
@@ -735,6 +774,7 @@
             && before.get().items().equals(items)
             && before.get().models().equals(residency.models());
     if (!same) {
+      entry.changes++;
       changed.run();
     }
   }
