The check of itself serves a stream through a sample runner, so that the archive of classes holds what requests and orders need

Change: two nodes find each other, one orders a sample runner and serves twenty streams from it; the build records that. The check fails the build if they are not served within a minute.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -482,6 +482,11 @@
     }
   }
 
+  /** Takes in records as if another host had passed them on. */
+  void adopt(List<StoredItem> items) {
+    duty.put(() -> passedOn(items));
+  }
+
   private void passedOn(List<StoredItem> items) {
     long now = MonotonicClock.SYSTEM.nowMillis();
     int news = 0;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -5,32 +5,43 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.LineFormatter;
 import org.sequoiahub.runtime.settings.SettingsLoader;
 import org.sequoiahub.schema.settings.NodeSettings;
 import org.sequoiahub.usersplatform.AddressDialect;
+import org.sequoiahub.usersplatform.Headers;
 import org.sequoiahub.usersplatform.HostSettings;
-import org.sequoiahub.usersplatform.RecordDecoder;
+import org.sequoiahub.usersplatform.SampleRecords;
 
 /**
- * Starts a whole node on loopback ports without a fleet, asks it what callers and the platform ask,
- * and stops it.
+ * Starts two whole nodes on loopback addresses, asks one what callers and the platform ask, lets it
+ * bring an adapter to a sample runner and serve a stream from there, and stops both.
  *
- * <p>The build runs it to record the classes that a start needs: with that archive a restarted
- * process spends its first second on requests instead of on loading classes.
+ * <p>The build runs it to record the classes that a process needs: with that archive a restarted
+ * process spends its first seconds on requests instead of on loading classes. So what a request, an
+ * order and a word between hosts need is done here too.
  */
 final class SelfCheck {
 
   private static final int PORTS = 6;
   private static final int ROUNDS = 20;
   private static final long STOP_MILLIS = 500;
+  private static final List<String> IPS = List.of("127.0.0.1", "127.0.0.2");
+
+  /** How long the nodes may take to find each other and to gain the runner's lease (ms). */
+  private static final long SERVE_MILLIS = 60_000;
+
+  private static final long PAUSE_MILLIS = 100;
+  private static final int DEADLINE_MILLIS = 3_000;
 
   private static final NodeSettings FALLBACK =
       NodeSettings.newBuilder().setAddressTtlMs(1_000).build();
@@ -44,32 +55,72 @@
         new SettingsLoader<>("sequoia-node", "self-check", NodeSettings.getDefaultInstance())
             .load(new String[0], Map.of())
             .fold(settings -> settings, problems -> FALLBACK, text -> FALLBACK);
-    boolean good = new RecordDecoder().sampleConfiguration().size() > 0;
     List<Integer> ports = freePorts();
-    Node node = Node.start(own, settings(ports), MonotonicClock.SYSTEM.nowMillis());
     HttpClient client = UpstreamClient.start();
-    for (int round = 0; round < ROUNDS; round++) {
-      good &= status(client, ports.get(1), AddressDialect.READINESS_PATH, false) == 503;
-      good &= status(client, ports.get(2), AddressDialect.ADDRESS_PATH, false) == 503;
-      good &= status(client, ports.get(0), "/some/path", true) == 503;
+    boolean good;
+    try (SampleRunner runner = new SampleRunner()) {
+      List<Node> nodes = new ArrayList<>();
+      for (String ip : IPS) {
+        nodes.add(Node.start(own, settings(ip, ports), MonotonicClock.SYSTEM.nowMillis()));
+      }
+      good = answersWithoutRecords(client, ports);
+      nodes.get(0).adopt(SampleRecords.records(runner.address()));
+      good &= serves(client, ports.get(0));
+      for (Node node : nodes) {
+        node.stop();
+      }
     }
     client.stop();
-    node.stop();
     System.out.println(good ? "self-check passed" : "self-check failed");
     return good ? 0 : 1;
   }
 
-  private static int status(HttpClient client, int port, String path, boolean post)
+  private static boolean answersWithoutRecords(HttpClient client, List<Integer> ports)
       throws Exception {
-    var request =
-        client
-            .newRequest("http://127.0.0.1:" + port + path)
-            .method(post ? HttpMethod.POST : HttpMethod.GET);
-    if (post) {
-      request.body(new StringRequestContent("self-check"));
+    boolean good = true;
+    for (int round = 0; round < ROUNDS; round++) {
+      good &= isUnavailable(client, ports.get(1), AddressDialect.READINESS_PATH);
+      good &= isUnavailable(client, ports.get(2), AddressDialect.ADDRESS_PATH);
+      good &= stream(client, ports.get(0)) == HttpStatus.SERVICE_UNAVAILABLE_503;
     }
-    ContentResponse response = request.send();
-    return response.getStatus();
+    return good;
+  }
+
+  private static boolean isUnavailable(HttpClient client, int port, String path) throws Exception {
+    ContentResponse response = client.GET("http://" + IPS.get(0) + ":" + port + path);
+    return response.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
+  }
+
+  /** Returns whether streams are served once the nodes agreed on who orders the runner. */
+  private static boolean serves(HttpClient client, int port) throws Exception {
+    long end = MonotonicClock.SYSTEM.nowMillis() + SERVE_MILLIS;
+    int served = 0;
+    while (served < ROUNDS && MonotonicClock.SYSTEM.nowMillis() < end) {
+      if (stream(client, port) == HttpStatus.OK_200) {
+        served++;
+      } else {
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+      }
+    }
+    return served == ROUNDS;
+  }
+
+  private static int stream(HttpClient client, int port) throws Exception {
+    return client
+        .newRequest("http://" + IPS.get(0) + ":" + port + SampleRecords.STREAM_PATH)
+        .method(HttpMethod.POST)
+        .headers(
+            headers ->
+                headers
+                    .put("Host", SampleRecords.CALLED_HOST)
+                    .put(Headers.REQUEST_ID, SampleRecords.REQUEST_ID)
+                    .put(Headers.DEADLINE, DEADLINE_MILLIS)
+                    .put(Headers.MODEL, SampleRecords.ADAPTER)
+                    .put(Headers.TOKENS, "100,20")
+                    .put(Headers.PROMPT, "aa:60,bb:40"))
+        .body(new StringRequestContent("self-check"))
+        .send()
+        .getStatus();
   }
 
   private static List<Integer> freePorts() throws IOException {
@@ -86,19 +137,19 @@
     return ports;
   }
 
-  private static HostSettings settings(List<Integer> ports) {
+  private static HostSettings settings(String ip, List<Integer> ports) {
     return new HostSettings(
-        "self-check",
+        "self-check-" + ip,
         "none",
-        "127.0.0.1",
+        ip,
         ports.get(0),
         ports.get(1),
         ports.get(2),
         ports.get(3),
         ports.get(4),
-        List.of("127.0.0.1"),
+        IPS,
         true,
-        "127.0.0.1:" + ports.get(5),
+        ip + ":" + ports.get(5),
         STOP_MILLIS,
         3_000,
         0.2,
