A renewal of leases in a large fleet asks somewhat more than a majority, others each time

Change: after a round that renewed all leases, 65% of the electorate are asked; after one that did not, all. That two holders never order within the lease time rests on majorities as before.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -33,6 +33,7 @@
   private final Set<String> grantedBy = new HashSet<>();
   private long roundSentMillis;
   private long nextClaimMillis = Long.MIN_VALUE;
+  private boolean renewed;
 
   /**
    * Creates an authority that is not held.
@@ -74,9 +75,15 @@
     return nowMillis >= nextClaimMillis;
   }
 
+  /** Returns whether a majority granted the claim of the latest round. */
+  public boolean renewedByLastRound() {
+    return renewed;
+  }
+
   /** Records that a round of claims is being sent; answers to earlier rounds no longer count. */
   public void roundSent(long nowMillis) {
     roundSentMillis = nowMillis;
+    renewed = false;
     grantedBy.clear();
     int rounds = term.rights(nowMillis).held() ? RENEWALS_PER_TERM : CLAIMS_PER_TERM;
     nextClaimMillis = nowMillis + durationMillis / rounds;
@@ -90,6 +97,7 @@
     grantedBy.add(host);
     former.removeIf(quorum -> nowMillis >= quorum.untilMillis);
     if (isMajority(granters) && former.stream().allMatch(quorum -> isMajority(quorum.hosts))) {
+      renewed = true;
       term.accepted(sentMillis, nowMillis);
     }
   }
@@ -102,6 +110,7 @@
   @Override
   public void giveUp() {
     term.end();
+    renewed = false;
     roundSentMillis = Long.MIN_VALUE;
     nextClaimMillis = Long.MIN_VALUE;
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -17,6 +17,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.authority.LeaseGranter;
 import org.sequoiahub.core.authority.LeasedAuthority;
+import org.sequoiahub.core.authority.RenewalRound;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.HeldItem;
@@ -29,6 +30,7 @@
 import org.sequoiahub.core.holding.RunnerOrders;
 import org.sequoiahub.core.holding.RunnerResidency;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.peer.FleetShape;
@@ -155,6 +157,7 @@
   private long clockDifference = Long.MIN_VALUE;
   private boolean stopping;
   private int enginesKnown;
+  private long claimRound;
   private @Nullable LoadEstimates estimates;
 
   private record RemoteDemand(Demand demand, long toldMillis) {}
@@ -522,7 +525,7 @@
         LeaseClaim.newBuilder().setSentMs(nowMillis).setDurationMs((int) LEASE_MILLIS);
     claim.addAllRunners(held.keySet());
     byte[] bytes = datagrams.get().setClaim(claim).build().toByteArray();
-    members.reachable(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
+    toClaimFrom(electorate.size(), nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
     for (Held entry : held.values()) {
       entry.authority.roundSent(nowMillis);
       if (granter.grant(entry.runner.instance(), settings.host(), LEASE_MILLIS, nowMillis)) {
@@ -531,6 +534,16 @@
     }
   }
 
+  /** Returns the hosts to ask: all, unless the last round renewed all leases of a large fleet. */
+  private List<Member<HostState>> toClaimFrom(int electorate, long nowMillis) {
+    List<Member<HostState>> reachable = members.reachable(nowMillis);
+    boolean renewed =
+        held.values().stream().allMatch(entry -> entry.authority.renewedByLastRound());
+    return shape.isLarge() && renewed
+        ? RenewalRound.asked(reachable, electorate, claimRound++)
+        : reachable;
+  }
+
   private void advance(Held entry, long nowMillis) {
     var rights = entry.authority.rights(nowMillis);
     if (!rights.held()) {
