--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -43,6 +43,9 @@
   /** Since when it waits there (ms). */
   long waitingSinceMillis;
 
+  /** When it is to be placed again while it waits (ms). */
+  long placeAgainMillis;
+
   /** When it last looked at all runners while it waited (ms). */
   long lookedRoundMillis;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -63,6 +63,12 @@
    */
   private static final long LOOK_ROUND_MILLIS = 100;
 
+  /**
+   * A waiting request is placed again this often at most, and sooner when its adapter is due (ms).
+   * Each time goes over all runners; an adapter takes 250 ms and more.
+   */
+  private static final long PLACE_AGAIN_MILLIS = 30;
+
   /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
   private static final long NO_RUNNER_RETRY_MILLIS = 500;
 
@@ -191,7 +197,9 @@
       } else if (nowMillis >= call.endMillis()) {
         expired(call);
       } else if (call.running.isEmpty()) {
-        place(call, nowMillis);
+        if (nowMillis >= call.placeAgainMillis) {
+          place(call, nowMillis);
+        }
       } else {
         watchRunning(call, nowMillis);
       }
@@ -311,6 +319,7 @@
   }
 
   private void waitAt(Call call, Candidate candidate, long nowMillis) {
+    call.placeAgainMillis = nowMillis + Math.min(PLACE_AGAIN_MILLIS, candidate.adapterWaitMillis());
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
       return;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -80,8 +80,8 @@
   /** An order is sent only if the lease lasts at least this much longer (ms). */
   private static final long LEASE_MARGIN_MILLIS = 200;
 
-  /** A remote demand counts for this long after it was told (ms); it is repeated every 60 ms. */
-  private static final long DEMAND_MILLIS = 200;
+  /** A remote demand counts for this long after it was told (ms); it is repeated every 120 ms. */
+  private static final long DEMAND_MILLIS = 300;
 
   /**
    * The steady clock does not count a suspension of the host; the time of day does. A difference of
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandSender.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandSender.java
@@ -21,8 +21,11 @@
  */
 public final class DemandSender {
 
-  /** Demands that have not changed are told again this often (ms): a datagram may be lost. */
-  private static final long PERIOD_MILLIS = 60;
+  /**
+   * Demands that have not changed are told again this often (ms): a datagram may be lost. A new one
+   * is told at once, so this bounds what a loss costs to half of a load.
+   */
+  private static final long PERIOD_MILLIS = 120;
 
   private final String self;
   private final Members<HostState> members;
@@ -58,7 +61,7 @@
     demands.forEach(
         (runner, list) ->
             targets.put(runner, list.stream().map(Demand::target).collect(Collectors.toSet())));
-    // A new demand is told at once: up to 60 ms of the 250 that a load takes were lost before it.
+    // A new demand is told at once: later ones wait for the period.
     boolean anyNew =
         targets.entrySet().stream()
             .anyMatch(
