--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandSender.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DemandSender.java
@@ -61,7 +61,7 @@
     demands.forEach(
         (runner, list) ->
             targets.put(runner, list.stream().map(Demand::target).collect(Collectors.toSet())));
-    // A new demand is told at once: later ones wait for the period.
+    // A new demand is told at once: a load takes 250 ms, and the period is half of that.
     boolean anyNew =
         targets.entrySet().stream()
             .anyMatch(
