--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/RenewalRound.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/RenewalRound.java
@@ -9,7 +9,7 @@
  * Which hosts a holder asks to renew its leases.
  *
  * <p>A lease needs a majority, and in a large fleet each host hears every holder: at 95 hosts with
- * 12 holders that renew three times a second, 36 claims and as many grants a second, five times as
+ * 12 holders that renew three times a second, 36 claims and as many grants a second, three times as
  * many datagrams as all else that an idle host handles. So a renewal asks somewhat more than a
  * majority, others each time. Whoever asked too few (lost datagrams, hosts that died) notices when
  * the round after it is due, and asks all then, with most of the lease left.
