A lost answer is logged with the request's fingerprint, its caller and how long it ran

Logs could not tell whether the requests under which runners end are one request that comes back, as each arrival has an id of its own and the caller was not named.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.caller.CallerExchange;
@@ -60,6 +61,9 @@
 
   boolean done;
 
+  /** Worked out when it is first asked for: most requests never need it. */
+  private @Nullable Long fingerprint;
+
   Call(
       CallerExchange exchange,
       CallerHeaders headers,
@@ -113,6 +117,22 @@
     return headers.requestId();
   }
 
+  /** Returns the number by which all hosts know this request again. */
+  long fingerprint() {
+    Long known = fingerprint;
+    if (known == null) {
+      known =
+          RequestFingerprint.of(
+              exchange.callerIp(),
+              exchange.method(),
+              exchange.host(),
+              exchange.pathAndQuery(),
+              exchange.body());
+      fingerprint = known;
+    }
+    return known;
+  }
+
   /** Returns the adapter that the request uses, as model/adapter; empty for none. */
   String adapter() {
     return generation != null && generation.usesAdapter() ? generation.target() : "";
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -27,6 +27,7 @@
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
+import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Repetition;
@@ -485,10 +486,30 @@
     } else if (outcome instanceof Outcome.Lost lost) {
       call.runs++;
       fleet.health(running.runner).failed(now);
+      logLost(call, running, now);
       failed(call, running, Ending.LOST, lost.why(), null, now);
     }
   }
 
+  /**
+   * Tells by which number a request is known again whose answer was lost: a request that ends the
+   * runners that run it comes back under new ids, at other hosts.
+   */
+  private void logLost(Call call, Call.Running running, long now) {
+    log.info(
+        "answer-lost",
+        "request",
+        call.id(),
+        "fingerprint",
+        RequestFingerprint.text(call.fingerprint()),
+        "caller",
+        call.exchange.callerIp(),
+        "runner",
+        running.runner.id(),
+        "ran_ms",
+        now - running.startedMillis);
+  }
+
   private void answered(Call call, Call.Running running, Outcome.Answered answered, long now) {
     call.runs++;
     if (answered.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -62,6 +62,11 @@
     return host == null ? "" : host;
   }
 
+  /** Returns the IP number that the request came from. */
+  public String callerIp() {
+    return Request.getRemoteAddr(request);
+  }
+
   /** Returns the request's headers. */
   public HttpFields headers() {
     return request.getHeaders();
