--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
@@ -157,6 +157,16 @@
     return ends(request).stream().anyMatch(end -> counts(end, nowMillis));
   }
 
+  /** Returns whether several runners ended under a request, one after the other. */
+  public boolean isRepeated(long request) {
+    return repeated.containsKey(request);
+  }
+
+  /** Returns the ends that are known under a request. */
+  public List<RunnerEnd> endsUnder(long request) {
+    return ends(request);
+  }
+
   /** Returns whether nothing is known against any request. */
   public boolean isEmpty() {
     return once.isEmpty() && repeated.isEmpty();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RunnerEndExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RunnerEndExchange.java
@@ -1,13 +1,10 @@
 package org.sequoiahub.node.peer;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -34,9 +31,6 @@
  */
 public final class RunnerEndExchange implements RunnerEndListener {
 
-  /** When news is told again after it was told first (ms); 3 s outlast a delegate's succession. */
-  private static final long[] REPEAT_MILLIS = {200, 800, 2_000};
-
   /** Datagrams of news are this far apart at least (ms), and more if many hosts are told. */
   private static final long PERIOD_MILLIS = 20;
 
@@ -45,8 +39,8 @@
   /** Items of one datagram: 30 bytes each, so that it fits in one packet. */
   private static final int MAX_ITEMS = 32;
 
-  /** Items that wait to be told at most: the loss of a domain brings hundreds at once. */
-  private static final int MAX_WAITING = 1_024;
+  /** Items of each kind that wait to be told at most. */
+  private static final int MAX_WAITING = 512;
 
   /** One host drawn at random is told this often what is held back (ms). */
   private static final long RANDOM_MILLIS = 1_000;
@@ -61,23 +55,17 @@
   private final BiConsumer<String, byte[]> sender;
   private final Random random;
 
-  /** What waits to be told, by how often it has been told; each queue is in the order of time. */
-  private final List<Deque<Telling>> tellings = new ArrayList<>();
+  /** What counts most: requests under which several runners ended, and good answers. */
+  private final RepeatedNews urgent = new RepeatedNews(MAX_WAITING);
+
+  /** Requests under which one runner ended: the loss of a domain brings hundreds at once. */
+  private final RepeatedNews ordinary = new RepeatedNews(MAX_WAITING);
 
   private final Map<String, Heard> heard = new HashMap<>();
   private long toldMillis = Long.MIN_VALUE / 2;
   private long randomMillis = Long.MIN_VALUE / 2;
   private int turn;
 
-  /** Either an end or the good answer of a request, and whom to tell. */
-  private record Telling(
-      Optional<RunnerEnd> end, long request, long atMillis, boolean toAll, long dueMillis) {
-
-    Telling dueAt(long millis) {
-      return new Telling(end, request, atMillis, toAll, millis);
-    }
-  }
-
   private record Heard(long incarnation, long atMillis) {}
 
   /**
@@ -99,31 +87,27 @@
     this.datagrams = datagrams;
     this.sender = sender;
     this.random = random;
-    for (int i = 0; i <= REPEAT_MILLIS.length; i++) {
-      tellings.add(new ArrayDeque<>());
-    }
   }
 
   @Override
   public void ended(RunnerEnd end, long nowMillis) {
-    add(new Telling(Optional.of(end), end.request(), 0, true, nowMillis));
+    tell(end, true, nowMillis);
   }
 
   @Override
   public void cleared(long request, long atMillis, long nowMillis) {
-    add(new Telling(Optional.empty(), request, atMillis, true, nowMillis));
+    urgent.add(News.cleared(request, atMillis, true), nowMillis);
   }
 
-  /** News pushes out what has been told most often. */
-  private void add(Telling telling) {
-    int waiting = tellings.stream().mapToInt(Deque::size).sum();
-    for (int i = tellings.size() - 1; i >= 0 && waiting >= MAX_WAITING; i--) {
-      if (!tellings.get(i).isEmpty()) {
-        tellings.get(i).removeFirst();
-        waiting--;
-      }
+  /** An end that follows others is told with these: they may have been pushed out. */
+  private void tell(RunnerEnd end, boolean toAll, long nowMillis) {
+    if (quarantine.isRepeated(end.request())) {
+      quarantine
+          .endsUnder(end.request())
+          .forEach(known -> urgent.add(News.ended(known, toAll), nowMillis));
+    } else {
+      ordinary.add(News.ended(end, toAll), nowMillis);
     }
-    tellings.get(0).addLast(telling);
   }
 
   /** Tells what is due. */
@@ -136,7 +120,7 @@
   }
 
   private void tellNews(long nowMillis) {
-    if (tellings.stream().noneMatch(queue -> isDue(queue, nowMillis))) {
+    if (!urgent.isDue(nowMillis) && !ordinary.isDue(nowMillis)) {
       return;
     }
     Set<String> near = new HashSet<>();
@@ -147,34 +131,15 @@
       return;
     }
     toldMillis = nowMillis;
-    List<Telling> due = takeDue(nowMillis);
-    List<Telling> forAll = due.stream().filter(Telling::toAll).toList();
+    List<News> due = urgent.take(MAX_ITEMS, nowMillis);
+    due.addAll(ordinary.take(MAX_ITEMS - due.size(), nowMillis));
+    List<News> forAll = due.stream().filter(News::toAll).toList();
     Set<String> far = new HashSet<>(all);
     far.removeAll(near);
     send(near, due, nowMillis);
     send(far, forAll, nowMillis);
   }
 
-  private static boolean isDue(Deque<Telling> queue, long nowMillis) {
-    Telling first = queue.peekFirst();
-    return first != null && first.dueMillis <= nowMillis;
-  }
-
-  private List<Telling> takeDue(long nowMillis) {
-    List<Telling> due = new ArrayList<>();
-    for (int told = 0; told < tellings.size(); told++) {
-      Deque<Telling> queue = tellings.get(told);
-      while (due.size() < MAX_ITEMS && isDue(queue, nowMillis)) {
-        Telling telling = queue.removeFirst();
-        due.add(telling);
-        if (told < REPEAT_MILLIS.length) {
-          tellings.get(told + 1).addLast(telling.dueAt(nowMillis + REPEAT_MILLIS[told]));
-        }
-      }
-    }
-    return due;
-  }
-
   /**
    * Finds whom to tell: in a small fleet everybody; in a large one the delegates of this host's
    * group, which tell the group's other hosts and the delegates of the other groups.
@@ -196,19 +161,20 @@
     all.addAll(near);
   }
 
-  private void send(Set<String> ips, List<Telling> tellings, long nowMillis) {
-    if (ips.isEmpty() || tellings.isEmpty()) {
+  private void send(Set<String> ips, List<News> news, long nowMillis) {
+    if (ips.isEmpty() || news.isEmpty()) {
       return;
     }
     RunnerEnds.Builder ends = RunnerEnds.newBuilder();
-    for (Telling telling : tellings) {
-      if (telling.end.isPresent()) {
-        ends.addEnds(StateCodec.encodeEnd(telling.end.get(), nowMillis));
+    for (News each : news) {
+      RunnerEnd end = each.end();
+      if (end != null) {
+        ends.addEnds(StateCodec.encodeEnd(end, nowMillis));
       } else {
         ends.addCleared(
             ClearedRequest.newBuilder()
-                .setRequest(telling.request)
-                .setAgoMs((int) (nowMillis - telling.atMillis)));
+                .setRequest(each.request())
+                .setAgoMs((int) (nowMillis - each.atMillis())));
       }
     }
     byte[] bytes = datagrams.get().setEnds(ends).build().toByteArray();
@@ -225,10 +191,9 @@
 
   /** Tells a host of ends, others each time if they are more than a datagram holds. */
   private void tell(String ip, List<RunnerEnd> known, long nowMillis) {
-    List<Telling> told = new ArrayList<>();
+    List<News> told = new ArrayList<>();
     for (int i = 0; i < Math.min(MAX_ITEMS, known.size()); i++) {
-      RunnerEnd end = known.get(Math.floorMod(turn++, known.size()));
-      told.add(new Telling(Optional.of(end), end.request(), 0, false, nowMillis));
+      told.add(News.ended(known.get(Math.floorMod(turn++, known.size())), false));
     }
     send(Set.of(ip), told, nowMillis);
   }
@@ -253,23 +218,19 @@
     for (ClearedRequest cleared : told.getClearedList()) {
       long at = nowMillis - Integer.toUnsignedLong(cleared.getAgoMs());
       if (quarantine.cleared(cleared.getRequest(), at) && passesOn) {
-        add(new Telling(Optional.empty(), cleared.getRequest(), at, fromNear, nowMillis));
+        urgent.add(News.cleared(cleared.getRequest(), at, fromNear), nowMillis);
       }
     }
-    List<Telling> refuted = new ArrayList<>();
+    List<News> refuted = new ArrayList<>();
     for (org.sequoiahub.schema.peer.RunnerEnd message : told.getEndsList()) {
       RunnerEnd end = StateCodec.decodeEnd(message, nowMillis);
-      if (quarantine.ended(end, nowMillis)) {
-        if (passesOn) {
-          add(new Telling(Optional.of(end), end.request(), 0, fromNear, nowMillis));
-        }
-      } else {
+      boolean news = quarantine.ended(end, nowMillis);
+      if (news && passesOn) {
+        tell(end, fromNear, nowMillis);
+      } else if (!news) {
         quarantine
             .refutedAt(end)
-            .ifPresent(
-                at ->
-                    refuted.add(
-                        new Telling(Optional.empty(), end.request(), at, false, nowMillis)));
+            .ifPresent(at -> refuted.add(News.cleared(end.request(), at, false)));
       }
     }
     // The sender does not know of the good answer.
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -13,6 +13,9 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.quarantine.QuarantineSettings;
+import org.sequoiahub.core.quarantine.RequestQuarantine;
+import org.sequoiahub.core.quarantine.RunnerEnd;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
@@ -54,6 +57,8 @@
     final Set<String> words = new HashSet<>();
     final FleetShape shape;
     final PeerHeartbeats heartbeats;
+    final RequestQuarantine quarantine = new RequestQuarantine(QuarantineSettings.DEFAULT);
+    final RunnerEndExchange runnerEnds;
     long configRevision = 1_000;
 
     private Host(int number) {
@@ -75,6 +80,14 @@
               this::word,
               random,
               new EventLog("test", "host-" + number));
+      this.runnerEnds =
+          new RunnerEndExchange(
+              quarantine,
+              members,
+              shape,
+              heartbeats::datagram,
+              (ip, datagram) -> send(number, ip, datagram),
+              random);
     }
 
     private HostState.Builder state(boolean withHoldings, boolean complete) {
@@ -96,6 +109,25 @@
       word(from, state);
     }
 
+    /** A runner ends under a request of this host's; the others are told. */
+    void runnerEnded(long request, long runner, long startedMillis, long endedMillis) {
+      RunnerEnd end = new RunnerEnd(request, runner, startedMillis, endedMillis, false, true);
+      if (quarantine.ended(end, now)) {
+        runnerEnds.ended(end, now);
+      }
+    }
+
+    /** A request of this host's has a good answer. */
+    void succeeded(long request) {
+      if (quarantine.succeeded(request, now)) {
+        runnerEnds.cleared(request, now, now);
+      }
+    }
+
+    boolean holdsBack(long request) {
+      return quarantine.hold(request, now).isPresent();
+    }
+
     /** A host that is behind another takes its records at once. */
     private void word(String from, HostState state) {
       configRevision = Math.max(configRevision, state.getConfigRevision());
@@ -177,6 +209,7 @@
       }
       for (Host host : running()) {
         host.heartbeats.tick(now);
+        host.runnerEnds.tick(now);
         host.members.forget(now);
       }
     }
@@ -198,10 +231,14 @@
     }
     try {
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
+      String ip = "ip-" + arrived.from;
       if (datagram.hasDigest()) {
-        to.heartbeats.receivedDigest("ip-" + arrived.from, datagram.getDigest(), now);
+        to.heartbeats.receivedDigest(ip, datagram.getDigest(), now);
+      } else if (datagram.hasEnds()) {
+        to.runnerEnds.received(datagram.getHost(), ip, datagram.getEnds(), now);
       } else {
-        to.heartbeats.received("ip-" + arrived.from, datagram, now);
+        to.heartbeats.received(ip, datagram, now);
+        to.runnerEnds.heard(datagram.getHost(), datagram.getIncarnation(), ip, now);
       }
     } catch (InvalidProtocolBufferException e) {
       throw new AssertionError(e);
