A request is known again by what the upstream works on, wherever it comes from

What ends an engine is the prompt: a model request is now its model and body. Tests: repeats by other paths and addresses, hosts that start later, the time to come back, others unharmed.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
@@ -7,34 +7,42 @@
 import com.google.common.hash.Hashing;
 
 /**
- * A number by which every host knows a request again that a caller brings a second time.
+ * A number by which every host knows a request again that is brought a second time.
  *
- * <p>It covers the caller, the method, the path and the body. It leaves out what changes from one
- * attempt of the caller to the next: the request's id, its deadline and the last event it has. The
- * body itself is neither kept nor told to other hosts.
+ * <p>It covers what the upstream works on and leaves out what changes from one attempt to the next:
+ * the request's id, its deadline, the last event that the caller has, and the address that it came
+ * from, as callers come from several. A model request is its model and its body: the same prompt
+ * ends an engine by whatever path it came. The body itself is neither kept nor told to other hosts.
+ *
+ * <p>The first 64 bits of a SHA-256: nobody must be able to craft a request that ends runners and
+ * has the fingerprint of somebody else's.
  */
 public final class RequestFingerprint {
 
   private RequestFingerprint() {}
 
   /**
-   * Returns the fingerprint of a request.
-   *
-   * <p>The first 64 bits of a SHA-256: a caller who knows how to end runners must not be able to
-   * craft a request that has the fingerprint of another caller's.
+   * Returns the fingerprint of a request to a plain service.
    *
-   * @param caller the IP number that the request came from
    * @param host the host name that the caller used
    */
-  public static long of(
-      String caller, String method, String host, String pathAndQuery, byte[] body) {
+  public static long ofPlain(String method, String host, String pathAndQuery, byte[] body) {
+    Hasher hasher = Hashing.sha256().newHasher();
+    add(hasher, requireNonNull(method, "method must not be null"));
+    add(hasher, requireNonNull(host, "host must not be null"));
+    add(hasher, requireNonNull(pathAndQuery, "pathAndQuery must not be null"));
+    return finish(hasher, body);
+  }
+
+  /**
+   * Returns the fingerprint of a request for a model.
+   *
+   * @param target the model, with the adapter if it uses one
+   */
+  public static long ofGeneration(String target, byte[] body) {
     Hasher hasher = Hashing.sha256().newHasher();
-    add(hasher, requireNonNull(caller, "caller must not be null").getBytes(UTF_8));
-    add(hasher, requireNonNull(method, "method must not be null").getBytes(UTF_8));
-    add(hasher, requireNonNull(host, "host must not be null").getBytes(UTF_8));
-    add(hasher, requireNonNull(pathAndQuery, "pathAndQuery must not be null").getBytes(UTF_8));
-    add(hasher, requireNonNull(body, "body must not be null"));
-    return hasher.hash().asLong();
+    add(hasher, requireNonNull(target, "target must not be null"));
+    return finish(hasher, body);
   }
 
   /** Returns a fingerprint as logs show it. */
@@ -43,7 +51,12 @@
   }
 
   /** With its length, so that no two lists of parts have the same bytes. */
-  private static void add(Hasher hasher, byte[] part) {
-    hasher.putInt(part.length).putBytes(part);
+  private static void add(Hasher hasher, String part) {
+    byte[] bytes = part.getBytes(UTF_8);
+    hasher.putInt(bytes.length).putBytes(bytes);
+  }
+
+  private static long finish(Hasher hasher, byte[] body) {
+    return hasher.putBytes(requireNonNull(body, "body must not be null")).hash().asLong();
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -121,18 +121,21 @@
   long fingerprint() {
     Long known = fingerprint;
     if (known == null) {
-      known =
-          RequestFingerprint.of(
-              exchange.callerIp(),
-              exchange.method(),
-              exchange.host(),
-              exchange.pathAndQuery(),
-              exchange.body());
+      known = workOutFingerprint();
       fingerprint = known;
     }
     return known;
   }
 
+  private long workOutFingerprint() {
+    byte[] body = exchange.body();
+    if (generation != null && body.length > 0) {
+      return RequestFingerprint.ofGeneration(generation.target(), body);
+    }
+    return RequestFingerprint.ofPlain(
+        exchange.method(), exchange.host(), exchange.pathAndQuery(), body);
+  }
+
   /** Returns the adapter that the request uses, as model/adapter; empty for none. */
   String adapter() {
     return generation != null && generation.usesAdapter() ? generation.target() : "";
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
@@ -31,6 +32,7 @@
   final StandinStore store;
   final HttpClient caller;
   private final List<StandinRunner> runners = new CopyOnWriteArrayList<>();
+  private final List<HttpClient> callers = new ArrayList<>();
   private final List<Node> nodes = new ArrayList<>();
   private final int[] ports = new int[5];
   private long version;
@@ -133,10 +135,22 @@
     return StandinConfiguration.route(prefix, kind, service, resumable);
   }
 
+  /** Returns a client of callers that come from another address. */
+  HttpClient callerFrom(String ip) throws Exception {
+    HttpClient other = UpstreamClient.start();
+    other.setBindAddress(new InetSocketAddress(ip, 0));
+    callers.add(other);
+    return other;
+  }
+
   /** Returns a request of a caller to host {@code number}. */
   Request request(int number, String path, String id) {
-    return caller
-        .newRequest("http://" + ip(number) + ":" + ports[0])
+    return request(caller, number, path, id);
+  }
+
+  /** Returns a request of a certain caller to host {@code number}. */
+  Request request(HttpClient from, int number, String path, String id) {
+    return from.newRequest("http://" + ip(number) + ":" + ports[0])
         .path(path)
         .headers(
             headers ->
@@ -184,6 +198,9 @@
       node.stop();
     }
     caller.stop();
+    for (HttpClient other : callers) {
+      other.stop();
+    }
     for (StandinRunner runner : runners) {
       runner.close();
     }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
@@ -40,10 +41,13 @@
   private static final long BOUND_MILLIS = 3_000;
 
   private LoopbackFleet fleet;
+  private HttpClient elsewhere;
+  private int brought;
 
   @BeforeEach
   void open() throws Exception {
     fleet = new LoopbackFleet();
+    elsewhere = fleet.callerFrom("127.0.0.99");
     fleet.configure(LoopbackFleet.route("/s/", "streaming", "llm", false));
     for (int number = 1; number <= RUNNERS; number++) {
       fleet.startMortalRunner("i-" + number, "llm", "m", DEADLY);
@@ -62,9 +66,11 @@
     fleet.close();
   }
 
+  /** Every other request comes from another address of the caller's, and by a path of its own. */
   private ContentResponse bring(int number, String id, String body) throws Exception {
+    brought++;
     return fleet
-        .request(number, "/s/x", id)
+        .request(brought % 2 == 0 ? fleet.caller : elsewhere, number, "/s/" + id, id)
         .method(HttpMethod.POST)
         .headers(headers -> headers.put(Headers.MODEL, "m").put(Headers.TOKENS, "100,20"))
         .body(new StringRequestContent(body))
@@ -116,4 +122,45 @@
     assertThat(fleet.endedRunners()).isEqualTo(3);
     assertThat(statuses.stream().distinct().toList()).containsExactly(503);
   }
+
+  @Test
+  void theAnswerSaysWhenItMayComeBack() throws Exception {
+    endRunners(3);
+    TimeUnit.MILLISECONDS.sleep(BOUND_MILLIS);
+    ContentResponse answer = bring(1, "again", DEADLY);
+    assertThat(answer.getStatus()).isEqualTo(503);
+    double seconds = Double.parseDouble(answer.getHeaders().get("Retry-After"));
+    assertThat(seconds).isGreaterThan(500.0);
+    assertThat(seconds).isAtMost(600.0);
+  }
+
+  @Test
+  void otherRequestsAreServed() throws Exception {
+    assertThat(status(1, "before", "harmless")).isEqualTo(200);
+    endRunners(3);
+    TimeUnit.MILLISECONDS.sleep(BOUND_MILLIS);
+    for (int host = 1; host <= HOSTS; host++) {
+      int number = host;
+      LoopbackFleet.await(
+          "an answer by host " + host,
+          () -> {
+            try {
+              return status(number, "after-" + System.nanoTime(), "harmless") == 200;
+            } catch (InterruptedException e) {
+              throw new IllegalStateException(e);
+            }
+          });
+    }
+  }
+
+  /** A host that starts when the ends are long over learns of them before it serves. */
+  @Test
+  void hostThatStartsLaterHoldsItBackToo() throws Exception {
+    endRunners(3);
+    fleet.startNode(HOSTS + 1);
+    LoopbackFleet.await("the new host ready", () -> fleet.isReady(HOSTS + 1));
+    TimeUnit.MILLISECONDS.sleep(BOUND_MILLIS);
+    assertThat(status(HOSTS + 1, "again", DEADLY)).isEqualTo(503);
+    assertThat(fleet.runs("again")).isEqualTo(0);
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerEndExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerEndExchangeTest.java
@@ -123,8 +123,7 @@
           PeerWorld world = joined(seed, hosts);
           world.cut((from, to) -> (from % 4 == 0) != (to % 4 == 0));
           world.pass(1_000);
-          threeEnds(
-              world, ordinary(world).stream().filter(host -> host.number % 4 == 1).toList());
+          threeEnds(world, ordinary(world).stream().filter(host -> host.number % 4 == 1).toList());
           world.pass(10_000);
           world.cut((from, to) -> false);
           world.pass(BOUND_MILLIS);
@@ -178,8 +177,8 @@
 
     /**
      * The loss of a failure domain: 1,500 requests lose their runner at one host within a second.
-     * What goes out is bounded, 512 items in datagrams of 32, 20 ms apart; the request under which three
-     * runners ended is known everywhere all the same.
+     * What goes out is bounded, 512 items in datagrams of 32, 20 ms apart; the request under which
+     * three runners ended is known everywhere all the same.
      */
     @Test
     void lossOfDomainDoesNotDrownWhatCounts() {
