Loads of adapters under which runners end are held back too; a refused connection proves a runner's end

The same class elsewhere: each holder decided about loads from what it had ordered itself, so an adapter that ends the runner that loads it would be ordered by one holder after the other. Loads now count like requests, and requests that only wait for such a load are refused at once.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
@@ -19,6 +19,8 @@
  */
 public final class RequestFingerprint {
 
+  private static final String LOAD = "load";
+
   private RequestFingerprint() {}
 
   /**
@@ -45,6 +47,19 @@
     return finish(hasher, body);
   }
 
+  /**
+   * Returns the fingerprint of the load of an adapter.
+   *
+   * @param target the model with the adapter
+   * @param version the adapter's version; 0 for the newest
+   */
+  public static long ofLoad(String target, int version) {
+    Hasher hasher = Hashing.sha256().newHasher();
+    add(hasher, LOAD);
+    add(hasher, requireNonNull(target, "target must not be null"));
+    return hasher.putInt(version).hash().asLong();
+  }
+
   /** Returns a fingerprint as logs show it. */
   public static String text(long fingerprint) {
     return String.format("%016x", fingerprint);
--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongPredicate;
+import java.util.stream.Stream;
 
 /**
  * Decides which requests are held back because runners end under them.
@@ -167,6 +168,15 @@
     return ends(request);
   }
 
+  /** Returns when a runner ended under any request; empty if none is known to have run there. */
+  public Optional<Long> endOf(long runner) {
+    return Stream.concat(once.values().stream(), repeated.values().stream())
+        .flatMap(List::stream)
+        .filter(end -> end.runner() == runner)
+        .map(RunnerEnd::endedMillis)
+        .min(Long::compare);
+  }
+
   /** Returns whether nothing is known against any request. */
   public boolean isEmpty() {
     return once.isEmpty() && repeated.isEmpty();
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -95,6 +95,11 @@
     }
   }
 
+  /** Records that a runner's process is seen to have ended; until an entry of it comes again. */
+  public void noteEnded(RunnerEntry runner, long nowMillis) {
+    noteEnd(runner, nowMillis);
+  }
+
   private void noteEnd(@Nullable RunnerEntry entry, long nowMillis) {
     if (entry != null && !entry.leaving()) {
       ended.putIfAbsent(entry.idHash(), new Ended(entry.id(), nowMillis));
@@ -103,7 +108,8 @@
 
   /**
    * Returns the key of an incarnation that is known to have ended without having announced it: its
-   * entry vanished, or another process has its id or its address. Empty if that is not known.
+   * entry vanished, another process has its id or its address, or nobody listens there. Empty if
+   * that is not known.
    *
    * @param idHash the hash of the incarnation's key
    */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -22,6 +22,7 @@
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.retry.SharedRetryBudget;
@@ -130,6 +131,7 @@
   private final PeerHeartbeats peers;
   private final RunnerEndExchange runnerEnds;
   private final QuarantineGate quarantine;
+  private final LoadGuard loadGuard;
   private final DemandSender demandSender;
   private final RecordExchange exchange;
   private final CallerServer callerServer;
@@ -200,6 +202,7 @@
     this.runnerEnds =
         new RunnerEndExchange(known, members, shape, peers::datagram, datagrams::send, random);
     this.quarantine = new QuarantineGate(known, book, runnerEnds, metrics, log);
+    this.loadGuard = new LoadGuard(known, runnerEnds);
     metrics.register("quarantine.requests", (Gauge<Integer>) known::size);
     this.calls =
         new RequestCoordinator(
@@ -207,6 +210,7 @@
             new UpstreamClient(runnerHttp),
             budget,
             quarantine,
+            loadGuard,
             duty::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::changed,
@@ -225,6 +229,7 @@
             holdings,
             loads,
             new OrderClient(runnerHttp, decoder),
+            loadGuard,
             peers::datagram,
             datagrams::send,
             duty::put,
@@ -400,6 +405,7 @@
     book.forget(nowMillis, FORGET_MILLIS);
     fleet.forget(nowMillis);
     quarantine.upkeep(nowMillis);
+    loadGuard.upkeep(runner -> book.ended(runner).isPresent(), nowMillis);
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -105,6 +105,11 @@
     ended(end(call, running, nowMillis, proved), nowMillis);
   }
 
+  /** Records that nobody listens at a runner's address: its process has ended. */
+  void nobodyListens(RunnerEntry runner, long nowMillis) {
+    runners.noteEnded(runner, nowMillis);
+  }
+
   /** Records that an attempt was given up without an answer: its runner may have gone silent. */
   void unanswered(Call call, Call.Running running, long nowMillis) {
     boolean sent = running.attempt != null && running.attempt.isHandedOn();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -28,6 +28,7 @@
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.quarantine.Hold;
+import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.EngineSpec;
@@ -90,6 +91,7 @@
   private final UpstreamClient upstreams;
   private final SharedRetryBudget budget;
   private final QuarantineGate quarantine;
+  private final LoadGuard loadGuard;
   private final GenerationPlacement generations =
       new GenerationPlacement(PlacementSettings.DEFAULT);
   private final ServicePlacement services = new ServicePlacement(PlacementSettings.DEFAULT);
@@ -116,6 +118,7 @@
       UpstreamClient upstreams,
       SharedRetryBudget budget,
       QuarantineGate quarantine,
+      LoadGuard loadGuard,
       Consumer<Runnable> decisions,
       LongSupplier clock,
       Runnable changed,
@@ -129,6 +132,7 @@
     this.upstreams = upstreams;
     this.budget = budget;
     this.quarantine = quarantine;
+    this.loadGuard = loadGuard;
     this.decisions = decisions;
     this.clock = clock;
     this.changed = changed;
@@ -286,6 +290,15 @@
       giveUp(call, "would be late", (long) choice.firstTokenMillis());
       return;
     }
+    Optional<Hold> load = candidate.present() ? Optional.empty() : loadHold(call, nowMillis);
+    if (load.isPresent()) {
+      quarantine.heldBack(call, load.get(), nowMillis);
+      giveUp(
+          call,
+          "held back: runners ended while they loaded its adapter",
+          load.get().untilMillis() - nowMillis);
+      return;
+    }
     boolean there = candidate.present() && candidate.adapterWaitMillis() <= 0;
     if (there && generations.mayRead(candidate, limits)) {
       start(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
@@ -294,6 +307,22 @@
     }
   }
 
+  private Optional<Hold> loadHold(Call call, long nowMillis) {
+    String adapter = call.adapter();
+    return adapter.isEmpty()
+        ? Optional.empty()
+        : loadGuard.hold(adapter, fleet.newestVersion(adapter), nowMillis);
+  }
+
+  /** Records that a request, and the adapter that it used, had a good answer. */
+  private void served(Call call, long nowMillis) {
+    quarantine.answered(call, nowMillis);
+    String adapter = call.adapter();
+    if (!adapter.isEmpty()) {
+      loadGuard.served(adapter, fleet.newestVersion(adapter), nowMillis);
+    }
+  }
+
   /**
    * Returns the runners that a request chooses from: all, but while it has not waited long or has
    * just looked round, only the one where it waits and those that have its adapter. What hosts tell
@@ -484,7 +513,7 @@
     if (outcome instanceof Outcome.StreamEnded) {
       fleet.health(running.runner).succeeded(now - running.startedMillis, now);
       call.relay.end();
-      quarantine.answered(call, now);
+      served(call, now);
       done(call, HttpStatus.OK_200, "", now);
     } else if (outcome instanceof Outcome.Answered answered) {
       answered(call, running, answered, now);
@@ -492,6 +521,9 @@
       refused(call, running, refused, now);
     } else if (outcome instanceof Outcome.NotSent notSent) {
       fleet.health(running.runner).unreachable(now);
+      if (notSent.refused()) {
+        quarantine.nobodyListens(running.runner, now);
+      }
       failed(call, running, Ending.NOT_SENT, notSent.why(), null, now);
     } else if (outcome instanceof Outcome.Lost lost) {
       call.runs++;
@@ -529,7 +561,7 @@
       fleet.health(running.runner).succeeded(now - running.startedMillis, now);
       cancelAll(call, "answered");
       if (HttpStatus.isSuccess(answered.status())) {
-        quarantine.answered(call, now);
+        served(call, now);
       }
       pass(call, answered, now);
       return;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -31,6 +31,7 @@
 import org.sequoiahub.core.holding.RunnerResidency;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.peer.FleetShape;
@@ -123,6 +124,7 @@
   private final Holdings holdings;
   private final FleetLoad loads;
   private final RunnerOrders orders;
+  private final LoadGuard loadGuard;
   private final Supplier<PeerDatagram.Builder> datagrams;
   private final BiConsumer<String, byte[]> sender;
   private final Consumer<Runnable> decisions;
@@ -221,6 +223,7 @@
       Holdings holdings,
       FleetLoad loads,
       RunnerOrders orders,
+      LoadGuard loadGuard,
       Supplier<PeerDatagram.Builder> datagrams,
       BiConsumer<String, byte[]> sender,
       Consumer<Runnable> decisions,
@@ -236,6 +239,7 @@
     this.holdings = holdings;
     this.loads = loads;
     this.orders = orders;
+    this.loadGuard = loadGuard;
     this.datagrams = datagrams;
     this.sender = sender;
     this.decisions = decisions;
@@ -706,13 +710,22 @@
     Map<String, RemoteDemand> remote = remoteDemands.getOrDefault(runnerId, Map.of());
     remote.values().removeIf(demand -> nowMillis - demand.toldMillis > DEMAND_MILLIS);
     remote.values().forEach(demand -> demands.add(demand.demand));
+    demands.removeIf(demand -> !mayLoad(demand, nowMillis));
     return demands;
   }
 
+  private boolean mayLoad(Demand demand, long nowMillis) {
+    String target = demand.target();
+    return loadGuard.mayLoad(target, newestVersion.applyAsInt(target), nowMillis);
+  }
+
   private void send(
       Held entry, RunnerResidency residency, Order order, int transit, long nowMillis) {
     long sequence = residency.sequence();
     residency.sent(order, nowMillis);
+    if (order.operation() == Order.Operation.LOAD) {
+      loadGuard.ordered(order.target(), order.version(), entry.runner.idHash(), nowMillis);
+    }
     log.info(
         "order",
         "runner",
@@ -725,20 +738,29 @@
         order.version(),
         "expect",
         sequence);
+    RunnerEntry runner = entry.runner;
     orders.order(
-        entry.runner,
+        runner,
         order,
         sequence,
         settings.host(),
         entry.token,
         ORDER_TIMEOUT_MILLIS,
-        reply -> decisions.accept(() -> replied(entry, residency, order, reply, transit)));
+        reply -> decisions.accept(() -> replied(entry, runner, residency, order, reply, transit)));
     tell(entry, nowMillis);
   }
 
   private void replied(
-      Held entry, RunnerResidency residency, Order order, OrderReply reply, int transit) {
+      Held entry,
+      RunnerEntry ordered,
+      RunnerResidency residency,
+      Order order,
+      OrderReply reply,
+      int transit) {
     long now = clock.getAsLong();
+    if (reply == OrderReply.UNKNOWN && order.operation() == Order.Operation.LOAD) {
+      loadGuard.unanswered(order.target(), order.version(), ordered.idHash(), now);
+    }
     residency.replied(order, reply, transit, now);
     if (reply != OrderReply.ACCEPTED && reply != OrderReply.DONE) {
       log.warning(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.HttpResponseException;
@@ -106,7 +107,8 @@
       String why = brief(failure);
       // Bytes that are no answer say that the runner's process was there to send them.
       boolean broke = !(failure instanceof HttpResponseException);
-      end(handedOn ? new Outcome.Lost(why, broke) : new Outcome.NotSent(why));
+      boolean refused = failure instanceof ConnectException;
+      end(handedOn ? new Outcome.Lost(why, broke) : new Outcome.NotSent(why, refused));
       return;
     }
     int status = result.getResponse().getStatus();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
@@ -5,8 +5,14 @@
 /** How one attempt at a runner ended. */
 public sealed interface Outcome {
 
-  /** Nothing reached the runner. */
-  record NotSent(String why) implements Outcome {}
+  /**
+   * Nothing reached the runner.
+   *
+   * @param why what was seen
+   * @param refused whether the connection was refused: nobody listens at the runner's address any
+   *     more
+   */
+  record NotSent(String why, boolean refused) implements Outcome {}
 
   /** The runner said that it did not run the request and will not. */
   record Refused(int status) implements Outcome {}
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -95,15 +95,32 @@
    */
   void startMortalRunner(String id, String service, String model, String text) throws Exception {
     startRunner(id, service, model)
-        .endUnder(text, ended -> replace(ended.id(), service, model, text));
+        .endUnder(
+            text, ended -> replace(ended, next -> startMortalRunner(next, service, model, text)));
   }
 
-  private void replace(String id, String service, String model, String text) {
-    store.delete("servers/" + id);
+  /** The same with a runner that ends whenever it is ordered to load an adapter. */
+  void startRunnerThatCannotLoad(String id, String service, String model, String adapter)
+      throws Exception {
+    startRunner(id, service, model)
+        .endWhenLoading(
+            adapter,
+            ended ->
+                replace(ended, next -> startRunnerThatCannotLoad(next, service, model, adapter)));
+  }
+
+  /** Starts a runner with the id that it is given. */
+  @FunctionalInterface
+  private interface Starter {
+    void start(String id) throws Exception;
+  }
+
+  private void replace(StandinRunner ended, Starter starter) {
+    store.delete("servers/" + ended.id());
     try {
-      startMortalRunner(id + "n", service, model, text);
+      starter.start(ended.id() + "n");
     } catch (Exception e) {
-      throw new IllegalStateException("no runner in place of " + id, e);
+      throw new IllegalStateException("no runner in place of " + ended.id(), e);
     }
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -23,6 +23,11 @@
 import org.sequoiahub.core.holding.RunnerReport;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.quarantine.LoadGuard;
+import org.sequoiahub.core.quarantine.QuarantineSettings;
+import org.sequoiahub.core.quarantine.RequestQuarantine;
+import org.sequoiahub.core.quarantine.RunnerEnd;
+import org.sequoiahub.core.quarantine.RunnerEndListener;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -39,6 +44,16 @@
 /** Hosts that order runners, in virtual time, with pauses, cuts, kills and late messages. */
 final class HolderWorld {
 
+  /** No runner ends by a load here. */
+  private static final RunnerEndListener UNHEARD =
+      new RunnerEndListener() {
+        @Override
+        public void ended(RunnerEnd end, long nowMillis) {}
+
+        @Override
+        public void cleared(long request, long atMillis, long nowMillis) {}
+      };
+
   static final int HOSTS = 5;
   static final int RUNNERS = 3;
   private static final long LEASE_MILLIS = 3_000;
@@ -320,6 +335,7 @@
               holdings,
               new FleetLoad(),
               this,
+              new LoadGuard(new RequestQuarantine(QuarantineSettings.DEFAULT), UNHEARD),
               peers::datagram,
               this::send,
               this::deliver,
