--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
@@ -29,7 +29,7 @@
 
   /** Returns the cheap half of the fingerprint of a request to a plain service. */
   public static int screenPlain(String method, String host, String pathAndQuery, byte[] body) {
-    return screen(body, method, host, pathAndQuery);
+    return checksum(body, method, host, pathAndQuery);
   }
 
   /**
@@ -43,7 +43,7 @@
 
   /** Returns the cheap half of the fingerprint of a request for a model. */
   public static int screenGeneration(String target, byte[] body) {
-    return screen(body, target);
+    return checksum(body, target);
   }
 
   /**
@@ -75,15 +75,15 @@
     return String.format("%016x", fingerprint);
   }
 
-  private static int screen(byte[] body, String... parts) {
-    CRC32C checksum = new CRC32C();
-    checksum.update(requireNonNull(body, "body must not be null"));
+  private static int checksum(byte[] body, String... parts) {
+    CRC32C sum = new CRC32C();
+    sum.update(requireNonNull(body, "body must not be null"));
     for (String part : parts) {
       byte[] bytes = requireNonNull(part, "part must not be null").getBytes(UTF_8);
-      checksum.update(bytes.length);
-      checksum.update(bytes);
+      sum.update(bytes.length);
+      sum.update(bytes);
     }
-    return (int) checksum.getValue();
+    return (int) sum.getValue();
   }
 
   /** Each part with its length, so that no two lists of parts have the same bytes. */
@@ -94,6 +94,6 @@
       hasher.putInt(bytes.length).putBytes(bytes);
     }
     long lower = hasher.putBytes(body).hash().asLong() & LOWER_HALF;
-    return ((long) screen(body, parts) << Integer.SIZE) | lower;
+    return ((long) checksum(body, parts) << Integer.SIZE) | lower;
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -183,8 +183,6 @@
             now -> 1 + members.reachable(now).size(),
             store::newestVersion,
             this::missing);
-    SharedRetryBudget budget =
-        new SharedRetryBudget(host.retryRatio(), host.retryAllowance(), host.retryWindowMillis());
     this.datagrams =
         DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
     this.incarnation = System.currentTimeMillis();
@@ -209,6 +207,8 @@
     this.quarantine = new QuarantineGate(knownEnds, book, runnerEnds, metrics, log);
     this.loadGuard = new LoadGuard(knownEnds, runnerEnds);
     metrics.register("quarantine.requests", (Gauge<Integer>) knownEnds::size);
+    SharedRetryBudget budget =
+        new SharedRetryBudget(host.retryRatio(), host.retryAllowance(), host.retryWindowMillis());
     this.calls =
         new RequestCoordinator(
             fleet,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RunnerEndExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RunnerEndExchange.java
@@ -91,7 +91,7 @@
 
   @Override
   public void ended(RunnerEnd end, long nowMillis) {
-    tell(end, true, nowMillis);
+    add(end, true, nowMillis);
   }
 
   @Override
@@ -99,8 +99,8 @@
     urgent.add(News.cleared(request, atMillis, true), nowMillis);
   }
 
-  /** An end that follows others is told with these: they may have been pushed out. */
-  private void tell(RunnerEnd end, boolean toAll, long nowMillis) {
+  /** Adds an end to what is to be told, with those that it follows: they may be pushed out. */
+  private void add(RunnerEnd end, boolean toAll, long nowMillis) {
     if (quarantine.isRepeated(end.request())) {
       quarantine
           .endsUnder(end.request())
@@ -226,7 +226,7 @@
       RunnerEnd end = StateCodec.decodeEnd(message, nowMillis);
       boolean news = quarantine.ended(end, nowMillis);
       if (news && passesOn) {
-        tell(end, fromNear, nowMillis);
+        add(end, fromNear, nowMillis);
       } else if (!news) {
         quarantine
             .refutedAt(end)
