--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -31,8 +31,11 @@
    */
   private static final long SILENT_MILLIS = 8_000;
 
-  /** Attempts that are remembered at most for that: callers may give up thousands under load. */
-  private static final int MAX_SILENT = 512;
+  /**
+   * Attempts that are remembered at most for that, with their requests, whose fingerprint is worked
+   * out only when the runner has ended: callers may give up thousands under load.
+   */
+  private static final int MAX_SILENT = 128;
 
   /** Proofs are looked for this often (ms); a broken connection counts without one for seconds. */
   private static final long UPKEEP_MILLIS = 500;
@@ -42,9 +45,11 @@
   private final RunnerEndListener listener;
   private final MetricRegistry metrics;
   private final EventLog log;
-  private final Deque<RunnerEnd> silent = new ArrayDeque<>();
+  private final Deque<Unanswered> silent = new ArrayDeque<>();
   private long upkeepMillis;
 
+  private record Unanswered(Call call, Call.Running running, long givenUpMillis) {}
+
   /**
    * Creates a gate.
    *
@@ -65,7 +70,9 @@
 
   /** Returns why a request may not be sent to a runner now; empty if it may. */
   Optional<Hold> hold(Call call, long nowMillis) {
-    return quarantine.isEmpty() ? Optional.empty() : quarantine.hold(call.fingerprint(), nowMillis);
+    return quarantine.mayKnow(call.screen())
+        ? quarantine.hold(call.fingerprint(), nowMillis)
+        : Optional.empty();
   }
 
   /** Returns whether a runner ended under a request lately: it is not sent to two at once. */
@@ -110,7 +117,7 @@
     if (!sent || isLeaving(running.runner)) {
       return;
     }
-    silent.addLast(end(call, running, nowMillis, false));
+    silent.addLast(new Unanswered(call, running, nowMillis));
     if (silent.size() > MAX_SILENT) {
       silent.removeFirst();
     }
@@ -130,12 +137,12 @@
       return;
     }
     upkeepMillis = nowMillis;
-    for (Iterator<RunnerEnd> all = silent.iterator(); all.hasNext(); ) {
-      RunnerEnd end = all.next();
-      if (runners.ended(end.runner()).isPresent()) {
+    for (Iterator<Unanswered> all = silent.iterator(); all.hasNext(); ) {
+      Unanswered attempt = all.next();
+      if (runners.ended(attempt.running.runner.idHash()).isPresent()) {
         all.remove();
-        ended(end.asConfirmed(), nowMillis);
-      } else if (nowMillis - end.endedMillis() >= SILENT_MILLIS) {
+        ended(end(attempt.call, attempt.running, attempt.givenUpMillis, true), nowMillis);
+      } else if (nowMillis - attempt.givenUpMillis >= SILENT_MILLIS) {
         all.remove();
       }
     }
@@ -174,12 +181,13 @@
                     hold.untilMillis() - nowMillis));
   }
 
-  private static RunnerEnd end(Call call, Call.Running running, long nowMillis, boolean confirmed) {
+  private static RunnerEnd end(
+      Call call, Call.Running running, long endedMillis, boolean confirmed) {
     return new RunnerEnd(
         call.fingerprint(),
         running.runner.idHash(),
-        Math.min(running.startedMillis, nowMillis),
-        nowMillis,
+        Math.min(running.startedMillis, endedMillis),
+        endedMillis,
         running.firstEventSeen,
         confirmed);
   }
