--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
@@ -45,18 +45,22 @@
 
   private final QuarantineSettings settings;
 
-  /** Ends by request; those under which one runner ended may be many, and must not push out... */
+  /** Ends of the requests under which one runner ended: hundreds after the loss of a domain. */
   private final Map<Long, List<RunnerEnd>> once;
 
-  /** ...those under which several ended, one after the other. */
+  /**
+   * Ends of the requests under which several runners ended, one after the other: apart from the
+   * others, which would push them out.
+   */
   private final Map<Long, List<RunnerEnd>> repeated;
 
   /** When requests that were suspect had a good answer, so that older ends are not taken anew. */
   private final Map<Long, Long> clearedAt;
 
   /**
-   * When requests had a good answer at this host, by the cheap half of their fingerprint: each good
-   * answer is noted, and two requests with the same half only need more ends both.
+   * When requests had a good answer at this host, by the cheap half of their fingerprint. Each good
+   * answer is noted, so it must cost little; a request that shares its half with another one only
+   * needs more ends to be held back.
    */
   private final Map<Integer, Long> goodAt;
 
