A fingerprint is one value whose halves are derived; runners' ends, bounded maps and hosts of tests have one way each

Read again as a whole, the change kept two caches a request and two branches for the two halves of a fingerprint; now RequestFingerprint holds what it covers and works the costly half out on demand. RunnerRegistry.hasEnded stands for four copies of a question, a private method that a public one only wrapped is gone, LoadGuard uses the quarantine's bounded map, and LoopbackFleet.startNodes serves three test classes.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/LoadGuard.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/LoadGuard.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongPredicate;
@@ -39,13 +38,7 @@
   private final Deque<Load> sent = new ArrayDeque<>();
 
   /** Worked out once: demands are looked at many times a second, and few adapters are asked for. */
-  private final Map<String, Long> fingerprints =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_LOADS;
-        }
-      };
+  private final Map<String, Long> fingerprints = RequestQuarantine.bounded(MAX_LOADS);
 
   private record Load(long fingerprint, long runner, long sentMillis) {}
 
@@ -84,7 +77,7 @@
 
   private long fingerprint(String target, int version) {
     return fingerprints.computeIfAbsent(
-        target + "@" + version, key -> RequestFingerprint.ofLoad(target, version));
+        target + "@" + version, key -> RequestFingerprint.ofLoad(target, version).value());
   }
 
   /**
--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestFingerprint.java
@@ -5,7 +5,10 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import java.util.List;
+import java.util.stream.Stream;
 import java.util.zip.CRC32C;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A number by which every host knows a request again that is brought a second time.
@@ -23,13 +26,18 @@
 public final class RequestFingerprint {
 
   private static final String LOAD = "load";
+  private static final byte[] NO_BODY = {};
   private static final long LOWER_HALF = 0xffff_ffffL;
 
-  private RequestFingerprint() {}
+  private final byte[] body;
+  private final List<byte[]> parts;
+  private final int screen;
+  private @Nullable Long value;
 
-  /** Returns the cheap half of the fingerprint of a request to a plain service. */
-  public static int screenPlain(String method, String host, String pathAndQuery, byte[] body) {
-    return checksum(body, method, host, pathAndQuery);
+  private RequestFingerprint(byte[] body, String... parts) {
+    this.body = requireNonNull(body, "body must not be null");
+    this.parts = Stream.of(parts).map(part -> part.getBytes(UTF_8)).toList();
+    this.screen = checksum();
   }
 
   /**
@@ -37,13 +45,9 @@
    *
    * @param host the host name that the caller used
    */
-  public static long ofPlain(String method, String host, String pathAndQuery, byte[] body) {
-    return of(body, method, host, pathAndQuery);
-  }
-
-  /** Returns the cheap half of the fingerprint of a request for a model. */
-  public static int screenGeneration(String target, byte[] body) {
-    return checksum(body, target);
+  public static RequestFingerprint ofPlain(
+      String method, String host, String pathAndQuery, byte[] body) {
+    return new RequestFingerprint(body, method, host, pathAndQuery);
   }
 
   /**
@@ -51,8 +55,8 @@
    *
    * @param target the model, with the adapter if it uses one
    */
-  public static long ofGeneration(String target, byte[] body) {
-    return of(body, target);
+  public static RequestFingerprint ofGeneration(String target, byte[] body) {
+    return new RequestFingerprint(body, target);
   }
 
   /**
@@ -61,39 +65,51 @@
    * @param target the model with the adapter
    * @param version the adapter's version; 0 for the newest
    */
-  public static long ofLoad(String target, int version) {
-    return of(new byte[0], LOAD, target, Integer.toString(version));
+  public static RequestFingerprint ofLoad(String target, int version) {
+    return new RequestFingerprint(NO_BODY, LOAD, target, Integer.toString(version));
+  }
+
+  /** Returns the cheap half. */
+  public int screen() {
+    return screen;
+  }
+
+  /** Returns the whole number, which is worked out when it is first asked for. */
+  public long value() {
+    Long known = value;
+    if (known == null) {
+      known = ((long) screen << Integer.SIZE) | lowerHalf();
+      value = known;
+    }
+    return known;
   }
 
-  /** Returns the cheap half of a fingerprint. */
-  public static int screen(long fingerprint) {
-    return (int) (fingerprint >>> Integer.SIZE);
+  /** Returns the cheap half of a fingerprint that was told as a number. */
+  public static int screenOf(long value) {
+    return (int) (value >>> Integer.SIZE);
   }
 
   /** Returns a fingerprint as logs show it. */
-  public static String text(long fingerprint) {
-    return String.format("%016x", fingerprint);
+  public static String text(long value) {
+    return String.format("%016x", value);
   }
 
-  private static int checksum(byte[] body, String... parts) {
+  private int checksum() {
     CRC32C sum = new CRC32C();
-    sum.update(requireNonNull(body, "body must not be null"));
-    for (String part : parts) {
-      byte[] bytes = requireNonNull(part, "part must not be null").getBytes(UTF_8);
-      sum.update(bytes.length);
-      sum.update(bytes);
+    sum.update(body);
+    for (byte[] part : parts) {
+      sum.update(part.length);
+      sum.update(part);
     }
     return (int) sum.getValue();
   }
 
   /** Each part with its length, so that no two lists of parts have the same bytes. */
-  private static long of(byte[] body, String... parts) {
+  private long lowerHalf() {
     Hasher hasher = Hashing.sha256().newHasher();
-    for (String part : parts) {
-      byte[] bytes = part.getBytes(UTF_8);
-      hasher.putInt(bytes.length).putBytes(bytes);
+    for (byte[] part : parts) {
+      hasher.putInt(part.length).putBytes(part);
     }
-    long lower = hasher.putBytes(body).hash().asLong() & LOWER_HALF;
-    return ((long) checksum(body, parts) << Integer.SIZE) | lower;
+    return hasher.putBytes(body).hash().asLong() & LOWER_HALF;
   }
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/quarantine/RequestQuarantine.java
@@ -79,7 +79,7 @@
   }
 
   /** A map that forgets the entry that was put first when it is full. */
-  private static <K, V> Map<K, V> bounded(int max) {
+  static <K, V> Map<K, V> bounded(int max) {
     return new LinkedHashMap<>() {
       @Override
       protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
@@ -170,7 +170,7 @@
   }
 
   private int pointsToHold(long request, long nowMillis) {
-    Long good = goodAt.get(RequestFingerprint.screen(request));
+    Long good = goodAt.get(RequestFingerprint.screenOf(request));
     if (good != null && nowMillis - good < settings.knownGoodMillis()) {
       return settings.pointsToHoldKnownGood();
     }
@@ -264,8 +264,8 @@
     clearedAt.values().removeIf(at -> nowMillis - at >= settings.rememberMillis());
     if (screens.size() > 2 * size()) {
       screens.clear();
-      once.keySet().forEach(request -> screens.add(RequestFingerprint.screen(request)));
-      repeated.keySet().forEach(request -> screens.add(RequestFingerprint.screen(request)));
+      once.keySet().forEach(request -> screens.add(RequestFingerprint.screenOf(request)));
+      repeated.keySet().forEach(request -> screens.add(RequestFingerprint.screenOf(request)));
     }
   }
 
@@ -279,7 +279,7 @@
     repeated.remove(request);
     boolean several = inTurn(ends, nowMillis).size() > 1;
     (several ? repeated : once).put(request, List.copyOf(ends));
-    screens.add(RequestFingerprint.screen(request));
+    screens.add(RequestFingerprint.screenOf(request));
   }
 
   private boolean counts(RunnerEnd end, long nowMillis) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -60,7 +60,7 @@
       }
       known.put(
           change.id, new Known(change.revision, current.entry, nowMillis, current.goneAtMillis));
-      noteEnd(current.entry, nowMillis);
+      noteEnded(current.entry, nowMillis);
       return true;
     }
     RunnerEntry before = current == null ? null : current.entry;
@@ -76,7 +76,7 @@
     known.put(change.id, new Known(change.revision, entry, -1, goneAt));
     ended.remove(entry.idHash());
     if (!sameLife) {
-      noteEnd(before, nowMillis);
+      noteEnded(before, nowMillis);
       noteEndsAt(entry.address(), change, nowMillis);
     }
     return true;
@@ -90,20 +90,24 @@
           && !other.getKey().equals(newcomer.id)
           && entry.address().equals(address)
           && other.getValue().revision < newcomer.revision) {
-        noteEnd(entry, nowMillis);
+        noteEnded(entry, nowMillis);
       }
     }
   }
 
-  /** Records that a runner's process is seen to have ended; until an entry of it comes again. */
-  public void noteEnded(RunnerEntry runner, long nowMillis) {
-    noteEnd(runner, nowMillis);
+  /**
+   * Records that a runner's process has ended, until an entry of it comes again; nothing if it had
+   * announced its leaving.
+   */
+  public void noteEnded(@Nullable RunnerEntry runner, long nowMillis) {
+    if (runner != null && !runner.leaving()) {
+      ended.putIfAbsent(runner.idHash(), new Ended(runner.id(), nowMillis));
+    }
   }
 
-  private void noteEnd(@Nullable RunnerEntry entry, long nowMillis) {
-    if (entry != null && !entry.leaving()) {
-      ended.putIfAbsent(entry.idHash(), new Ended(entry.id(), nowMillis));
-    }
+  /** Returns whether {@link #ended} knows the end of an incarnation. */
+  public boolean hasEnded(long idHash) {
+    return ended.containsKey(idHash);
   }
 
   /**
--- a/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/QuarantineWorld.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/QuarantineWorld.java
@@ -252,7 +252,7 @@
       return;
     }
     long request = attempt.arrival.request;
-    hosts.get(attempt.host).answered(RequestFingerprint.screen(request), now);
+    hosts.get(attempt.host).answered(RequestFingerprint.screenOf(request), now);
     if (hosts.get(attempt.host).cleared(request, now)) {
       long at = now;
       tellOthers(attempt.host, other -> other.cleared(request, at));
--- a/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/RequestFingerprintTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/RequestFingerprintTest.java
@@ -13,37 +13,44 @@
 
   @Test
   void generationsAreToldApartByModelAndPrompt() {
-    long one = RequestFingerprint.ofGeneration("m/a1", bytes("prompt"));
-    assertThat(RequestFingerprint.ofGeneration("m/a1", bytes("prompt"))).isEqualTo(one);
-    assertThat(RequestFingerprint.ofGeneration("m/a2", bytes("prompt"))).isNotEqualTo(one);
-    assertThat(RequestFingerprint.ofGeneration("m/a1", bytes("prompt "))).isNotEqualTo(one);
+    long one = RequestFingerprint.ofGeneration("m/a1", bytes("prompt")).value();
+    assertThat(RequestFingerprint.ofGeneration("m/a1", bytes("prompt")).value()).isEqualTo(one);
+    assertThat(RequestFingerprint.ofGeneration("m/a2", bytes("prompt")).value()).isNotEqualTo(one);
+    assertThat(RequestFingerprint.ofGeneration("m/a1", bytes("prompt ")).value()).isNotEqualTo(one);
   }
 
   @Test
   void plainRequestsAreToldApartByEachPart() {
-    long one = RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes(""));
-    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes(""))).isEqualTo(one);
-    assertThat(RequestFingerprint.ofPlain("PUT", "h", "/a?b=1", bytes(""))).isNotEqualTo(one);
-    assertThat(RequestFingerprint.ofPlain("GET", "i", "/a?b=1", bytes(""))).isNotEqualTo(one);
-    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=2", bytes(""))).isNotEqualTo(one);
-    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes("x"))).isNotEqualTo(one);
+    long one = RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes("")).value();
+    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes("")).value()).isEqualTo(one);
+    assertThat(RequestFingerprint.ofPlain("PUT", "h", "/a?b=1", bytes("")).value())
+        .isNotEqualTo(one);
+    assertThat(RequestFingerprint.ofPlain("GET", "i", "/a?b=1", bytes("")).value())
+        .isNotEqualTo(one);
+    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=2", bytes("")).value())
+        .isNotEqualTo(one);
+    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a?b=1", bytes("x")).value())
+        .isNotEqualTo(one);
   }
 
   @Test
   void bytesThatMoveFromOnePartToTheNextMakeAnother() {
-    assertThat(RequestFingerprint.ofPlain("GET", "ha", "/b", bytes("")))
-        .isNotEqualTo(RequestFingerprint.ofPlain("GET", "h", "a/b", bytes("")));
-    assertThat(RequestFingerprint.ofGeneration("m", bytes("ab")))
-        .isNotEqualTo(RequestFingerprint.ofGeneration("ma", bytes("b")));
+    assertThat(RequestFingerprint.ofPlain("GET", "ha", "/b", bytes("")).value())
+        .isNotEqualTo(RequestFingerprint.ofPlain("GET", "h", "a/b", bytes("")).value());
+    assertThat(RequestFingerprint.ofGeneration("m", bytes("ab")).value())
+        .isNotEqualTo(RequestFingerprint.ofGeneration("ma", bytes("b")).value());
   }
 
   /** Hosts ask by the cheap half first, so it must be the same that the whole one holds. */
   @Test
   void cheapHalfIsPartOfTheWhole() {
     byte[] body = bytes("prompt");
-    assertThat(RequestFingerprint.screenGeneration("m/a1", body))
-        .isEqualTo(RequestFingerprint.screen(RequestFingerprint.ofGeneration("m/a1", body)));
-    assertThat(RequestFingerprint.screenPlain("GET", "h", "/a", body))
-        .isEqualTo(RequestFingerprint.screen(RequestFingerprint.ofPlain("GET", "h", "/a", body)));
+    assertThat(RequestFingerprint.ofGeneration("m/a1", body).screen())
+        .isEqualTo(
+            RequestFingerprint.screenOf(RequestFingerprint.ofGeneration("m/a1", body).value()));
+    assertThat(RequestFingerprint.ofPlain("GET", "h", "/a", body).screen())
+        .isEqualTo(
+            RequestFingerprint.screenOf(
+                RequestFingerprint.ofPlain("GET", "h", "/a", body).value()));
   }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/RequestQuarantineTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/quarantine/RequestQuarantineTest.java
@@ -95,7 +95,7 @@
      */
     @Test
     void needsTwiceAsMuch() {
-      quarantine.answered(RequestFingerprint.screen(REQUEST), 0);
+      quarantine.answered(RequestFingerprint.screenOf(REQUEST), 0);
       threeEnds();
       assertThat(quarantine.hold(REQUEST, 501)).isEqualTo(Optional.empty());
       for (int runner = 4; runner <= 6; runner++) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -411,7 +411,7 @@
     fleet.forget(nowMillis);
     knownEnds.memoryLost(hasFleetForgotten(nowMillis));
     quarantine.upkeep(nowMillis);
-    loadGuard.upkeep(runner -> book.ended(runner).isPresent(), nowMillis);
+    loadGuard.upkeep(book::hasEnded, nowMillis);
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -61,10 +61,8 @@
 
   boolean done;
 
-  /** Worked out when it is first asked for: most requests never need it. */
-  private @Nullable Long fingerprint;
-
-  private @Nullable Integer screen;
+  /** Made when it is first asked for. */
+  private @Nullable RequestFingerprint fingerprint;
 
   Call(
       CallerExchange exchange,
@@ -120,46 +118,20 @@
   }
 
   /** Returns the number by which all hosts know this request again. */
-  long fingerprint() {
-    Long known = fingerprint;
-    if (known == null) {
-      known = workOutFingerprint();
-      fingerprint = known;
-    }
-    return known;
-  }
-
-  private long workOutFingerprint() {
-    byte[] body = exchange.body();
-    return isKnownByPrompt()
-        ? RequestFingerprint.ofGeneration(target(), body)
-        : RequestFingerprint.ofPlain(
-            exchange.method(), exchange.host(), exchange.pathAndQuery(), body);
-  }
-
-  /** Returns the half of the fingerprint that costs little to work out. */
-  int screen() {
-    Integer known = screen;
+  RequestFingerprint fingerprint() {
+    RequestFingerprint known = fingerprint;
     if (known == null) {
       byte[] body = exchange.body();
       known =
-          isKnownByPrompt()
-              ? RequestFingerprint.screenGeneration(target(), body)
-              : RequestFingerprint.screenPlain(
+          generation != null && body.length > 0
+              ? RequestFingerprint.ofGeneration(generation.target(), body)
+              : RequestFingerprint.ofPlain(
                   exchange.method(), exchange.host(), exchange.pathAndQuery(), body);
-      screen = known;
+      fingerprint = known;
     }
     return known;
   }
 
-  private boolean isKnownByPrompt() {
-    return generation != null && exchange.body().length > 0;
-  }
-
-  private String target() {
-    return generation == null ? "" : generation.target();
-  }
-
   /** Returns the adapter that the request uses, as model/adapter; empty for none. */
   String adapter() {
     return generation != null && generation.usesAdapter() ? generation.target() : "";
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -70,14 +70,15 @@
 
   /** Returns why a request may not be sent to a runner now; empty if it may. */
   Optional<Hold> hold(Call call, long nowMillis) {
-    return quarantine.mayKnow(call.screen())
-        ? quarantine.hold(call.fingerprint(), nowMillis)
+    return quarantine.mayKnow(call.fingerprint().screen())
+        ? quarantine.hold(call.fingerprint().value(), nowMillis)
         : Optional.empty();
   }
 
   /** Returns whether a runner ended under a request lately: it is not sent to two at once. */
   boolean isSuspect(Call call, long nowMillis) {
-    return quarantine.mayKnow(call.screen()) && quarantine.isSuspect(call.fingerprint(), nowMillis);
+    return quarantine.mayKnow(call.fingerprint().screen())
+        && quarantine.isSuspect(call.fingerprint().value(), nowMillis);
   }
 
   /** Logs and counts that a request was held back, with all that decided it. */
@@ -88,7 +89,7 @@
         "request",
         call.id(),
         "fingerprint",
-        RequestFingerprint.text(call.fingerprint()),
+        RequestFingerprint.text(call.fingerprint().value()),
         "caller",
         call.exchange.callerIp(),
         "ends",
@@ -102,7 +103,7 @@
     if (isLeaving(running.runner)) {
       return;
     }
-    boolean proved = runners.ended(running.runner.idHash()).isPresent();
+    boolean proved = runners.hasEnded(running.runner.idHash());
     ended(end(call, running, nowMillis, proved), nowMillis);
   }
 
@@ -125,9 +126,10 @@
 
   /** Records that a request had a good answer. */
   void answered(Call call, long nowMillis) {
-    quarantine.answered(call.screen(), nowMillis);
-    if (quarantine.mayKnow(call.screen()) && quarantine.cleared(call.fingerprint(), nowMillis)) {
-      listener.cleared(call.fingerprint(), nowMillis, nowMillis);
+    quarantine.answered(call.fingerprint().screen(), nowMillis);
+    if (quarantine.mayKnow(call.fingerprint().screen())
+        && quarantine.cleared(call.fingerprint().value(), nowMillis)) {
+      listener.cleared(call.fingerprint().value(), nowMillis, nowMillis);
     }
   }
 
@@ -139,7 +141,7 @@
     upkeepMillis = nowMillis;
     for (Iterator<Unanswered> all = silent.iterator(); all.hasNext(); ) {
       Unanswered attempt = all.next();
-      if (runners.ended(attempt.running.runner.idHash()).isPresent()) {
+      if (runners.hasEnded(attempt.running.runner.idHash())) {
         all.remove();
         ended(end(attempt.call, attempt.running, attempt.givenUpMillis, true), nowMillis);
       } else if (nowMillis - attempt.givenUpMillis >= SILENT_MILLIS) {
@@ -147,7 +149,7 @@
       }
     }
     if (!quarantine.isEmpty()) {
-      quarantine.confirm(runner -> runners.ended(runner).isPresent());
+      quarantine.confirm(runners::hasEnded);
       quarantine.forget(nowMillis);
     }
   }
@@ -184,7 +186,7 @@
   private static RunnerEnd end(
       Call call, Call.Running running, long endedMillis, boolean confirmed) {
     return new RunnerEnd(
-        call.fingerprint(),
+        call.fingerprint().value(),
         running.runner.idHash(),
         Math.min(running.startedMillis, endedMillis),
         endedMillis,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -546,7 +546,7 @@
         "request",
         call.id(),
         "fingerprint",
-        RequestFingerprint.text(call.fingerprint()),
+        RequestFingerprint.text(call.fingerprint().value()),
         "caller",
         call.exchange.callerIp(),
         "runner",
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -82,6 +82,17 @@
     return node;
   }
 
+  /** Starts hosts 1 to {@code count} and waits until all are ready. */
+  void startNodes(int count) throws Exception {
+    for (int number = 1; number <= count; number++) {
+      startNode(number);
+    }
+    for (int number = 1; number <= count; number++) {
+      int host = number;
+      await("host " + host + " ready", () -> isReady(host));
+    }
+  }
+
   StandinRunner startRunner(String id, String service, String model) throws Exception {
     StandinRunner runner = new StandinRunner(id, service, model, 4);
     runners.add(runner);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -199,12 +199,7 @@
           LoopbackFleet.route("/once/", "streaming", "llm", false));
       first = fleet.startRunner("i-1", "llm", "m");
       second = fleet.startRunner("i-2", "llm", "m");
-      for (int number = 1; number <= 3; number++) {
-        fleet.startNode(number);
-      }
-      for (int number = 1; number <= 3; number++) {
-        ready(number);
-      }
+      fleet.startNodes(3);
     }
 
     private CompletableFuture<ContentResponse> stream(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingLoadTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingLoadTest.java
@@ -36,13 +36,7 @@
     for (int number = 1; number <= 4; number++) {
       fleet.startRunnerThatCannotLoad("i-" + number, "llm", "m", DEADLY);
     }
-    for (int number = 1; number <= HOSTS; number++) {
-      fleet.startNode(number);
-    }
-    for (int number = 1; number <= HOSTS; number++) {
-      int host = number;
-      LoopbackFleet.await("host " + host + " ready", () -> fleet.isReady(host));
-    }
+    fleet.startNodes(HOSTS);
   }
 
   @AfterEach
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
@@ -52,13 +52,7 @@
     for (int number = 1; number <= RUNNERS; number++) {
       fleet.startMortalRunner("i-" + number, "llm", "m", DEADLY);
     }
-    for (int number = 1; number <= HOSTS; number++) {
-      fleet.startNode(number);
-    }
-    for (int number = 1; number <= HOSTS; number++) {
-      int host = number;
-      LoopbackFleet.await("host " + host + " ready", () -> fleet.isReady(host));
-    }
+    fleet.startNodes(HOSTS);
   }
 
   @AfterEach
