--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/AllowanceKeeper.java
@@ -0,0 +1,273 @@
+package org.sequoiahub.core.allowance;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sequoiahub.core.allowance.FleetSpending.Source;
+import org.sequoiahub.core.workspace.Allowance;
+import org.sequoiahub.core.workspace.Workspace;
+
+/**
+ * Decides whether a workspace may spend, by what all hosts together have spent.
+ *
+ * <p>Each decision fills a token bucket anew from the start of the window, slot by slot. What other
+ * hosts told late thus counts at the time at which it was spent. A request is granted while
+ * anything is left and may leave a debt, which is paid back.
+ *
+ * <p>What is not known yet is assumed: a source goes on spending as it did before it was heard
+ * last. That makes up for the time that words are on their way. If it stays silent, it may be cut
+ * off with callers of its own, so that it is taken to spend also its share of what was left: parts
+ * of a fleet that cannot hear each other then stay near the allowance together.
+ */
+public final class AllowanceKeeper {
+
+  /** A source that was not heard for so many slots (1 s) is silent. */
+  private static final long SILENT_SLOTS = 4;
+
+  /** A host that knows of no other spends this part of an allowance until it does. */
+  private static final double UNKNOWN_FLEET_PART = 0.02;
+
+  /** Shortest time after which a refused request may come back (ms). */
+  private static final long LEAST_RETRY_MILLIS = 100;
+
+  private static final double MILLIS = 1_000;
+
+  private final FleetSpending spending;
+  private final AllowanceSettings settings;
+  private final boolean othersExpected;
+  private final long startSlot;
+  private final Map<String, List<Change>> changes = new HashMap<>();
+  private long upkeepSlot = Long.MIN_VALUE;
+
+  /** An allowance that came into force with a slot. */
+  private record Change(long slot, Allowance allowance) {}
+
+  /**
+   * A decision.
+   *
+   * @param granted whether the request may be served
+   * @param level units that were left before this request; negative for a debt
+   * @param retryMillis when anything will be left again, if nothing is
+   */
+  public record Decision(boolean granted, double level, long retryMillis) {}
+
+  /**
+   * Creates a keeper.
+   *
+   * @param othersExpected whether there are other hosts, heard or not
+   * @param startedMillis when this host began to count: before, it knows of nothing
+   */
+  public AllowanceKeeper(
+      FleetSpending spending,
+      AllowanceSettings settings,
+      boolean othersExpected,
+      long startedMillis) {
+    this.spending = requireNonNull(spending, "spending must not be null");
+    this.settings = requireNonNull(settings, "settings must not be null");
+    this.othersExpected = othersExpected;
+    this.startSlot = Slots.index(startedMillis);
+  }
+
+  /** Puts the workspaces' allowances in force; what was spent before counts by those before. */
+  public void configured(Collection<Workspace> workspaces, long nowMillis) {
+    long slot = Slots.index(nowMillis);
+    for (Workspace workspace : workspaces) {
+      List<Change> known = changes.computeIfAbsent(workspace.name(), n -> new ArrayList<>());
+      boolean same =
+          !known.isEmpty() && known.get(known.size() - 1).allowance.equals(workspace.allowance());
+      if (!same) {
+        // The first one that is known is taken to have been in force all along.
+        known.add(new Change(known.isEmpty() ? Long.MIN_VALUE : slot, workspace.allowance()));
+      }
+      while (known.size() > 1 && known.get(1).slot < slot - windowSlots()) {
+        known.remove(0);
+      }
+    }
+  }
+
+  /**
+   * Takes what a request costs from its workspace's allowance, if anything is left.
+   *
+   * @throws IllegalArgumentException if {@code cost} is negative
+   */
+  public Decision take(Workspace workspace, long cost, long nowMillis) {
+    checkArgument(cost >= 0, "cost must not be negative, was %s", cost);
+    Allowance allowance = workspace.allowance();
+    if (!allowance.isLimited()) {
+      return new Decision(true, Double.POSITIVE_INFINITY, 0);
+    }
+    double level = level(workspace.name(), allowance, nowMillis);
+    double needed = Math.min(cost, allowance.burst()) * unheardPart();
+    if (level <= needed) {
+      long wait = (long) Math.ceil((needed - level) / allowance.perSecond() * MILLIS);
+      return new Decision(false, level, Math.max(LEAST_RETRY_MILLIS, wait));
+    }
+    spending.add(workspace.name(), cost, nowMillis);
+    return new Decision(true, level, 0);
+  }
+
+  /**
+   * Returns the part of the hosts that cannot be heard. So much of a request must be left before it
+   * is granted: parts of the fleet that each leave a debt then leave one request's debt together.
+   */
+  private double unheardPart() {
+    int unheard = 0;
+    for (Source source : spending.sources()) {
+      unheard += source.silentRates == null ? 0 : spending.others(source);
+    }
+    return (double) unheard / spending.hosts();
+  }
+
+  /** Gives back what a request cost that has not run. */
+  public void giveBack(Workspace workspace, long cost, long takenMillis) {
+    if (workspace.allowance().isLimited()) {
+      spending.add(workspace.name(), -cost, takenMillis);
+    }
+  }
+
+  /** Counts what silent sources are taken to spend, so that this host tells of it, too. */
+  public void upkeep(long nowMillis) {
+    long present = Slots.index(nowMillis);
+    if (present == upkeepSlot) {
+      return;
+    }
+    upkeepSlot = present;
+    Map<String, Double> left = null;
+    for (Source source : spending.sources()) {
+      if (present - source.newestSlot <= SILENT_SLOTS) {
+        continue;
+      }
+      Map<String, Double> rates = source.silentRates;
+      if (rates == null) {
+        // One level for all that fall silent together, or the last ones would get a smaller part.
+        left = left == null ? levels(nowMillis) : left;
+        rates = fellSilent(source, left, present);
+        source.silentRates = rates;
+      }
+      assumeUntil(source, rates, present);
+    }
+  }
+
+  private Map<String, Double> levels(long nowMillis) {
+    Map<String, Double> levels = new HashMap<>();
+    changes.forEach(
+        (workspace, known) -> {
+          Allowance allowance = known.get(known.size() - 1).allowance;
+          if (allowance.isLimited()) {
+            levels.put(workspace, Math.max(0, level(workspace, allowance, nowMillis)));
+          }
+        });
+    return levels;
+  }
+
+  /** Counts what a source spent unheard, and returns what each of its hosts is taken to spend. */
+  private Map<String, Double> fellSilent(Source source, Map<String, Double> left, long present) {
+    Map<String, Double> rates = new HashMap<>();
+    int others = spending.others(source);
+    double part = 1.0 / spending.hosts();
+    left.forEach(
+        (workspace, level) -> {
+          double rate = ratePerHost(source, workspace);
+          for (long slot = source.filledSlot + 1; slot < present; slot++) {
+            spending.assume(source, workspace, slot, rate * others);
+          }
+          spending.assume(source, workspace, present, (rate + level * part) * others);
+          rates.put(workspace, rate + unused(source, workspace) * part);
+        });
+    source.filledSlot = present;
+    return rates;
+  }
+
+  private void assumeUntil(Source source, Map<String, Double> ratesPerHost, long present) {
+    int others = spending.others(source);
+    for (long slot = source.filledSlot + 1; slot <= present; slot++) {
+      for (Map.Entry<String, Double> rate : ratesPerHost.entrySet()) {
+        spending.assume(source, rate.getKey(), slot, rate.getValue() * others);
+      }
+    }
+    source.filledSlot = Math.max(source.filledSlot, present);
+  }
+
+  /** Returns what each host that a source tells of spent before it was heard last, by slot. */
+  private double ratePerHost(Source source, String workspace) {
+    boolean whole = spending.isWhole(source);
+    // The newest slot told had only begun.
+    long end = source.newestSlot;
+    long spent = 0;
+    for (long slot = end - FleetSpending.RATE_SLOTS; slot < end; slot++) {
+      long own = whole ? spending.own(workspace, slot) : 0;
+      spent += FleetSpending.spent(source, workspace, slot) - own;
+    }
+    int hosts = Math.max(1, whole ? source.hosts - 1 : source.hosts);
+    return Math.max(0.0, spent) / FleetSpending.RATE_SLOTS / hosts;
+  }
+
+  /** Returns what the fleet left unused before a source was heard last, by slot. */
+  private double unused(Source source, String workspace) {
+    long end = source.newestSlot;
+    long spent = 0;
+    for (long slot = end - FleetSpending.RATE_SLOTS; slot < end; slot++) {
+      spent += spending.known(workspace, slot);
+    }
+    List<Change> known = changes.getOrDefault(workspace, List.of());
+    Allowance allowance = allowanceAt(known, Allowance.UNLIMITED, end);
+    double allowed = allowance.perSecond() * Slots.MILLIS / MILLIS;
+    return Math.max(0, allowed - (double) spent / FleetSpending.RATE_SLOTS);
+  }
+
+  /** Returns the units that a workspace has left; negative for a debt. */
+  private double level(String workspace, Allowance allowance, long nowMillis) {
+    long present = Slots.index(nowMillis);
+    long windowStart = present - windowSlots() + 1;
+    long first = Math.max(windowStart, startSlot);
+    List<Change> known = changes.getOrDefault(workspace, List.of());
+    Allowance inForce = allowanceAt(known, allowance, first);
+    // A process that has just started knows nothing of the burst that others may have used.
+    double level = windowStart > startSlot ? inForce.burst() : 0;
+    double fleetPart = othersExpected && spending.hosts() == 1 ? UNKNOWN_FLEET_PART : 1;
+    for (long slot = first; slot <= present; slot++) {
+      Allowance now = allowanceAt(known, allowance, slot);
+      if (!now.equals(inForce)) {
+        level = Math.max(0, level);
+        inForce = now;
+      }
+      double span = slot == present ? nowMillis - slot * Slots.MILLIS : Slots.MILLIS;
+      level += fleetPart * inForce.perSecond() * span / MILLIS;
+      level = Math.min(level, Math.max(inForce.burst(), 1));
+      level -= spending.known(workspace, slot);
+    }
+    return level - late(workspace, nowMillis);
+  }
+
+  /** Returns what the sources are taken to have spent since they were heard last. */
+  private double late(String workspace, long nowMillis) {
+    double late = 0;
+    for (Source source : spending.sources()) {
+      long heardUntil = (source.filledSlot + 1) * Slots.MILLIS;
+      if (nowMillis > heardUntil) {
+        double rate = ratePerHost(source, workspace) * spending.others(source);
+        late += rate * (nowMillis - heardUntil) / Slots.MILLIS;
+      }
+    }
+    return late;
+  }
+
+  private long windowSlots() {
+    return settings.windowMillis() / Slots.MILLIS;
+  }
+
+  private static Allowance allowanceAt(List<Change> known, Allowance otherwise, long slot) {
+    Allowance found = otherwise;
+    for (Change change : known) {
+      if (change.slot <= slot) {
+        found = change.allowance;
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
@@ -0,0 +1,266 @@
+package org.sequoiahub.core.allowance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongUnaryOperator;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What each workspace spent in the latest window, over all hosts: this host's own part exactly, the
+ * others' as they told it last.
+ *
+ * <p>What is told is the state of a few slots and not a change, so that a datagram which is lost,
+ * late or doubled does no harm: the next one tells the same slots again.
+ */
+public final class FleetSpending {
+
+  /**
+   * Slots that each word tells (1.25 s): a word may be lost several times in a row before a slot
+   * goes untold.
+   */
+  private static final int TOLD_SLOTS = 5;
+
+  /** Slots from which a source's rate is taken (2 s): a long prompt is a large lump. */
+  static final int RATE_SLOTS = 8;
+
+  /** A host that tells the sums of the fleet may have heard of this host's part so much later. */
+  private static final long OWN_LATE_SLOTS = 1;
+
+  /** The source of sums over the whole fleet, this host included; no host has an empty name. */
+  public static final String WHOLE = "";
+
+  /** A source that was silent for so long is forgotten (ms). */
+  private static final long FORGET_MILLIS = 30_000;
+
+  private final int ring;
+  private final Map<String, Slots> own = new HashMap<>();
+  private final Map<String, Source> sources = new HashMap<>();
+
+  /** Another host, or several that one host tells of. */
+  static final class Source {
+    final Map<String, Slots> spent = new HashMap<>();
+
+    /** Which of this host's slots is the first of each teller's numbering. */
+    final Map<String, Long> offsets = new HashMap<>();
+
+    int hosts = 1;
+
+    /** The newest slot told of. */
+    long newestSlot = Long.MIN_VALUE;
+
+    /** The newest slot that is told of or assumed. */
+    long filledSlot = Long.MIN_VALUE;
+
+    /** What each host is taken to spend while silent, in units a slot; null while it is heard. */
+    @Nullable Map<String, Double> silentRates;
+
+    long toldMillis;
+  }
+
+  /**
+   * Creates an account.
+   *
+   * @param windowMillis for how long what was spent counts
+   */
+  public FleetSpending(long windowMillis) {
+    // A source may be silent for a window; its rate is taken from the slots before.
+    this.ring = (int) (windowMillis / Slots.MILLIS) + RATE_SLOTS + TOLD_SLOTS;
+  }
+
+  /** Adds to this host's own part; a negative amount gives back what was spent at that time. */
+  public void add(String workspace, long amount, long atMillis) {
+    own.computeIfAbsent(workspace, w -> new Slots(ring)).add(Slots.index(atMillis), amount);
+  }
+
+  /**
+   * Takes in what a host told.
+   *
+   * @param source whom it tells of: itself, a group of hosts, or {@link #WHOLE}
+   * @param teller the host and which of its processes, as each numbers slots in its own way
+   */
+  public void told(String source, String teller, ToldSpending told, long nowMillis) {
+    Source known = sources.computeIfAbsent(source, s -> new Source());
+    long seen = Slots.index(nowMillis - told.agoMillis()) - told.newestSlot();
+    Long before = known.offsets.get(teller);
+    // A delay that varies must not move what was told once to the slot beside.
+    boolean same = before != null && Math.abs(before - seen) <= 1;
+    long offset = same ? before : seen;
+    known.offsets.put(teller, offset);
+    known.hosts = told.hosts();
+    known.toldMillis = nowMillis;
+    long newest = Math.min(told.newestSlot() + offset, Slots.index(nowMillis));
+    known.silentRates = null;
+    known.newestSlot = Math.max(known.newestSlot, newest);
+    known.filledSlot = Math.max(known.filledSlot, known.newestSlot);
+    Set<String> workspaces = new HashSet<>(known.spent.keySet());
+    workspaces.addAll(told.spent().keySet());
+    for (String workspace : workspaces) {
+      Slots slots = known.spent.computeIfAbsent(workspace, w -> new Slots(ring));
+      List<Long> amounts = told.spent().getOrDefault(workspace, List.of());
+      for (int ago = 0; ago < told.slots(); ago++) {
+        long amount = ago < amounts.size() ? Math.max(0, amounts.get(ago)) : 0;
+        slots.set(newest - ago, amount);
+      }
+    }
+  }
+
+  /**
+   * Forgets sources that have long been silent, and those that others cover.
+   *
+   * @param covers whether a source still tells of hosts of which no other one does
+   */
+  public void upkeep(Predicate<String> covers, long nowMillis) {
+    sources
+        .entrySet()
+        .removeIf(
+            entry ->
+                nowMillis - entry.getValue().toldMillis >= FORGET_MILLIS
+                    || !covers.test(entry.getKey()));
+  }
+
+  /** Returns whether nothing was ever spent under a limit: then there is nothing to tell. */
+  public boolean isUnused() {
+    return own.isEmpty() && sources.isEmpty();
+  }
+
+  /** Returns this host's own part, for the others. */
+  public ToldSpending own(long nowMillis) {
+    return sums(source -> false, 1, nowMillis);
+  }
+
+  /** Returns the sums over all hosts, for those that hear of the others from this one. */
+  public ToldSpending whole(long nowMillis) {
+    return sums(source -> true, hosts(), nowMillis);
+  }
+
+  /**
+   * Returns the sums over this host and the sources that {@code included} accepts.
+   *
+   * @param hosts how many hosts are to be covered: what those spend that no source tells of is
+   *     assumed
+   */
+  public ToldSpending sums(Predicate<String> included, int hosts, long nowMillis) {
+    long newest = Slots.index(nowMillis);
+    int covered = 1;
+    Map<String, List<Long>> spent = new HashMap<>();
+    own.forEach((workspace, slots) -> addTo(spent, workspace, slots::get, newest));
+    for (Map.Entry<String, Source> entry : sources.entrySet()) {
+      if (included.test(entry.getKey()) && !entry.getKey().equals(WHOLE)) {
+        covered += entry.getValue().hosts;
+        entry
+            .getValue()
+            .spent
+            .forEach((workspace, slots) -> addTo(spent, workspace, slots::get, newest));
+      }
+    }
+    int missing = Math.max(0, hosts - covered);
+    addAssumed(spent, missing, newest);
+    long ago = nowMillis - newest * Slots.MILLIS;
+    return new ToldSpending(newest, TOLD_SLOTS, ago, covered + missing, spent);
+  }
+
+  /** Adds what hosts are taken to spend that were told of before and are not any more. */
+  private void addAssumed(Map<String, List<Long>> spent, int missing, long newest) {
+    Source whole = sources.get(WHOLE);
+    int untold = untoldHosts();
+    if (whole == null || missing == 0 || untold == 0) {
+      return;
+    }
+    double part = Math.min(1, (double) missing / untold);
+    whole.spent.forEach(
+        (workspace, slots) ->
+            addTo(
+                spent,
+                workspace,
+                index -> index > whole.newestSlot ? Math.round(slots.get(index) * part) : 0,
+                newest));
+  }
+
+  private static void addTo(
+      Map<String, List<Long>> spent, String workspace, LongUnaryOperator slots, long newest) {
+    List<Long> sums = new ArrayList<>();
+    List<Long> before = spent.get(workspace);
+    long all = 0;
+    for (int ago = 0; ago < TOLD_SLOTS; ago++) {
+      long amount = slots.applyAsLong(newest - ago);
+      all += amount;
+      sums.add(before == null ? amount : before.get(ago) + amount);
+    }
+    if (all > 0) {
+      spent.put(workspace, sums);
+    }
+  }
+
+  /** Returns what this host itself spent in a slot. */
+  long own(String workspace, long index) {
+    Slots slots = own.get(workspace);
+    return slots == null ? 0 : slots.get(index);
+  }
+
+  /** Returns what the fleet is known or assumed to have spent in a slot. */
+  long known(String workspace, long index) {
+    Source whole = sources.get(WHOLE);
+    if (whole != null && index <= whole.newestSlot) {
+      long told = spent(whole, workspace, index);
+      // The newest slots of the whole may lack this host's part.
+      return index > whole.newestSlot - OWN_LATE_SLOTS ? told + own(workspace, index) : told;
+    }
+    long sum = own(workspace, index);
+    for (Source source : sources.values()) {
+      sum += spent(source, workspace, index);
+    }
+    return sum;
+  }
+
+  /** Returns the sources. */
+  Iterable<Source> sources() {
+    return sources.values();
+  }
+
+  /** Takes a silent source to have spent an amount, in place of what it cannot tell. */
+  void assume(Source source, String workspace, long index, double amount) {
+    long whole = Math.round(amount);
+    if (whole > 0) {
+      source.spent.computeIfAbsent(workspace, w -> new Slots(ring)).set(index, whole);
+    }
+  }
+
+  /** Returns how many hosts there are, as far as they are or were told of. */
+  int hosts() {
+    return 1 + toldHosts() + untoldHosts();
+  }
+
+  /** Returns how many other hosts a source tells of; of the whole, those of which no other does. */
+  int others(Source source) {
+    return isWhole(source) ? untoldHosts() : source.hosts;
+  }
+
+  /** Returns whether a source tells of the whole fleet, this host included. */
+  boolean isWhole(Source source) {
+    return source == sources.get(WHOLE);
+  }
+
+  private int toldHosts() {
+    int hosts = 0;
+    for (Map.Entry<String, Source> entry : sources.entrySet()) {
+      hosts += entry.getKey().equals(WHOLE) ? 0 : entry.getValue().hosts;
+    }
+    return hosts;
+  }
+
+  /** Hosts that only the sums of the whole fleet tell, or told, of. */
+  private int untoldHosts() {
+    Source whole = sources.get(WHOLE);
+    return whole == null ? 0 : Math.max(0, whole.hosts - 1 - toldHosts());
+  }
+
+  static long spent(Source source, String workspace, long index) {
+    Slots slots = source.spent.get(workspace);
+    return slots == null ? 0 : slots.get(index);
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/Slots.java
@@ -0,0 +1,76 @@
+package org.sequoiahub.core.allowance;
+
+import java.util.Arrays;
+
+/**
+ * What one workspace spent in each of the latest spans of time.
+ *
+ * <p>A slot is named by its index: the time at its start divided by {@link #MILLIS}. Slots that are
+ * older than the ring holds read as 0.
+ */
+final class Slots {
+
+  /** Length of a slot (ms): fine enough to see when a window's sum is over. */
+  static final long MILLIS = 250;
+
+  private final long[] spent;
+  private long newest = Long.MIN_VALUE;
+
+  /** Creates a ring of so many slots. */
+  Slots(int count) {
+    this.spent = new long[count];
+  }
+
+  static long index(long millis) {
+    return Math.floorDiv(millis, MILLIS);
+  }
+
+  long get(long index) {
+    return holds(index) ? spent[position(index)] : 0;
+  }
+
+  /** Adds to a slot; nothing happens if it is older than the ring holds. */
+  void add(long index, long amount) {
+    advanceTo(index);
+    if (holds(index)) {
+      spent[position(index)] = Math.max(0, spent[position(index)] + amount);
+    }
+  }
+
+  /** Replaces a slot; nothing happens if it is older than the ring holds. */
+  void set(long index, long amount) {
+    advanceTo(index);
+    if (holds(index)) {
+      spent[position(index)] = amount;
+    }
+  }
+
+  /** Returns the sum of slots from {@code first} (inclusive) to {@code end} (exclusive). */
+  long sum(long first, long end) {
+    long sum = 0;
+    for (long index = first; index < end; index++) {
+      sum += get(index);
+    }
+    return sum;
+  }
+
+  private boolean holds(long index) {
+    return newest != Long.MIN_VALUE && index <= newest && index > newest - spent.length;
+  }
+
+  private int position(long index) {
+    return (int) Math.floorMod(index, (long) spent.length);
+  }
+
+  private void advanceTo(long index) {
+    if (newest == Long.MIN_VALUE || index - newest >= spent.length) {
+      Arrays.fill(spent, 0);
+      newest = Math.max(newest, index);
+      return;
+    }
+    for (long next = newest + 1; next <= index; next++) {
+      spent[position(next)] = 0;
+      newest = next;
+    }
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/ToldSpending.java
@@ -0,0 +1,26 @@
+package org.sequoiahub.core.allowance;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a host tells of what was spent lately.
+ *
+ * @param newestSlot the teller's own number of the newest slot told, which has not ended yet
+ * @param slots how many slots are told, up to that one
+ * @param agoMillis how long ago that slot began, when it was told
+ * @param hosts how many hosts spent this, the teller included
+ * @param spent by workspace, the newest slot first; a workspace that is absent spent nothing
+ */
+public record ToldSpending(
+    long newestSlot, int slots, long agoMillis, int hosts, Map<String, List<Long>> spent) {
+
+  /** Checks the arguments. */
+  public ToldSpending {
+    checkArgument(slots >= 0, "slots must not be negative, was %s", slots);
+    checkArgument(hosts > 0, "hosts must be above 0, was %s", hosts);
+    spent = Map.copyOf(spent);
+  }
+}
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/Route.java
@@ -18,6 +18,7 @@
  * @param maxAttempts on how many runners one request may run
  * @param pauseMillis the longest pause between two events of a stream that the caller accepts; 0 if
  *     not a stream
+ * @param open whether it needs no access key
  */
 public record Route(
     String name,
@@ -29,7 +30,8 @@
     int priority,
     List<WeightedService> services,
     int maxAttempts,
-    long pauseMillis) {
+    long pauseMillis,
+    boolean open) {
 
   private static final long MIN_PATIENCE_MILLIS = 2_000;
   private static final long TARGETS_OF_PATIENCE = 4;
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/RoutingTable.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/RoutingTable.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.sequoiahub.core.workspace.Workspaces;
 
 /** One accepted configuration: immutable, so that every request sees one version throughout. */
 public final class RoutingTable {
@@ -17,12 +18,18 @@
   private final Map<String, List<Route>> routes = new HashMap<>();
   private final Map<String, ServiceSpec> services = new HashMap<>();
   private final CallerLimits limits;
+  private final Workspaces workspaces;
 
   /** Creates a table. */
   public RoutingTable(
-      long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+      long version,
+      List<Route> routes,
+      List<ServiceSpec> services,
+      CallerLimits limits,
+      Workspaces workspaces) {
     this.version = version;
     this.limits = requireNonNull(limits, "limits must not be null");
+    this.workspaces = requireNonNull(workspaces, "workspaces must not be null");
     for (Route route : routes) {
       this.routes.computeIfAbsent(key(route.host()), host -> new ArrayList<>()).add(route);
     }
@@ -41,6 +48,11 @@
     return limits;
   }
 
+  /** Returns who may ask. */
+  public Workspaces workspaces() {
+    return workspaces;
+  }
+
   /** Returns the route of {@code host} whose prefix is the longest that starts {@code path}. */
   public Optional<Route> find(String host, String path) {
     for (Route route : routes.getOrDefault(key(host), List.of())) {
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/workspace/Allowance.java
@@ -0,0 +1,53 @@
+package org.sequoiahub.core.workspace;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Generation;
+
+/**
+ * What a workspace may use, over all hosts together.
+ *
+ * @param perSecond units a second; 0 for no limit
+ * @param burst units besides, for a while of little use
+ * @param unit what is counted
+ * @param plainTokens tokens that a request without a generation counts as
+ */
+public record Allowance(double perSecond, double burst, Unit unit, int plainTokens) {
+
+  /** No limit. */
+  public static final Allowance UNLIMITED = new Allowance(0, 0, Unit.REQUESTS, 0);
+
+  /** What an allowance counts. */
+  public enum Unit {
+    /** Each request counts as one. */
+    REQUESTS,
+    /** A request counts as the tokens of its prompt and the most that it may generate. */
+    TOKENS
+  }
+
+  /** Checks the arguments. */
+  public Allowance {
+    checkArgument(perSecond >= 0, "perSecond must not be negative, was %s", perSecond);
+    checkArgument(burst >= 0, "burst must not be negative, was %s", burst);
+    checkArgument(plainTokens >= 0, "plainTokens must not be negative, was %s", plainTokens);
+    requireNonNull(unit, "unit must not be null");
+  }
+
+  /** Returns whether there is a limit. */
+  public boolean isLimited() {
+    return perSecond > 0;
+  }
+
+  /** Returns the units that a request counts as; {@code generation} is null for a plain one. */
+  public long cost(@Nullable Generation generation) {
+    if (unit == Unit.REQUESTS) {
+      return 1;
+    }
+    if (generation == null || generation.promptTokens() + generation.maxOutputTokens() == 0) {
+      return plainTokens;
+    }
+    return (long) generation.promptTokens() + generation.maxOutputTokens();
+  }
+}
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/workspace/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' workspaces: who holds which access key, and what each workspace may use. */
+@NullMarked
+package org.sequoiahub.core.workspace;
+
+import org.jspecify.annotations.NullMarked;
--- a/sequoia-core/src/test/java/org/sequoiahub/core/routing/RoutingTableTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/routing/RoutingTableTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.constraints.UniqueElements;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.workspace.Workspaces;
 
 class RoutingTableTest {
 
@@ -26,11 +27,12 @@
         0,
         List.of(new WeightedService("s", 1)),
         1,
-        0);
+        0,
+        false);
   }
 
   private static RoutingTable table(List<Route> routes) {
-    return new RoutingTable(1, routes, List.of(), CallerLimits.UNKNOWN);
+    return new RoutingTable(1, routes, List.of(), CallerLimits.UNKNOWN, Workspaces.NONE);
   }
 
   /** The table answers like a search of all routes for the longest prefix. */
@@ -67,7 +69,8 @@
               0,
               List.of(new WeightedService("most", 90), new WeightedService("few", 10)),
               1,
-              0);
+              0,
+              false);
       assertThat(split.service(0)).isEqualTo("most");
       assertThat(split.service(0.899)).isEqualTo("most");
       assertThat(split.service(0.901)).isEqualTo("few");
@@ -87,7 +90,8 @@
               0,
               List.of(new WeightedService("none", 0), new WeightedService("all", 5)),
               1,
-              0);
+              0,
+              false);
       assertThat(split.service(0)).isEqualTo("all");
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
+import org.sequoiahub.core.allowance.AllowanceKeeper;
+import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.holding.Demand;
@@ -29,6 +31,7 @@
 import org.sequoiahub.core.routing.CallerLimits;
 import org.sequoiahub.core.routing.RoutingTable;
 import org.sequoiahub.core.upstream.RunnerRegistry;
+import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.call.FleetView;
 import org.sequoiahub.node.call.QuarantineGate;
 import org.sequoiahub.node.call.RequestCoordinator;
@@ -124,6 +127,8 @@
   private final Members<HostState> members;
   private final Holdings holdings = new Holdings();
   private final FleetLoad loads = new FleetLoad();
+  private final FleetSpending spending;
+  private final AllowanceKeeper allowances;
   private final RunnerRegistry book = new RunnerRegistry();
   private final StoreRegistry store;
   private final StoreFollower operators;
@@ -167,7 +172,11 @@
             this::tick,
             this::defect,
             MonotonicClock.SYSTEM);
-    RecordDecoder decoder = new RecordDecoder();
+    this.spending = new FleetSpending(host.allowances().windowMillis());
+    this.allowances =
+        new AllowanceKeeper(spending, host.allowances(), host.expectsOthers(), startedMillis);
+    KeyHasher keys = KeyHasher.drawn(new SecureRandom());
+    RecordDecoder decoder = new RecordDecoder(keys);
     this.store = new StoreRegistry(decoder, book, this::inForce, this::changed, log);
     StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
     this.operators = follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0);
@@ -195,6 +204,7 @@
             shape,
             loads,
             holdings,
+            spending,
             datagrams::send,
             this::ownState,
             this::stateOf,
@@ -212,6 +222,8 @@
     this.calls =
         new RequestCoordinator(
             fleet,
+            keys,
+            allowances,
             new UpstreamClient(runnerHttp),
             budget,
             quarantine,
@@ -410,6 +422,7 @@
     book.forget(nowMillis, FORGET_MILLIS);
     fleet.forget(nowMillis);
     knownEnds.memoryLost(hasFleetForgotten(nowMillis));
+    allowances.upkeep(nowMillis);
     quarantine.upkeep(nowMillis);
     loadGuard.upkeep(book::hasEnded, nowMillis);
   }
@@ -454,6 +467,7 @@
 
   private void inForce(RoutingTable table) {
     fleet.table(table);
+    allowances.configured(table.workspaces().all(), MonotonicClock.SYSTEM.nowMillis());
     limits = table.limits();
     callerServer.apply(table.limits());
   }
@@ -485,7 +499,7 @@
         peers.received(ip, datagram, now);
         runnerEnds.heard(from, datagram.getIncarnation(), ip, now);
       }
-      case DIGEST -> peers.receivedDigest(ip, datagram.getDigest(), now);
+      case DIGEST -> peers.receivedDigest(ip, datagram, now);
       case CLAIM -> holder.claimed(from, ip, datagram.getClaim(), now);
       case GRANT -> holder.granted(from, datagram.getGrant(), now);
       case RELEASE -> holder.released(from, datagram.getRelease());
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.LineFormatter;
@@ -156,6 +157,7 @@
         50,
         10_000,
         5_000,
-        100);
+        100,
+        AllowanceSettings.DEFAULT);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -9,6 +9,7 @@
 import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.upstream.Attempt;
 import org.sequoiahub.usersplatform.CallerDialect.CallerHeaders;
@@ -18,6 +19,7 @@
 
   final CallerExchange exchange;
   final CallerHeaders headers;
+  final Admission.Permitted permitted;
   final Route route;
   final String service;
 
@@ -59,6 +61,9 @@
   /** Attempts that may have run. */
   int runs;
 
+  /** Whether a runner may have begun with it. */
+  boolean mayHaveRun;
+
   boolean done;
 
   /** Made when it is first asked for. */
@@ -67,16 +72,16 @@
   Call(
       CallerExchange exchange,
       CallerHeaders headers,
-      Route route,
+      Admission.Permitted permitted,
       String service,
-      @Nullable Generation generation,
       long arrivedMillis,
       long endMillis) {
     this.exchange = exchange;
     this.headers = headers;
-    this.route = route;
+    this.permitted = permitted;
+    this.route = permitted.route();
     this.service = service;
-    this.generation = generation;
+    this.generation = permitted.generation(service, headers);
     this.arrivedMillis = arrivedMillis;
     this.endMillis = endMillis;
     this.relay = new StreamRelay(exchange);
@@ -113,6 +118,17 @@
     endMillis = Math.min(endMillis, millis);
   }
 
+  /** Returns its rank, 0 first. */
+  int priority() {
+    return permitted.priority();
+  }
+
+  /** Returns the name of the workspace that asks; empty for none. */
+  String workspaceName() {
+    Workspace workspace = permitted.workspace();
+    return workspace == null ? "" : workspace.name();
+  }
+
   String id() {
     return headers.requestId();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.allowance.AllowanceKeeper;
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.dispatch.Candidate;
 import org.sequoiahub.core.dispatch.GenerationPlacement;
@@ -34,9 +35,8 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Repetition;
 import org.sequoiahub.core.routing.Route;
-import org.sequoiahub.core.routing.RoutingTable;
-import org.sequoiahub.core.routing.ServiceSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.upstream.AttemptListener;
 import org.sequoiahub.node.upstream.Outcome;
@@ -88,6 +88,8 @@
   private static final long MAX_DEADLINE_MILLIS = 120_000;
 
   private final FleetView fleet;
+  private final KeyHasher keys;
+  private final Admission admission;
   private final UpstreamClient upstreams;
   private final SharedRetryBudget budget;
   private final QuarantineGate quarantine;
@@ -111,10 +113,13 @@
   /**
    * Creates a coordinator.
    *
+   * @param keys hashes callers' access keys as the configuration's were
    * @param changed told when what this host has in flight has changed
    */
   public RequestCoordinator(
       FleetView fleet,
+      KeyHasher keys,
+      AllowanceKeeper allowances,
       UpstreamClient upstreams,
       SharedRetryBudget budget,
       QuarantineGate quarantine,
@@ -129,6 +134,8 @@
     this.firstEventMillis = metrics.histogram("requests.first_event_ms");
     this.wholeMillis = metrics.histogram("requests.whole_ms");
     this.fleet = fleet;
+    this.keys = keys;
+    this.admission = new Admission(fleet::table, allowances, new WorkspaceMetrics(metrics), log);
     this.upstreams = upstreams;
     this.budget = budget;
     this.quarantine = quarantine;
@@ -144,32 +151,26 @@
   /** Takes a request whose body has been read. */
   public void arrived(CallerExchange exchange) {
     final long now = clock.getAsLong();
-    CallerHeaders headers = CallerDialect.decode(exchange.headers());
+    CallerHeaders headers = CallerDialect.decode(exchange.headers(), keys);
     if (shutdown != null) {
       exchange.closeAfterwards();
     }
-    Optional<RoutingTable> table = fleet.table();
-    if (table.isEmpty()) {
-      answers.refuse(exchange, headers, "no configuration yet", NO_RUNNER_RETRY_MILLIS);
-      return;
-    }
-    Optional<Route> route = table.get().find(exchange.host(), exchange.path());
-    if (route.isEmpty()) {
-      answers.finish(exchange, headers, HttpStatus.NOT_FOUND_404, "no route", -1);
-      return;
-    }
-    if (headers.requestId().isEmpty()) {
-      answers.finish(exchange, headers, HttpStatus.BAD_REQUEST_400, "the request has no id", -1);
-      return;
+    Admission.Result result = admission.permit(exchange, headers);
+    if (result instanceof Admission.Permitted permitted) {
+      accept(exchange, headers, permitted, now);
+    } else if (result instanceof Admission.Denied denied) {
+      deny(exchange, headers, denied);
     }
-    accept(exchange, headers, table.get(), route.get(), now);
+  }
+
+  private void deny(CallerExchange exchange, CallerHeaders headers, Admission.Denied denied) {
+    answers.finish(exchange, headers, denied.status(), denied.why(), denied.retryMillis());
   }
 
   private void accept(
-      CallerExchange exchange, CallerHeaders headers, RoutingTable table, Route route, long now) {
+      CallerExchange exchange, CallerHeaders headers, Admission.Permitted permitted, long now) {
+    Route route = permitted.route();
     String service = route.service(random.nextDouble());
-    Optional<ServiceSpec> spec = table.service(service);
-    boolean engine = spec.isPresent() && spec.get().engine() != null;
     long deadline = headers.deadlineMillis() > 0 ? headers.deadlineMillis() : MAX_DEADLINE_MILLIS;
     long wanted = Math.min(deadline, route.timeoutMillis());
     long end = now + wanted;
@@ -180,8 +181,12 @@
       }
       end = Math.min(end, shutdown.lastWordMillis());
     }
-    Call call =
-        new Call(exchange, headers, route, service, engine ? headers.generation() : null, now, end);
+    Optional<Admission.Denied> beyond = admission.charge(permitted, headers, now);
+    if (beyond.isPresent()) {
+      deny(exchange, headers, beyond.get());
+      return;
+    }
+    Call call = new Call(exchange, headers, permitted, service, now, end);
     calls.add(call);
     metrics.counter("requests.accepted").inc();
     budget.request(service, now);
@@ -225,7 +230,7 @@
       if (runner != null && generation != null) {
         int inTime = nowMillis - call.arrivedMillis < call.route.targetLatencyMillis() ? 1 : 0;
         Demand demand =
-            new Demand(generation.model(), generation.adapter(), 1, inTime, call.route.priority());
+            new Demand(generation.model(), generation.adapter(), 1, inTime, call.priority());
         byRunner
             .computeIfAbsent(runner.id(), id -> new HashMap<>())
             .merge(demand.target(), demand, Demand::plus);
@@ -252,6 +257,10 @@
   }
 
   private void place(Call call, long nowMillis) {
+    if (admission.isWithdrawn(call.permitted, call.headers)) {
+      withdrawn(call, nowMillis);
+      return;
+    }
     Optional<Hold> hold = quarantine.hold(call, nowMillis);
     if (hold.isPresent()) {
       quarantine.heldBack(call, hold.get(), nowMillis);
@@ -263,6 +272,17 @@
     }
   }
 
+  /** Ends a request whose key was withdrawn before it could start, or start again. */
+  private void withdrawn(Call call, long nowMillis) {
+    String why = "the key was withdrawn";
+    if (call.exchange.isStarted()) {
+      call.exchange.breakOff(why);
+    } else {
+      answers.finish(call.exchange, call.headers, HttpStatus.UNAUTHORIZED_401, why, -1);
+    }
+    done(call, HttpStatus.UNAUTHORIZED_401, why, nowMillis);
+  }
+
   private void placePlain(Call call, long nowMillis) {
     List<Candidate> candidates = candidates(call, null, nowMillis);
     Optional<Candidate> chosen = services.choose(candidates, random.nextDouble());
@@ -421,9 +441,11 @@
         new RunnerHeaders(
             runner.instance(),
             call.endMillis() - nowMillis,
-            call.generation == null ? -1 : call.route.priority(),
+            call.generation == null ? -1 : call.priority(),
             fleet.newestVersion(call.adapter()),
-            lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent);
+            lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent,
+            call.workspaceName(),
+            call.permitted.table().workspaces().areConfigured());
     log.info(
         "request-sent",
         "request",
@@ -510,6 +532,7 @@
     if (call.done) {
       return;
     }
+    call.mayHaveRun |= !(outcome instanceof Outcome.Refused || outcome instanceof Outcome.NotSent);
     if (outcome instanceof Outcome.StreamEnded) {
       fleet.health(running.runner).succeeded(now - running.startedMillis, now);
       call.relay.end();
@@ -729,6 +752,7 @@
       call.running.remove(running);
       release(call, running);
       if (running.attempt != null) {
+        call.mayHaveRun |= running.attempt.isHandedOn();
         running.attempt.cancel(why);
       }
     }
@@ -760,6 +784,9 @@
 
   private void finished(Call call) {
     call.done = true;
+    if (!call.mayHaveRun) {
+      admission.giveBack(call.permitted, call.headers, call.arrivedMillis);
+    }
     stopWaiting(call);
     calls.remove(call);
     changed.run();
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/WorkspaceMetrics.java
@@ -0,0 +1,42 @@
+package org.sequoiahub.node.call;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashSet;
+import java.util.Set;
+import org.sequoiahub.core.workspace.Workspace;
+
+/** Counts what workspaces ask for and what their limits refuse. */
+final class WorkspaceMetrics {
+
+  /**
+   * Workspaces that are counted by name; later ones share one name, so that a configuration with
+   * ever new names does not grow the registry without bound.
+   */
+  private static final int MAX_NAMED = 256;
+
+  private static final String OTHERS = "others";
+
+  private final MetricRegistry metrics;
+  private final Set<String> named = new HashSet<>();
+
+  WorkspaceMetrics(MetricRegistry metrics) {
+    this.metrics = metrics;
+  }
+
+  void asked(Workspace workspace) {
+    count(workspace, "asked");
+  }
+
+  void overAllowance(Workspace workspace) {
+    count(workspace, "over_allowance");
+  }
+
+  private void count(Workspace workspace, String what) {
+    boolean known = named.contains(workspace.name());
+    if (!known && named.size() < MAX_NAMED) {
+      known = named.add(workspace.name());
+    }
+    String name = known ? workspace.name() : OTHERS;
+    metrics.counter("workspace." + name + "." + what).inc();
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -496,7 +496,7 @@
     if (nowMillis - startedMillis < SETTLE_MILLIS || (shape.isLarge() && !shape.isDelegate())) {
       return false;
     }
-    return !hasOtherSeeds() || !members.alive(nowMillis).isEmpty();
+    return !settings.expectsOthers() || !members.alive(nowMillis).isEmpty();
   }
 
   private boolean shouldClaim(RunnerEntry runner, long nowMillis) {
@@ -509,10 +509,6 @@
     return choice.isThisHost(runner, nowMillis);
   }
 
-  private boolean hasOtherSeeds() {
-    return settings.seeds().stream().anyMatch(ip -> !ip.equals(settings.ip()));
-  }
-
   private void claim(long nowMillis) {
     Set<String> electorate = members.electorate(nowMillis);
     boolean due = false;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
@@ -109,7 +109,8 @@
     if (state == null) {
       return;
     }
-    HostState brief = state.toBuilder().clearLoads().clearHoldings().clearGossip().build();
+    HostState brief =
+        state.toBuilder().clearLoads().clearHoldings().clearGossip().clearSpending().build();
     digest.addWords(
         HostWord.newBuilder()
             .setHost(member.host())
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -6,6 +6,8 @@
 import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.sequoiahub.core.allowance.FleetSpending;
+import org.sequoiahub.core.allowance.ToldSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
@@ -59,6 +61,7 @@
   private final Members<HostState> members;
   private final FleetLoad loads;
   private final Holdings holdings;
+  private final FleetSpending spending;
   private final Supplier<PeerDatagram.Builder> datagrams;
   private final Supplier<HostWord> ownWord;
   private final BiConsumer<String, byte[]> sender;
@@ -85,6 +88,7 @@
       Members<HostState> members,
       FleetLoad loads,
       Holdings holdings,
+      FleetSpending spending,
       Supplier<PeerDatagram.Builder> datagrams,
       Supplier<HostWord> ownWord,
       BiConsumer<String, byte[]> sender,
@@ -95,6 +99,7 @@
     this.members = members;
     this.loads = loads;
     this.holdings = holdings;
+    this.spending = spending;
     this.datagrams = datagrams;
     this.ownWord = ownWord;
     this.sender = sender;
@@ -128,6 +133,10 @@
     gossip.addWordsInTurn(digest, members.reachable(nowMillis), nowMillis);
     far.addHoldings(digest, holdings, shape::isNear, nowMillis);
     Map<String, FleetLoad.Use> sums = loads.sums(shape::isNear, nowMillis);
+    if (!spending.isUnused()) {
+      digest.setSpending(
+          StateCodec.encodeSpending(spending.sums(shape::isNear, shape.groupSize(), nowMillis)));
+    }
     Digest common = digest.build();
     for (Member<HostState> delegate : delegates) {
       Digest.Builder own = common.toBuilder();
@@ -142,6 +151,9 @@
     near.addWords(digest, members.reachable(nowMillis), nowMillis);
     near.addHoldings(digest, holdings, holder -> true, nowMillis);
     DigestBuilder.addLoads(digest, loads.sums(source -> true, nowMillis), runner -> false);
+    if (!spending.isUnused()) {
+      digest.setSpending(StateCodec.encodeSpending(spending.whole(nowMillis)));
+    }
     byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
     shape.nearOthers(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
   }
@@ -167,8 +179,12 @@
     send(ip, digest);
   }
 
-  /** Takes in a digest that came from an IP number. */
-  public void received(String ip, Digest digest, long nowMillis) {
+  /**
+   * Takes in a digest that came from an IP number.
+   *
+   * @param teller the host that tells, and which of its processes
+   */
+  public void received(String ip, String teller, Digest digest, long nowMillis) {
     if (!digest.getGroup().isEmpty() && !shape.isDelegate()) {
       welcome(ip, nowMillis);
     }
@@ -198,6 +214,9 @@
     if (digest.getLoadsTold()) {
       loadsTold(digest, nowMillis);
     }
+    if (digest.hasSpending()) {
+      spendingTold(teller, digest, nowMillis);
+    }
   }
 
   private void loadsTold(Digest digest, long nowMillis) {
@@ -209,4 +228,48 @@
       loads.toldWhole(uses, nowMillis);
     }
   }
+
+  private void spendingTold(String teller, Digest digest, long nowMillis) {
+    ToldSpending told = StateCodec.decodeSpending(digest.getSpending());
+    if (digest.getGroup().isEmpty()) {
+      if (!shape.isDelegate()) {
+        spending.told(FleetSpending.WHOLE, teller, told, nowMillis);
+      }
+    } else if (shape.isDelegate() && !digest.getGroup().equals(shape.group())) {
+      spending.told(GROUP_SOURCE + digest.getGroup(), teller, told, nowMillis);
+    }
+  }
+
+  /**
+   * Takes in what a host says that it spent itself; in a large fleet only hosts of this one's group
+   * count so, as the others' groups tell of them.
+   */
+  void spendingTold(String host, long incarnation, HostState state, long nowMillis) {
+    if (state.hasSpending() && (!shape.isLarge() || shape.isNear(host))) {
+      ToldSpending told = StateCodec.decodeSpending(state.getSpending());
+      spending.told(host, teller(host, incarnation), told, nowMillis);
+    }
+  }
+
+  /** Forgets what other sources tell of by now. */
+  void upkeep(long nowMillis) {
+    spending.upkeep(this::coversOthers, nowMillis);
+  }
+
+  /** What delegates tell of the whole fleet stays for a while, as what was spent before. */
+  private boolean coversOthers(String source) {
+    if (source.equals(FleetSpending.WHOLE)) {
+      return true;
+    }
+    if (!shape.isLarge()) {
+      return !source.startsWith(GROUP_SOURCE);
+    }
+    return shape.isDelegate()
+        && !source.equals(GROUP_SOURCE + shape.group())
+        && (source.startsWith(GROUP_SOURCE) || shape.isNear(source));
+  }
+
+  static String teller(String host, long incarnation) {
+    return host + " " + incarnation;
+  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -96,6 +96,12 @@
     return groups.getOrDefault(settings.host(), settings.failureDomain());
   }
 
+  /** Returns how many hosts are in this host's group, this one included. */
+  public int groupSize() {
+    String own = group();
+    return Math.max(1, (int) groups.values().stream().filter(own::equals).count());
+  }
+
   /** Returns whether a host is in this host's group. */
   public boolean isNear(String host) {
     return group().equals(groups.get(host));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.runtime.log.EventLog;
-import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HostAddress;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.HostWord;
@@ -52,6 +52,7 @@
   private final long incarnation;
   private final Members<HostState> members;
   private final FleetShape shape;
+  private final FleetSpending spending;
   private final DigestExchange digests;
   private final BiConsumer<String, byte[]> sender;
   private final StateSource ownState;
@@ -93,6 +94,7 @@
       FleetShape shape,
       FleetLoad loads,
       Holdings holdings,
+      FleetSpending spending,
       BiConsumer<String, byte[]> sender,
       StateSource ownState,
       BiConsumer<String, HostState> listener,
@@ -103,6 +105,7 @@
     this.seeds = settings.seeds();
     this.incarnation = incarnation;
     this.members = members;
+    this.spending = spending;
     this.sender = sender;
     this.ownState = ownState;
     this.listener = listener;
@@ -116,6 +119,7 @@
             members,
             loads,
             holdings,
+            spending,
             this::datagram,
             this::ownWord,
             sender,
@@ -152,6 +156,7 @@
   /** Tells what is due. */
   public void tick(long nowMillis) {
     shape.refresh(nowMillis);
+    digests.upkeep(nowMillis);
     if (shape.isLarge()) {
       tickLarge(nowMillis);
     } else {
@@ -194,6 +199,9 @@
     }
     boolean complete = whole || nowMillis - completeMillis >= members.periodMillis();
     HostState.Builder state = ownState.state(withHoldings, complete);
+    if (!spending.isUnused()) {
+      state.setSpending(StateCodec.encodeSpending(spending.own(nowMillis)));
+    }
     if (complete) {
       completeMillis = nowMillis;
       gossip(told, state);
@@ -238,6 +246,7 @@
       holdingsChanged();
     }
     listener.accept(datagram.getHost(), state);
+    digests.spendingTold(datagram.getHost(), datagram.getIncarnation(), state, nowMillis);
     boolean toDelegate = shape.isDelegate() && shape.isNear(datagram.getHost());
     if (shape.isLarge() && !toDelegate && !state.getLeaving()) {
       // In a large fleet a host speaks directly only to its delegates and to strangers.
@@ -246,8 +255,9 @@
   }
 
   /** Takes in a digest that came from an IP number. */
-  public void receivedDigest(String ip, Digest digest, long nowMillis) {
-    digests.received(ip, digest, nowMillis);
+  public void receivedDigest(String ip, PeerDatagram datagram, long nowMillis) {
+    String teller = DigestExchange.teller(datagram.getHost(), datagram.getIncarnation());
+    digests.received(ip, teller, datagram.getDigest(), nowMillis);
   }
 
   private void gossip(List<Member<HostState>> told, HostState.Builder state) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import org.sequoiahub.core.allowance.ToldSpending;
 import org.sequoiahub.core.call.Target;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
@@ -16,10 +17,15 @@
 import org.sequoiahub.schema.peer.Holding;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.RunnerLoad;
+import org.sequoiahub.schema.peer.Spending;
+import org.sequoiahub.schema.peer.WorkspaceSpending;
 
 /** Turns what hosts tell each other into the core's types and back. */
 public final class StateCodec {
 
+  /** Slots of spending that are taken from one datagram at most. */
+  private static final int MAX_SLOTS = 64;
+
   private StateCodec() {}
 
   /** Adds what a host has in flight. */
@@ -58,6 +64,36 @@
     return uses;
   }
 
+  /** Encodes what was spent of allowances. */
+  public static Spending encodeSpending(ToldSpending told) {
+    Spending.Builder message =
+        Spending.newBuilder()
+            .setNewestSlot(told.newestSlot())
+            .setSlots(told.slots())
+            .setAgoMs((int) told.agoMillis())
+            .setHosts(told.hosts());
+    told.spent()
+        .forEach(
+            (workspace, slots) ->
+                message.addWorkspaces(
+                    WorkspaceSpending.newBuilder().setWorkspace(workspace).addAllSpent(slots)));
+    return message.build();
+  }
+
+  /** Decodes what was spent of allowances; more slots than hosts tell are cut off. */
+  static ToldSpending decodeSpending(Spending message) {
+    Map<String, List<Long>> spent = new HashMap<>();
+    message
+        .getWorkspacesList()
+        .forEach(workspace -> spent.put(workspace.getWorkspace(), workspace.getSpentList()));
+    return new ToldSpending(
+        message.getNewestSlot(),
+        Math.max(0, Math.min(message.getSlots(), MAX_SLOTS)),
+        Integer.toUnsignedLong(message.getAgoMs()),
+        Math.max(1, message.getHosts()),
+        spent);
+  }
+
   /** Encodes what a runner holds. */
   public static Holding encodeHolding(String runner, Holdings.Holding holding, long nowMillis) {
     Holding.Builder message =
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/AccessKeyTest.java
@@ -0,0 +1,224 @@
+package org.sequoiahub.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.Request;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.standin.StandinConfiguration;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
+
+/** Who may ask: hosts before a stand-in store and stand-in runners. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class AccessKeyTest {
+
+  private static final String ROUTE = LoopbackFleet.route("/a/", "safe", "plain", false);
+  private static final String STREAM = LoopbackFleet.route("/s/", "streaming", "llm", false);
+  private static final String OPEN = StandinConfiguration.openRoute("/open/", "plain");
+
+  private LoopbackFleet fleet;
+  private StandinRunner runner;
+
+  @BeforeEach
+  void open() throws Exception {
+    fleet = new LoopbackFleet();
+    configure(List.of("key-one", "key-two"), 0);
+    runner = fleet.startRunner("i-1", "plain", "");
+    fleet.startNodes(2);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    fleet.close();
+  }
+
+  private void configure(List<String> keys, long tokensPerSecond) {
+    fleet.configure(
+        List.of(ROUTE, STREAM, OPEN),
+        List.of(
+            StandinConfiguration.workspace("studio", keys, tokensPerSecond),
+            StandinConfiguration.workspace("other", List.of("key-three"), 0)));
+  }
+
+  private Request request(int host, String path, String id) {
+    return fleet.request(host, path, id);
+  }
+
+  private static Request withKey(Request request, String key) {
+    return request.headers(headers -> headers.add(Headers.AUTHORIZATION, "Bearer " + key));
+  }
+
+  private int status(int host, String id, String key) {
+    try {
+      return withKey(request(host, "/a/x", id), key).send().getStatus();
+    } catch (Exception e) {
+      return 0;
+    }
+  }
+
+  /**
+   * Symptom: anybody is served; runners see callers' keys and believe what callers say they are.
+   *
+   * <p>Events: requests without a key, with a wrong one, and with a forged workspace.
+   *
+   * <p>Cause: keys in the configuration were not read, and headers passed on as they came.
+   */
+  @Nested
+  class Requests {
+    @Test
+    void withAKeyRunForItsWorkspaceAndTheKeyStaysHere() throws Exception {
+      Request request = withKey(request(1, "/a/x", "q1"), "key-two");
+      request.headers(headers -> headers.add(Headers.WORKSPACE, "other"));
+      assertThat(request.send().getStatus()).isEqualTo(200);
+      assertThat(runner.seen().get("q1"))
+          .isEqualTo(new StandinRunner.Seen(List.of("studio"), List.of()));
+    }
+
+    @Test
+    void withoutAKeyDoNotRun() throws Exception {
+      assertThat(request(1, "/a/x", "q1").send().getStatus()).isEqualTo(401);
+      assertThat(status(1, "q2", "key-four")).isEqualTo(401);
+      assertThat(runner.runs()).isEmpty();
+    }
+
+    @Test
+    void withTwoKeysDoNotRun() throws Exception {
+      Request request = withKey(withKey(request(1, "/a/x", "q1"), "key-one"), "key-three");
+      assertThat(request.send().getStatus()).isEqualTo(401);
+      assertThat(runner.runs()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "key-one",
+          "Basic key-one",
+          "Bearer",
+          "Bearer ",
+          "Bearer KEY-ONE",
+          "Bearer key-one key-one",
+          "Bearer key-one, Bearer key-three",
+          "Bearer \u00e9\u00fc"
+        })
+    void withWhatIsNoKeyAreToldSo(String value) throws Exception {
+      Request request = request(1, "/a/x", "q1");
+      request.headers(headers -> headers.add(Headers.AUTHORIZATION, value));
+      assertThat(request.send().getStatus()).isEqualTo(401);
+      assertThat(runner.runs()).isEmpty();
+    }
+
+    @Test
+    void withALongKeyAreToldSo() {
+      assertThat(status(1, "q1", "k".repeat(8_000))).isEqualTo(401);
+    }
+
+    @Test
+    void onAnOpenRouteNeedNone() throws Exception {
+      Request request = withKey(request(1, "/open/x", "q1"), "key-one");
+      request.headers(headers -> headers.add(Headers.WORKSPACE, "other"));
+      assertThat(request.send().getStatus()).isEqualTo(200);
+      assertThat(request(1, "/open/x", "q2").send().getStatus()).isEqualTo(200);
+      assertThat(runner.seen().get("q1")).isEqualTo(new StandinRunner.Seen(List.of(), List.of()));
+    }
+
+    @Test
+    void onNoRouteAreToldSo() throws Exception {
+      assertThat(request(1, "/none/x", "q1").send().getStatus()).isEqualTo(404);
+    }
+  }
+
+  @Nested
+  class Withdrawal {
+    /**
+     * Symptom: a withdrawn key still opens the door at some hosts.
+     *
+     * <p>Events: a key is withdrawn and another given; one host never hears of it from the store,
+     * which goes down as soon as the other host has read it.
+     *
+     * <p>Cause looked for: hosts that learn from the store alone.
+     */
+    @Test
+    void reachesHostsThatTheStoreDoesNot() throws Exception {
+      configure(List.of("key-two", "key-new"), 0);
+      LoopbackFleet.await("the withdrawal at host 1", () -> status(1, "w", "key-one") == 401);
+      fleet.store.down(true);
+      LoopbackFleet.await("the withdrawal at host 2", () -> status(2, "w", "key-one") == 401);
+      fleet.startNode(3);
+      LoopbackFleet.await(
+          "an answer of host 3, which never reached the store",
+          () -> status(3, "n3", "key-new") == 200);
+      for (int host = 1; host <= 3; host++) {
+        assertThat(status(host, "w" + host, "key-one")).isEqualTo(401);
+        assertThat(status(host, "n" + host, "key-new")).isEqualTo(200);
+      }
+    }
+
+    /**
+     * Symptom: a request runs with a key that was withdrawn long before.
+     *
+     * <p>Events: it waits for an adapter when its key is withdrawn.
+     *
+     * <p>Cause looked for: a key that is looked at on arrival only.
+     */
+    @Test
+    void endsRequestsThatStillWait() throws Exception {
+      StandinRunner model = fleet.startRunner("i-2", "llm", "m");
+      model.loadMillis(60_000);
+      Request waiting = withKey(request(1, "/s/x", "waits"), "key-one");
+      waiting.headers(headers -> headers.put(Headers.MODEL, "m/a1").put(Headers.TOKENS, "100,20"));
+      CompletableFuture<ContentResponse> answer = new CompletableResponseListener(waiting).send();
+      LoopbackFleet.await("an order for its adapter", () -> !model.orders().isEmpty());
+      configure(List.of("key-two"), 0);
+      assertThat(answer.get().getStatus()).isEqualTo(401);
+      assertThat(model.runs()).isEmpty();
+    }
+  }
+
+  /**
+   * Symptom: a configuration with a damaged part leaves the fleet without any, or with half of it.
+   *
+   * <p>Events: operators list one key in two workspaces, and correct it.
+   */
+  @Test
+  void configurationWithAKeyInTwoWorkspacesStaysOutOfForce() throws Exception {
+    configure(List.of("key-one", "key-three"), 0);
+    configure(List.of("key-one", "key-five"), 0);
+    LoopbackFleet.await("the corrected one", () -> status(1, "c", "key-five") == 200);
+    assertThat(status(1, "d", "key-three")).isEqualTo(200);
+  }
+
+  @Nested
+  class Limits {
+    /** The other workspace is not held back by it. */
+    @Test
+    void requestsBeyondTheAllowanceAreToldWhenToComeBack() throws Exception {
+      configure(List.of("key-one", "key-two"), 100);
+      LoopbackFleet.await("a refusal for the allowance", () -> status(1, "f", "key-one") == 429);
+      ContentResponse refused = withKey(request(1, "/a/x", "late"), "key-one").send();
+      assertThat(refused.getStatus()).isEqualTo(429);
+      double seconds = Double.parseDouble(refused.getHeaders().get("Retry-After"));
+      assertThat(seconds).isGreaterThan(0.0);
+      assertThat(runner.runs()).doesNotContainKey("late");
+      assertThat(status(1, "other", "key-three")).isEqualTo(200);
+    }
+
+    /** Both hosts' parts count: what one granted is missing at the other. */
+    @Test
+    void whatOneHostGrantsIsMissingAtTheOthers() throws Exception {
+      configure(List.of("key-one", "key-two"), 100);
+      LoopbackFleet.await("a refusal at host 1", () -> status(1, "f", "key-one") == 429);
+      LoopbackFleet.await("a refusal at host 2", () -> status(2, "g", "key-one") == 429);
+    }
+  }
+}
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.schema.settings.NodeSettings;
@@ -72,7 +73,8 @@
             50,
             10_000,
             5_000,
-            100);
+            100,
+            AllowanceSettings.DEFAULT);
     Node node =
         Node.start(
             NodeSettings.newBuilder().setAddressTtlMs(1_000).build(),
@@ -159,6 +161,13 @@
         StandinConfiguration.key(), StandinConfiguration.configuration(++version, List.of(routes)));
   }
 
+  /** Writes the next configuration with workspaces, so that requests need keys. */
+  void configure(List<String> routes, List<String> workspaces) {
+    store.put(
+        StandinConfiguration.key(),
+        StandinConfiguration.configuration(++version, routes, workspaces));
+  }
+
   static String route(String prefix, String kind, String service, boolean resumable) {
     return StandinConfiguration.route(prefix, kind, service, resumable);
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
@@ -298,7 +300,8 @@
           50,
           10_000,
           5_000,
-          100);
+          100,
+          AllowanceSettings.DEFAULT);
     }
 
     private PeerHeartbeats peerDesk(long incarnation) {
@@ -309,6 +312,7 @@
           shape,
           new FleetLoad(),
           holdings,
+          new FleetSpending(8_000),
           this::send,
           this::state,
           (from, state) -> StateCodec.holdings(from, state, now).forEach(holdings::told),
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AllowanceWorld.java
@@ -0,0 +1,175 @@
+package org.sequoiahub.node.peer;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.Random;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.workspace.Allowance;
+import org.sequoiahub.core.workspace.Workspace;
+
+/**
+ * Hosts that serve one workspace with a limit, in virtual time, and an observer who counts what was
+ * granted as the operators would. The observer shares no code with the decision.
+ */
+final class AllowanceWorld {
+
+  /** Tokens of one request: a long brief. */
+  static final long COST = 9_490;
+
+  static final double PER_SECOND = 29_000;
+
+  /** The operators' bound: a quarter more than the allowance of a window, and as much besides. */
+  private static final double OVER = 1.25;
+
+  private static final double SLACK = 110_000;
+  private static final long WINDOW_MILLIS = 8_000;
+  private static final int STEP_MILLIS = 10;
+
+  /** Decides whether a host may serve a request. */
+  @FunctionalInterface
+  interface Policy {
+    boolean take(PeerWorld.Host host, Workspace workspace, long cost, long nowMillis);
+  }
+
+  /** The decision of the product. */
+  static final Policy LATE_SUMS =
+      (host, workspace, cost, now) -> host.allowances.take(workspace, cost, now).granted();
+
+  final PeerWorld peers;
+  private final Policy policy;
+  private final Random random;
+  private final Deque<long[]> granted = new ArrayDeque<>();
+  private Workspace workspace;
+  private double owing;
+  private long grantedInWindow;
+  private long countedFromMillis;
+  private double worstWindow;
+  private long askedCount;
+  private long refusedCount;
+  private long grantedTokens;
+  private final long[] grantedByHost;
+
+  AllowanceWorld(long seed, int hosts, Policy policy) {
+    this.peers = new PeerWorld(seed, hosts, 4);
+    this.policy = policy;
+    this.grantedByHost = new long[hosts];
+    this.random = new Random(seed);
+    this.workspace = limitedTo(PER_SECOND);
+    configure();
+  }
+
+  private static Workspace limitedTo(double perSecond) {
+    return new Workspace("w", 1, new Allowance(perSecond, perSecond, Allowance.Unit.TOKENS, 200));
+  }
+
+  /** Sets another limit at all hosts. */
+  void limit(double perSecond) {
+    workspace = limitedTo(perSecond);
+    configure();
+  }
+
+  private void configure() {
+    for (PeerWorld.Host host : peers.running()) {
+      host.allowances.configured(java.util.List.of(workspace), peers.now());
+    }
+  }
+
+  /** Starts a host anew; it reads the configuration at once. */
+  void restart(int number) {
+    peers.start(number);
+    configure();
+  }
+
+  /** Lets time pass in which callers ask for so many times the limit, at hosts drawn at random. */
+  void ask(long millis, double timesLimit) {
+    ask(millis, timesLimit, -1);
+  }
+
+  /** The same at one host; at random ones if {@code at} is negative. */
+  void ask(long millis, double timesLimit, int at) {
+    for (long end = peers.now() + millis; peers.now() < end; ) {
+      owing += timesLimit * PER_SECOND * STEP_MILLIS / 1_000;
+      // A request is asked for when a random part of its tokens is owing: arrivals are uneven.
+      while (owing >= COST * random.nextDouble() * 2) {
+        owing -= COST;
+        request(at < 0 ? random.nextInt(peers.size()) : at);
+      }
+      peers.pass(STEP_MILLIS);
+    }
+  }
+
+  private void request(int number) {
+    PeerWorld.@Nullable Host host = peers.host(number);
+    if (host == null) {
+      return;
+    }
+    askedCount++;
+    if (policy.take(host, workspace, COST, peers.now())) {
+      observe(COST);
+      grantedByHost[number] += COST;
+    } else {
+      refusedCount++;
+    }
+  }
+
+  private void observe(long tokens) {
+    long now = peers.now();
+    granted.add(new long[] {now, tokens});
+    grantedInWindow += tokens;
+    grantedTokens += tokens;
+    while (granted.element()[0] <= now - WINDOW_MILLIS) {
+      grantedInWindow -= granted.remove()[1];
+    }
+    if (now - countedFromMillis >= WINDOW_MILLIS) {
+      worstWindow = Math.max(worstWindow, grantedInWindow / bound());
+    }
+  }
+
+  private double bound() {
+    double limit = workspace.allowance().perSecond();
+    return (limit * WINDOW_MILLIS / 1_000 + workspace.allowance().burst()) * OVER + SLACK;
+  }
+
+  /** Begins to count anew; windows that begin before do not count. */
+  void countFromNow() {
+    countedFromMillis = peers.now();
+    worstWindow = 0;
+    askedCount = 0;
+    refusedCount = 0;
+    grantedTokens = 0;
+    Arrays.fill(grantedByHost, 0);
+  }
+
+  /** Counts from now on, also windows that began before. */
+  void countAllFromNow() {
+    countFromNow();
+    countedFromMillis = peers.now() - WINDOW_MILLIS;
+  }
+
+  /** Returns the most that was granted in a window, as a part of what the operators accept. */
+  double worstWindow() {
+    return worstWindow;
+  }
+
+  /** Returns the tokens that some of the hosts granted. */
+  long grantedBy(IntPredicate hosts) {
+    return IntStream.range(0, grantedByHost.length)
+        .filter(hosts)
+        .mapToLong(host -> grantedByHost[host])
+        .sum();
+  }
+
+  /** Returns the part of the requests that was refused. */
+  double refusedPart() {
+    return askedCount == 0 ? 0 : (double) refusedCount / askedCount;
+  }
+
+  /** Returns what was granted, as a part of the limit over the time counted. */
+  double grantedPart() {
+    double seconds = (peers.now() - countedFromMillis) / 1_000.0;
+    return grantedTokens / (workspace.allowance().perSecond() * seconds);
+  }
+}
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -9,6 +9,9 @@
 import java.util.Set;
 import java.util.function.BiPredicate;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.allowance.AllowanceKeeper;
+import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.MemberSettings;
@@ -24,14 +27,20 @@
 /** Hosts that tell each other of themselves, in virtual time; datagrams are late and get lost. */
 final class PeerWorld {
 
+  /** The users' figure. */
+  static final AllowanceSettings ALLOWANCES = new AllowanceSettings(8_000);
+
   private static final int TICK_MILLIS = 10;
   private static final int MAX_DELAY_MILLIS = 5;
 
   /** One datagram in so many is lost. */
   private static final int LOSS = 100;
 
+  private int lossOneIn = LOSS;
+
   private final Random random;
   private final int domains;
+  private final int size;
   private final List<@Nullable Host> hosts = new ArrayList<>();
   private final PriorityQueue<Late> late = new PriorityQueue<>();
   private BiPredicate<Integer, Integer> cut = (from, to) -> false;
@@ -54,6 +63,8 @@
     final Members<HostState> members;
     final FleetLoad loads = new FleetLoad();
     final Holdings holdings = new Holdings();
+    final FleetSpending spending = new FleetSpending(ALLOWANCES.windowMillis());
+    final AllowanceKeeper allowances = new AllowanceKeeper(spending, ALLOWANCES, size > 1, now);
     final Set<String> words = new HashSet<>();
     final FleetShape shape;
     final PeerHeartbeats heartbeats;
@@ -74,6 +85,7 @@
               shape,
               loads,
               holdings,
+              spending,
               (ip, datagram) -> send(number, ip, datagram),
               this::state,
               this::told,
@@ -135,6 +147,7 @@
   }
 
   PeerWorld(long seed, int count, int domains) {
+    this.size = count;
     this.random = new Random(seed);
     this.domains = domains;
     for (int host = 0; host < count; host++) {
@@ -166,7 +179,8 @@
         50,
         10_000,
         5_000,
-        processor(number));
+        processor(number),
+        AllowanceSettings.DEFAULT);
   }
 
   long now() {
@@ -202,6 +216,20 @@
     cut = lost;
   }
 
+  /** From now on one datagram in so many is lost. */
+  void loseOneIn(int datagrams) {
+    lossOneIn = datagrams;
+  }
+
+  /** Returns the host with a number, if it runs. */
+  @Nullable Host host(int number) {
+    return hosts.get(number);
+  }
+
+  int size() {
+    return size;
+  }
+
   void pass(long millis) {
     for (long end = now + millis; now < end; now += TICK_MILLIS) {
       while (!late.isEmpty() && late.peek().atMillis <= now) {
@@ -211,6 +239,7 @@
         host.heartbeats.tick(now);
         host.runnerEnds.tick(now);
         host.members.forget(now);
+        host.allowances.upkeep(now);
       }
     }
   }
@@ -218,7 +247,7 @@
   private void send(int from, String ip, byte[] datagram) {
     bytes += datagram.length;
     int to = Integer.parseInt(ip.substring("ip-".length()));
-    boolean lost = cut.test(from, to) || random.nextInt(LOSS) == 0;
+    boolean lost = cut.test(from, to) || random.nextInt(lossOneIn) == 0;
     if (to < hosts.size() && !lost) {
       late.add(new Late(now + 1 + random.nextInt(MAX_DELAY_MILLIS), number++, from, to, datagram));
     }
@@ -233,7 +262,7 @@
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
       String ip = "ip-" + arrived.from;
       if (datagram.hasDigest()) {
-        to.heartbeats.receivedDigest(ip, datagram.getDigest(), now);
+        to.heartbeats.receivedDigest(ip, datagram, now);
       } else if (datagram.hasEnds()) {
         to.runnerEnds.received(datagram.getHost(), ip, datagram.getEnds(), now);
       } else {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/StandinRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/StandinRunnerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,7 @@
 import org.sequoiahub.core.holding.ReportReply;
 import org.sequoiahub.core.holding.RunnerReport;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.usersplatform.OrderClient;
 import org.sequoiahub.usersplatform.RecordDecoder;
 import org.sequoiahub.usersplatform.standin.StandinRunner;
@@ -34,7 +36,7 @@
     HttpClient http = UpstreamClient.start();
     try (StandinRunner runner = new StandinRunner("i-1", "llm", "m", 4)) {
       runner.loadMillis(60_000);
-      RecordDecoder decoder = new RecordDecoder();
+      RecordDecoder decoder = new RecordDecoder(KeyHasher.drawn(new SecureRandom()));
       RunnerEntry entry = decoder.runner("i-1", runner.entry("ready").getBytes(UTF_8));
       OrderClient client = new OrderClient(http, decoder);
       Order load = new Order(Order.Operation.LOAD, "m", "a1", 0);
