Hosts wake up and place waiting requests again only when something may have changed

Change: a request that waits for its adapter is placed again when what its runner holds changes, when the adapter is due, or after 100 ms (30 before); demands are summed on a change and each 60 ms (10 before); the decision thread ticks each 25 ms while nothing waits; one read a datagram that came.

Ruled out: less inlining by the compiler (98.1 s against 93.0), no hsperf data, one compiler thread, thresholds twice as high (1.7 s a self-check for each, within noise); the interpreter alone takes 2.3 s.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/holding/Holdings.java
@@ -15,6 +15,9 @@
 
   private final Map<String, Holding> byRunner = new HashMap<>();
 
+  /** How often what each runner holds, or who orders it, was seen to change. */
+  private final Map<String, Long> changes = new HashMap<>();
+
   /** When the last adapter that is on its way to each runner is there (ms). */
   private final Map<String, Long> lastReadyMillis = new HashMap<>();
 
@@ -59,12 +62,41 @@
     if (current == null || holding.token >= current.token) {
       byRunner.put(runner, holding);
       lastReadyMillis.put(runner, lastReadyMillis(holding));
+      if (current == null || !isAlike(current, holding)) {
+        changes.merge(runner, 1L, Long::sum);
+      }
       if (current != null && !current.items.keySet().equals(holding.items.keySet())) {
         noteDropped(runner, current, holding);
       }
     }
   }
 
+  /** Returns whether two holdings serve the same requests, now or as soon as they are there. */
+  private static boolean isAlike(Holding before, Holding now) {
+    return before.host.equals(now.host)
+        && hasSameVersions(before.items, now.items)
+        && before.models.equals(now.models)
+        && (before.freePlaces > 0) == (now.freePlaces > 0);
+  }
+
+  private static boolean hasSameVersions(Map<String, HeldItem> before, Map<String, HeldItem> now) {
+    if (before.size() != now.size()) {
+      return false;
+    }
+    for (HeldItem item : now.values()) {
+      HeldItem earlier = before.get(item.target());
+      if (earlier == null || earlier.version() != item.version()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns a number that differs whenever what a runner holds has changed. */
+  public long changes(String runner) {
+    return changes.getOrDefault(runner, 0L);
+  }
+
   private static long lastReadyMillis(Holding holding) {
     long last = Long.MIN_VALUE;
     for (HeldItem item : holding.items.values()) {
@@ -103,6 +135,7 @@
   public void retain(Set<String> known) {
     byRunner.keySet().retainAll(known);
     lastReadyMillis.keySet().retainAll(known);
+    changes.keySet().retainAll(known);
     dropped.keySet().retainAll(known);
   }
 
--- a/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
+++ b/sequoia-dispatcher/src/main/java/org/sequoiahub/dispatcher/Dispatcher.java
@@ -64,7 +64,7 @@
         new Duty<>(
             "dispatcher",
             RING,
-            TICK_MILLIS,
+            () -> TICK_MILLIS,
             state::handle,
             now -> {
               feed.tick(now);
--- a/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
+++ b/sequoia-entry/src/main/java/org/sequoiahub/entry/Entry.java
@@ -70,7 +70,7 @@
         new Duty<>(
             "entry",
             RING,
-            TICK_MILLIS,
+            () -> TICK_MILLIS,
             state::handle,
             now -> {
               feed.tick(now);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -78,9 +78,15 @@
 
   private static final int RING = 65_536;
 
-  /** The decision thread looks after what is due this often (ms). */
+  /** The decision thread looks after what is due this often while requests wait (ms). */
   private static final long TICK_MILLIS = 10;
 
+  /**
+   * The same while none does (ms): what is due then are heartbeats, deadlines and second sends, and
+   * to wake up is most of what an idle host spends.
+   */
+  private static final long CALM_TICK_MILLIS = 25;
+
   /** Leases, orders and the store are looked after this often (ms). */
   private static final long SLOW_TICK_MILLIS = 20;
 
@@ -167,7 +173,7 @@
         new Duty<>(
             "decisions",
             RING,
-            TICK_MILLIS,
+            this::tickMillis,
             Runnable::run,
             this::tick,
             this::defect,
@@ -387,11 +393,17 @@
         MonotonicClock.SYSTEM::nowMillis);
   }
 
+  private long tickMillis() {
+    return calls.isAnyWaiting() ? TICK_MILLIS : CALM_TICK_MILLIS;
+  }
+
   private void tick(long nowMillis) {
     calls.tick(nowMillis);
-    Map<String, List<Demand>> demands = calls.demands(nowMillis);
-    holder.localDemands(demands, nowMillis);
-    demandSender.tell(demands, nowMillis);
+    if (calls.demandsDue(nowMillis)) {
+      Map<String, List<Demand>> demands = calls.demands(nowMillis);
+      holder.localDemands(demands, nowMillis);
+      demandSender.tell(demands, nowMillis);
+    }
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
       slowTickMillis = nowMillis;
       if (watchesStore()) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -49,6 +49,9 @@
   /** When it is to be placed again while it waits (ms). */
   long placeAgainMillis;
 
+  /** What {@link FleetView#holdingChanges} said of that runner when it was last placed. */
+  long holdingChanges;
+
   /** When it last looked at all runners while it waited (ms). */
   long lookedRoundMillis;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -228,6 +228,11 @@
         .orElseGet(() -> runner.heldAdapters().containsKey(target));
   }
 
+  /** Returns a number that differs whenever what a runner holds has changed. */
+  long holdingChanges(RunnerEntry runner) {
+    return holdings.changes(runner.id());
+  }
+
   /** Returns how many requests use a generation's adapter or wait for it, at all runners. */
   int adapterUses(@Nullable Generation generation, long nowMillis) {
     return generation == null || !generation.usesAdapter()
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -67,11 +67,20 @@
   private static final long LOOK_ROUND_MILLIS = 100;
 
   /**
-   * A waiting request is placed again this often at most, and sooner when its adapter is due (ms).
-   * Each time goes over all runners; an adapter takes 250 ms and more.
+   * A request whose adapter is there waits for prompts ahead of it: it is placed again this often
+   * (ms).
    */
   private static final long PLACE_AGAIN_MILLIS = 30;
 
+  /**
+   * One that waits for its adapter is placed again when what its runner holds changes, when the
+   * adapter is due, and this often (ms): in between it would only find the same again.
+   */
+  private static final long ADAPTER_LOOK_MILLIS = 100;
+
+  /** What requests wait for is told on a change and at least this often (ms): it grows old. */
+  private static final long DEMAND_MILLIS = 60;
+
   /** Retry-After when no runner of the service is known (ms): entries come back within 2 s. */
   private static final long NO_RUNNER_RETRY_MILLIS = 500;
 
@@ -108,6 +117,9 @@
   private final OwnAnswers answers;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lookedMillis;
+  private int waiting;
+  private boolean demandsChanged;
+  private long demandsToldMillis;
   private @Nullable Shutdown shutdown;
 
   /**
@@ -212,7 +224,7 @@
       } else if (nowMillis >= call.endMillis()) {
         expired(call, nowMillis);
       } else if (call.running.isEmpty()) {
-        if (nowMillis >= call.placeAgainMillis) {
+        if (mayBePlacedAnew(call, nowMillis)) {
           place(call, nowMillis);
         }
       } else {
@@ -221,6 +233,29 @@
     }
   }
 
+  private boolean mayBePlacedAnew(Call call, long nowMillis) {
+    RunnerEntry runner = call.waitingAt;
+    return nowMillis >= call.placeAgainMillis
+        || runner == null
+        || fleet.holdingChanges(runner) != call.holdingChanges;
+  }
+
+  /** Returns whether a request waits for something that may come any moment. */
+  public boolean isAnyWaiting() {
+    return waiting > 0;
+  }
+
+  /** Returns whether what requests wait for is to be told now; if so, it counts as told. */
+  public boolean demandsDue(long nowMillis) {
+    boolean repeated = waiting > 0 && nowMillis - demandsToldMillis >= DEMAND_MILLIS;
+    if (!demandsChanged && !repeated) {
+      return false;
+    }
+    demandsChanged = false;
+    demandsToldMillis = nowMillis;
+    return true;
+  }
+
   /** Returns what requests wait for, by runner. */
   public Map<String, List<Demand>> demands(long nowMillis) {
     Map<String, Map<String, Demand>> byRunner = new HashMap<>();
@@ -378,13 +413,19 @@
   }
 
   private void waitAt(Call call, Candidate candidate, long nowMillis) {
-    call.placeAgainMillis = nowMillis + Math.min(PLACE_AGAIN_MILLIS, candidate.adapterWaitMillis());
+    long adapterWait = candidate.adapterWaitMillis();
+    call.placeAgainMillis =
+        nowMillis
+            + (adapterWait > 0 ? Math.min(ADAPTER_LOOK_MILLIS, adapterWait) : PLACE_AGAIN_MILLIS);
+    call.holdingChanges = fleet.holdingChanges(candidate.runner());
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
       return;
     }
     stopWaiting(call);
     call.waitingAt = candidate.runner();
+    waiting++;
+    demandsChanged = true;
     call.waitingSinceMillis = nowMillis;
     call.waitingTokens = candidate.unreadTokens();
     fleet.loads().add(candidate.runner().id(), 1, 0, call.waitingTokens, call.adapter());
@@ -408,6 +449,8 @@
     if (before != null) {
       fleet.loads().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
       call.waitingAt = null;
+      waiting--;
+      demandsChanged = true;
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DatagramPort.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DatagramPort.java
@@ -50,7 +50,9 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES))
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new FixedRecvByteBufAllocator(MAX_BYTES).maxMessagesPerRead(1))
             .handler(new Inbound(log, receiver))
             .bind(new InetSocketAddress(ip, port))
             .awaitUninterruptibly();
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/duty/Duty.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/duty/Duty.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
 import org.jspecify.annotations.Nullable;
 
@@ -29,7 +30,7 @@
   private final LongConsumer tick;
   private final Consumer<Throwable> onFailure;
   private final MonotonicClock clock;
-  private final long tickMillis;
+  private final LongSupplier period;
   private final Thread thread;
   private volatile boolean running = true;
   private volatile boolean parked;
@@ -39,7 +40,8 @@
    *
    * @param name the thread's name
    * @param capacity the ring's capacity
-   * @param tickMillis how often {@code tick} is called at least
+   * @param period how often {@code tick} is called at least (ms), asked again after each tick and
+   *     each event
    * @param handler handles one event
    * @param tick does what is due at the time it is given
    * @param onFailure is told what a handler or tick threw; the duty goes on
@@ -49,19 +51,18 @@
   public Duty(
       String name,
       int capacity,
-      long tickMillis,
+      LongSupplier period,
       Consumer<E> handler,
       LongConsumer tick,
       Consumer<Throwable> onFailure,
       MonotonicClock clock) {
     checkArgument(capacity > 0, "capacity must be above 0, was %s", capacity);
-    checkArgument(tickMillis > 0, "tickMillis must be above 0, was %s", tickMillis);
     this.ring = new ManyToOneConcurrentArrayQueue<>(capacity);
     this.handler = requireNonNull(handler, "handler must not be null");
     this.tick = requireNonNull(tick, "tick must not be null");
     this.onFailure = requireNonNull(onFailure, "onFailure must not be null");
     this.clock = requireNonNull(clock, "clock must not be null");
-    this.tickMillis = tickMillis;
+    this.period = requireNonNull(period, "period must not be null");
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -119,7 +120,7 @@
   }
 
   private void run() {
-    long nextTick = clock.nowMillis();
+    long lastTick = Long.MIN_VALUE / 2;
     while (running || !ring.isEmpty()) {
       int handled = 0;
       @Nullable E event = ring.poll();
@@ -129,12 +130,13 @@
         event = ++handled < BATCH ? ring.poll() : null;
       }
       long now = clock.nowMillis();
-      if (now >= nextTick) {
+      if (now >= lastTick + period.getAsLong()) {
         guarded(() -> tick.accept(now));
-        nextTick = now + tickMillis;
+        lastTick = now;
       }
       if (handled == 0) {
-        park(nextTick - now);
+        // An event, or the tick itself, may have brought the next one forward.
+        park(lastTick + period.getAsLong() - now);
       }
     }
   }
--- a/sequoia-watcher/src/main/java/org/sequoiahub/watcher/Watcher.java
+++ b/sequoia-watcher/src/main/java/org/sequoiahub/watcher/Watcher.java
@@ -48,7 +48,7 @@
         new Duty<>(
             "watcher",
             RING,
-            TICK_MILLIS,
+            () -> TICK_MILLIS,
             state::handle,
             state::tick,
             state::failed,
