--- a/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
@@ -145,7 +145,7 @@
   }
 
   /** Returns this host's own part, for the others. */
-  public ToldSpending own(long nowMillis) {
+  public ToldSpending ownPart(long nowMillis) {
     return sums(source -> false, 1, nowMillis);
   }
 
--- a/sequoia-core/src/test/java/org/sequoiahub/core/allowance/FleetSpendingTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/allowance/FleetSpendingTest.java
@@ -18,6 +18,9 @@
   private static final Workspace LIMITED =
       new Workspace("w", 1, new Allowance(1_000, 2_000, Allowance.Unit.TOKENS, 10));
 
+  /** A word and when it arrives. */
+  private record Word(long atMillis, ToldSpending told) {}
+
   /** The other host's clock differs from this one's. */
   private static final long OTHER_CLOCK = 7_654_321;
 
@@ -35,7 +38,6 @@
     Random random = new Random(seed);
     FleetSpending here = new FleetSpending(8_000);
     FleetSpending there = new FleetSpending(8_000);
-    record Word(long atMillis, ToldSpending told) {}
     List<Word> words = new ArrayList<>();
     long spent = 0;
     for (long now = 10_000; now < 16_000; now += 50) {
@@ -44,7 +46,7 @@
         spent += 100;
       }
       if (now % 100 == 0 && random.nextInt(5) > 0) {
-        ToldSpending told = there.own(now + OTHER_CLOCK);
+        ToldSpending told = there.ownPart(now + OTHER_CLOCK);
         words.add(new Word(now + random.nextInt(200), told));
         if (random.nextInt(4) == 0) {
           words.add(new Word(now + random.nextInt(200), told));
@@ -74,8 +76,8 @@
     spending.add("w", 5, 10_000);
     FleetSpending other = new FleetSpending(8_000);
     other.add("w", 7, 10_000);
-    spending.told("a", "a 1", other.own(10_000), 10_000);
-    spending.told("b", "b 1", other.own(10_000), 10_000);
+    spending.told("a", "a 1", other.ownPart(10_000), 10_000);
+    spending.told("b", "b 1", other.ownPart(10_000), 10_000);
     ToldSpending some = spending.sums(source -> source.equals("a"), 2, 10_000);
     assertThat(some.hosts()).isEqualTo(2);
     assertThat(newest(some)).isEqualTo(12);
@@ -89,7 +91,7 @@
     FleetSpending here = new FleetSpending(8_000);
     FleetSpending delegate = new FleetSpending(8_000);
     here.add("w", 5, 10_000);
-    delegate.told("here", "here 1", here.own(10_100), 10_100);
+    delegate.told("here", "here 1", here.ownPart(10_100), 10_100);
     delegate.add("w", 7, 10_100);
     here.told(FleetSpending.WHOLE, "d 1", delegate.whole(11_000), 11_000);
     assertThat(here.known("w", Slots.index(10_000))).isEqualTo(12);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -570,12 +570,12 @@
     if (!call.running.remove(running)) {
       return;
     }
-    long now = clock.getAsLong();
     release(call, running);
     if (call.done) {
       return;
     }
     call.mayHaveRun |= !(outcome instanceof Outcome.Refused || outcome instanceof Outcome.NotSent);
+    long now = clock.getAsLong();
     if (outcome instanceof Outcome.StreamEnded) {
       fleet.health(running.runner).succeeded(now - running.startedMillis, now);
       call.relay.end();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -200,7 +200,7 @@
     boolean complete = whole || nowMillis - completeMillis >= members.periodMillis();
     HostState.Builder state = ownState.state(withHoldings, complete);
     if (!spending.isUnused()) {
-      state.setSpending(StateCodec.encodeSpending(spending.own(nowMillis)));
+      state.setSpending(StateCodec.encodeSpending(spending.ownPart(nowMillis)));
     }
     if (complete) {
       completeMillis = nowMillis;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/AccessKeyTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/AccessKeyTest.java
@@ -77,7 +77,7 @@
   @Nested
   class Requests {
     @Test
-    void withAKeyRunForItsWorkspaceAndTheKeyStaysHere() throws Exception {
+    void withKeyRunForItsWorkspaceAndTheKeyStaysHere() throws Exception {
       Request request = withKey(request(1, "/a/x", "q1"), "key-two");
       request.headers(headers -> headers.add(Headers.WORKSPACE, "other"));
       assertThat(request.send().getStatus()).isEqualTo(200);
@@ -86,7 +86,7 @@
     }
 
     @Test
-    void withoutAKeyDoNotRun() throws Exception {
+    void withoutKeyDoNotRun() throws Exception {
       assertThat(request(1, "/a/x", "q1").send().getStatus()).isEqualTo(401);
       assertThat(status(1, "q2", "key-four")).isEqualTo(401);
       assertThat(runner.runs()).isEmpty();
@@ -109,7 +109,7 @@
           "Bearer KEY-ONE",
           "Bearer key-one key-one",
           "Bearer key-one, Bearer key-three",
-          "Bearer \u00e9\u00fc"
+          "Bearer éü"
         })
     void withWhatIsNoKeyAreToldSo(String value) throws Exception {
       Request request = request(1, "/a/x", "q1");
@@ -119,7 +119,7 @@
     }
 
     @Test
-    void withALongKeyAreToldSo() {
+    void withLongKeyAreToldSo() {
       assertThat(status(1, "q1", "k".repeat(8_000))).isEqualTo(401);
     }
 
@@ -202,7 +202,7 @@
    * <p>Events: operators list one key in two workspaces, and correct it.
    */
   @Test
-  void configurationWithAKeyInTwoWorkspacesStaysOutOfForce() throws Exception {
+  void configurationWithOneKeyInTwoWorkspacesStaysOutOfForce() throws Exception {
     configure(List.of("key-one", "key-three"), 0);
     configure(List.of("key-one", "key-five"), 0);
     LoopbackFleet.await("the corrected one", () -> status(1, "c", "key-five") == 200);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/AllowanceTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AllowanceTest.java
@@ -98,7 +98,7 @@
     }
 
     @Test
-    void usualLoadIsMostlyServedDuringACut() {
+    void usualLoadIsMostlyServedDuringCuts() {
       AllowanceWorld world = world(77);
       world.ask(10_000, USUAL);
       world.peers.cut((from, to) -> from % 2 != to % 2);
