Beyond a workspace's allowance, small requests are refused last

In debt all were refused alike, and as hosts hear of each other late they granted and refused all together by turns.

Two ways on the same load: as they come; and, kept, by size: a request may find a debt of up to half of the burst if it is large (drawn anew each time) and of nearly the burst if it is small.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/allowance/AllowanceKeeper.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/AllowanceKeeper.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.sequoiahub.core.allowance.FleetSpending.Source;
 import org.sequoiahub.core.workspace.Allowance;
 import org.sequoiahub.core.workspace.Workspace;
@@ -16,8 +17,12 @@
  * Decides whether a workspace may spend, by what all hosts together have spent.
  *
  * <p>Each decision fills a token bucket anew from the start of the window, slot by slot. What other
- * hosts told late thus counts at the time at which it was spent. A request is granted while
- * anything is left and may leave a debt, which is paid back.
+ * hosts told late thus counts at the time at which it was spent.
+ *
+ * <p>A request is granted while anything is left and may leave a debt, which is paid back. In debt,
+ * fewer are granted the deeper it is, down to the whole burst: were all granted or all refused, the
+ * hosts would swing between both together, as they learn of each other late. Small requests are
+ * refused last: they cost the workspace little, and most of its callers wait for them.
  *
  * <p>What is not known yet is assumed: a source goes on spending as it did before it was heard
  * last. That makes up for the time that words are on their way. If it stays silent, it may be cut
@@ -35,11 +40,16 @@
   /** Shortest time after which a refused request may come back (ms). */
   private static final long LEAST_RETRY_MILLIS = 100;
 
+  /** Part of the burst that is left to small requests when large ones are refused. */
+  private static final double LARGE_PART = 0.5;
+
   private static final double MILLIS = 1_000;
 
   private final FleetSpending spending;
   private final AllowanceSettings settings;
   private final boolean othersExpected;
+  private final DoubleSupplier draw;
+  private final Map<String, MeanCost> meanCosts = new HashMap<>();
   private final long startSlot;
   private final Map<String, List<Change>> changes = new HashMap<>();
   private long upkeepSlot = Long.MIN_VALUE;
@@ -60,16 +70,19 @@
    * Creates a keeper.
    *
    * @param othersExpected whether there are other hosts, heard or not
+   * @param draw draws numbers evenly from 0 (inclusive) to 1 (exclusive)
    * @param startedMillis when this host began to count: before, it knows of nothing
    */
   public AllowanceKeeper(
       FleetSpending spending,
       AllowanceSettings settings,
       boolean othersExpected,
+      DoubleSupplier draw,
       long startedMillis) {
     this.spending = requireNonNull(spending, "spending must not be null");
     this.settings = requireNonNull(settings, "settings must not be null");
     this.othersExpected = othersExpected;
+    this.draw = requireNonNull(draw, "draw must not be null");
     this.startSlot = Slots.index(startedMillis);
   }
 
@@ -102,8 +115,12 @@
       return new Decision(true, Double.POSITIVE_INFINITY, 0);
     }
     double level = level(workspace.name(), allowance, nowMillis);
-    double needed = Math.min(cost, allowance.burst()) * unheardPart();
-    if (level <= needed) {
+    MeanCost mean = meanCosts.computeIfAbsent(workspace.name(), name -> new MeanCost());
+    mean.asked(cost);
+    double unheard = unheardPart();
+    double needed = Math.min(cost, allowance.burst()) * unheard;
+    double debt = allowance.burst() * (1 - unheard) * debtPart(mean.relative(cost));
+    if (level <= needed - debt) {
       long wait = (long) Math.ceil((needed - level) / allowance.perSecond() * MILLIS);
       return new Decision(false, level, Math.max(LEAST_RETRY_MILLIS, wait));
     }
@@ -111,6 +128,15 @@
     return new Decision(true, level, 0);
   }
 
+  /**
+   * Returns the part of the burst that a request may find as a debt: of the largest up to a half,
+   * drawn anew each time, of the smallest nearly all.
+   */
+  private double debtPart(double relativeCost) {
+    double most = 1 - LARGE_PART * relativeCost;
+    return most * (1 - draw.getAsDouble() * relativeCost);
+  }
+
   /**
    * Returns the part of the hosts that cannot be heard. So much of a request must be left before it
    * is granted: parts of the fleet that each leave a debt then leave one request's debt together.
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -180,7 +180,8 @@
             MonotonicClock.SYSTEM);
     this.spending = new FleetSpending(host.allowances().windowMillis());
     this.allowances =
-        new AllowanceKeeper(spending, host.allowances(), host.expectsOthers(), startedMillis);
+        new AllowanceKeeper(
+            spending, host.allowances(), host.expectsOthers(), random::nextDouble, startedMillis);
     KeyHasher keys = KeyHasher.drawn(new SecureRandom());
     RecordDecoder decoder = new RecordDecoder(keys);
     this.store = new StoreRegistry(decoder, book, this::inForce, this::changed, log);
