One rule says whose spending counts where; sums over slots use the ring's own

Which source a host counts was written twice, at intake and in upkeep; an ordinary host of a large fleet took in what upkeep dropped again with the next tick.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/allowance/AllowanceKeeper.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/AllowanceKeeper.java
@@ -114,10 +114,10 @@
     if (!allowance.isLimited()) {
       return new Decision(true, Double.POSITIVE_INFINITY, 0);
     }
-    double level = level(workspace.name(), allowance, nowMillis);
+    double unheard = unheardPart();
+    double level = level(workspace.name(), allowance, 1 - unheard, nowMillis);
     MeanCost mean = meanCosts.computeIfAbsent(workspace.name(), name -> new MeanCost());
     mean.asked(cost);
-    double unheard = unheardPart();
     double needed = Math.min(cost, allowance.burst()) * unheard;
     double debt = allowance.burst() * (1 - unheard) * debtPart(mean.relative(cost));
     if (level <= needed - debt) {
@@ -205,16 +205,9 @@
 
   /** Returns what each host that a source tells of spent before it was heard last, by slot. */
   private double ratePerHost(Source source, String workspace) {
-    boolean whole = spending.isWhole(source);
-    // The newest slot told had only begun.
-    long end = source.newestSlot;
-    long spent = 0;
-    for (long slot = end - FleetSpending.RATE_SLOTS; slot < end; slot++) {
-      long own = whole ? spending.own(workspace, slot) : 0;
-      spent += FleetSpending.spent(source, workspace, slot) - own;
-    }
-    int hosts = Math.max(1, whole ? source.hosts - 1 : source.hosts);
-    return Math.max(0.0, spent) / FleetSpending.RATE_SLOTS / hosts;
+    int hosts = Math.max(1, spending.isWhole(source) ? source.hosts - 1 : source.hosts);
+    double spent = spending.othersBefore(source, workspace);
+    return spent / FleetSpending.RATE_SLOTS / hosts;
   }
 
   /** Returns what the fleet left unused before a source was heard last, by slot. */
@@ -230,16 +223,19 @@
     return Math.max(0, allowed - (double) spent / FleetSpending.RATE_SLOTS);
   }
 
-  /** Returns the units that a workspace has left; negative for a debt. */
-  private double level(String workspace, Allowance allowance, long nowMillis) {
+  /**
+   * Returns the units that a workspace has left; negative for a debt.
+   *
+   * @param burstPart part of the burst that the hosts which can be heard may use: the others have
+   *     theirs to themselves
+   */
+  private double level(String workspace, Allowance allowance, double burstPart, long nowMillis) {
     long present = Slots.index(nowMillis);
     long windowStart = present - windowSlots() + 1;
     long first = Math.max(windowStart, startSlot);
     List<Change> known = changes.getOrDefault(workspace, List.of());
     List<Late> late = late(workspace);
     Allowance inForce = allowanceAt(known, allowance, first);
-    // Hosts that cannot be heard have their part of the burst to themselves.
-    double burstPart = 1 - unheardPart();
     // A process that has just started knows nothing of the burst that others may have used.
     double level = windowStart > startSlot ? inForce.burst() * burstPart : 0;
     double fleetPart = othersExpected && spending.hosts() == 1 ? UNKNOWN_FLEET_PART : 1;
--- a/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
@@ -223,7 +223,7 @@
   }
 
   /** Returns what this host itself spent in a slot. */
-  long own(String workspace, long index) {
+  private long own(String workspace, long index) {
     Slots slots = own.get(workspace);
     return slots == null ? 0 : slots.get(index);
   }
@@ -285,7 +285,20 @@
     return whole == null ? 0 : Math.max(0, whole.hosts - 1 - toldHosts());
   }
 
-  static long spent(Source source, String workspace, long index) {
+  /** Returns what the other hosts that a source tells of spent before it was heard last. */
+  long othersBefore(Source source, String workspace) {
+    // The newest slot told had only begun.
+    long end = source.newestSlot;
+    long first = end - RATE_SLOTS;
+    long all = sum(source.spent.get(workspace), first, end);
+    return Math.max(0, isWhole(source) ? all - sum(own.get(workspace), first, end) : all);
+  }
+
+  private static long sum(@Nullable Slots slots, long first, long end) {
+    return slots == null ? 0 : slots.sum(first, end);
+  }
+
+  private static long spent(Source source, String workspace, long index) {
     Slots slots = source.spent.get(workspace);
     return slots == null ? 0 : slots.get(index);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -230,22 +230,20 @@
   }
 
   private void spendingTold(String teller, Digest digest, long nowMillis) {
-    ToldSpending told = StateCodec.decodeSpending(digest.getSpending());
-    if (digest.getGroup().isEmpty()) {
-      if (!shape.isDelegate()) {
-        spending.told(FleetSpending.WHOLE, teller, told, nowMillis);
-      }
-    } else if (shape.isDelegate() && !digest.getGroup().equals(shape.group())) {
-      spending.told(GROUP_SOURCE + digest.getGroup(), teller, told, nowMillis);
+    boolean whole = digest.getGroup().isEmpty();
+    String source = whole ? FleetSpending.WHOLE : GROUP_SOURCE + digest.getGroup();
+    if (whole ? !shape.isDelegate() : coversOthers(source)) {
+      ToldSpending told = StateCodec.decodeSpending(digest.getSpending());
+      spending.told(source, teller, told, nowMillis);
     }
   }
 
   /**
-   * Takes in what a host says that it spent itself; in a large fleet only hosts of this one's group
-   * count so, as the others' groups tell of them.
+   * Takes in what a host says that it spent itself; in a large fleet it counts so at the delegates
+   * of its group only, as these tell the others.
    */
   void spendingTold(String host, long incarnation, HostState state, long nowMillis) {
-    if (state.hasSpending() && (!shape.isLarge() || shape.isNear(host))) {
+    if (state.hasSpending() && coversOthers(host)) {
       ToldSpending told = StateCodec.decodeSpending(state.getSpending());
       spending.told(host, teller(host, incarnation), told, nowMillis);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -38,10 +38,10 @@
     this.members = requireNonNull(members, "members must not be null");
   }
 
-  /** Looks at the members again if it is time to. */
-  public void refresh(long nowMillis) {
+  /** Looks at the members again if it is time to; returns whether it was. */
+  public boolean refresh(long nowMillis) {
     if (nowMillis - refreshedMillis < REFRESH_MILLIS) {
-      return;
+      return false;
     }
     refreshedMillis = nowMillis;
     List<Member<HostState>> reachable = members.reachable(nowMillis);
@@ -50,7 +50,7 @@
       delegates = Set.of();
       told = Set.of();
       groups = Map.of();
-      return;
+      return true;
     }
     Map<String, String> domains = new HashMap<>();
     Map<String, Integer> strengths = new HashMap<>();
@@ -73,6 +73,7 @@
     // again if each told living delegates only; so those that would be delegates are told too.
     told = Delegates.of(groups, host -> strengths.getOrDefault(host, 0));
     told.addAll(delegates);
+    return true;
   }
 
   /** Returns whether the fleet is so large that delegates speak for the others. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -155,8 +155,9 @@
 
   /** Tells what is due. */
   public void tick(long nowMillis) {
-    shape.refresh(nowMillis);
-    digests.upkeep(nowMillis);
+    if (shape.refresh(nowMillis)) {
+      digests.upkeep(nowMillis);
+    }
     if (shape.isLarge()) {
       tickLarge(nowMillis);
     } else {
