In a large fleet callers are sent to the strongest hosts, as many as they need

Cause: every host of a large fleet was named to callers, so that each of 77 served two requests a second, 69 of them with 0.36 of a core, and with code that is never compiled: 25 ms of processor time a request, 9 to 12 where a host serves 17 a second.

Change: hosts tell the requests of their busiest second of ten; the strongest are named until four hundredths of a core are there for each request a second, three tenths of the fleet's processor and two hosts a failure domain at least. CallerHostsTest plays 77 hosts: processor of the host that the mean request meets 48 hundredths before, 150 after. Small fleets name all as before.

Ruled out: naming an address more than once or another part of the hosts in each answer, for weights; callers close connections to hosts that an answer leaves out.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -21,6 +21,9 @@
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
+import org.sequoiahub.core.member.ArrivalRate;
+import org.sequoiahub.core.member.CallerHosts;
+import org.sequoiahub.core.member.CallerHosts.Candidate;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
@@ -35,6 +38,7 @@
 import org.sequoiahub.node.call.FleetView;
 import org.sequoiahub.node.call.QuarantineGate;
 import org.sequoiahub.node.call.RequestCoordinator;
+import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.holder.HolderService;
 import org.sequoiahub.node.peer.DatagramPort;
@@ -118,6 +122,9 @@
 
   private static final int ANSWER_ADDRESSES = 64;
 
+  /** Callers are sent to as many hosts as the busiest of so many seconds needs. */
+  private static final int DEMAND_SECONDS = 10;
+
   private final HostSettings host;
 
   /** Which process of its host this is: the time of day of its start (ms). */
@@ -125,6 +132,7 @@
 
   private final EventLog log;
   private final MetricRegistry metrics = new MetricRegistry();
+  private final ArrivalRate arrivals = new ArrivalRate(DEMAND_SECONDS);
   private final Random random = new Random(new SecureRandom().nextLong());
   private final EventLoopGroup network = WireThreads.one("peers");
   private final HttpClient storeHttp;
@@ -279,7 +287,7 @@
             () -> ready && !leaving,
             () -> limits,
             () -> MetricsText.render(metrics),
-            request -> duty.put(() -> calls.arrived(request)));
+            request -> duty.put(() -> arrived(request)));
   }
 
   /**
@@ -485,19 +493,41 @@
     callerServer.apply(table.limits());
   }
 
+  private void arrived(CallerExchange request) {
+    arrivals.arrived(MonotonicClock.SYSTEM.nowMillis());
+    calls.arrived(request);
+  }
+
   private void refreshAddresses(long nowMillis) {
     ready = fleet.table().isPresent() && book.revision() > 0;
-    List<String> present = new ArrayList<>();
+    List<Candidate> present = new ArrayList<>();
+    int requestsPerSecond = arrivals.perSecond(nowMillis);
     if (ready && !leaving) {
-      present.add(host.ip() + ":" + host.callerPort());
+      present.add(
+          new Candidate(
+              host.host(), callerAddress(), host.failureDomain(), host.processorPercent()));
     }
     for (Member<HostState> member : members.alive(nowMillis)) {
       HostState state = member.state();
-      if (state != null && state.getReady() && present.size() < ANSWER_ADDRESSES) {
-        present.add(state.getCallerAddress());
+      if (state != null) {
+        requestsPerSecond += state.getRequestsPerSecond();
+        if (state.getReady()) {
+          present.add(
+              new Candidate(
+                  member.host(),
+                  state.getCallerAddress(),
+                  state.getFailureDomain(),
+                  state.getProcessor()));
+        }
       }
     }
-    addresses = List.copyOf(present);
+    List<Candidate> named =
+        shape.isLarge() ? CallerHosts.named(present, requestsPerSecond) : present;
+    addresses = named.stream().limit(ANSWER_ADDRESSES).map(Candidate::address).toList();
+  }
+
+  private String callerAddress() {
+    return host.ip() + ":" + host.callerPort();
   }
 
   private void datagram(String ip, PeerDatagram datagram) {
@@ -584,7 +614,8 @@
             .setFailureDomain(host.failureDomain())
             .setProcessor(host.processorPercent())
             .setFirstStart(host.firstStart())
-            .setCallerAddress(host.ip() + ":" + host.callerPort())
+            .setCallerAddress(callerAddress())
+            .setRequestsPerSecond(arrivals.perSecond(now))
             .setReady(ready && !leaving)
             .setLeaving(leaving)
             .setConfigRevision(store.newestOperatorRevision())
