Idle hosts of a large fleet wake up less, and leases are renewed twice a term

Change: a host without requests, runners or a delegate's duty ticks each 100 ms (25 before) and looks after what changes slowly each 250 ms (100); it says that it lives each 250 to 400 ms, by the time after which members are suspected (250); a lease of 1 s is renewed each 500 ms (333).

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -17,7 +17,11 @@
  */
 public final class LeasedAuthority implements Authority {
 
-  private static final int RENEWALS_PER_TERM = 3;
+  /**
+   * A holder whose round of renewals failed asks all hosts in the next one, at the end of the
+   * lease. Until then it may miss some milliseconds of the lease, but nobody else can have got it.
+   */
+  private static final int RENEWALS_PER_TERM = 2;
 
   /**
    * Claims in the time of a lease while it is not held. After a restart of all hosts the granters
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -91,12 +91,21 @@
    */
   private static final long CALM_TICK_MILLIS = 25;
 
+  /**
+   * The same in a large fleet while a host has no request, orders no runner and speaks for no other
+   * (ms): most hosts of such a fleet are idle, and what wakes them up is what they cost.
+   */
+  private static final long IDLE_TICK_MILLIS = 100;
+
   /** Leases, orders and the store are looked after this often (ms). */
   private static final long SLOW_TICK_MILLIS = 20;
 
   /** What changes slowly is looked after this often (ms). */
   private static final long UPKEEP_MILLIS = 100;
 
+  /** The same of a host that only takes requests, in a large fleet. */
+  private static final long ORDINARY_UPKEEP_MILLIS = 250;
+
   /** A host that orders no runner looks this often whether it should (ms). */
   private static final long IDLE_HOLDER_MILLIS = 100;
 
@@ -403,7 +412,11 @@
   }
 
   private long tickMillis() {
-    return calls.isAnyWaiting() ? TICK_MILLIS : CALM_TICK_MILLIS;
+    if (calls.isAnyWaiting()) {
+      return TICK_MILLIS;
+    }
+    boolean idle = isOrdinary() && calls.size() == 0 && !holder.isActive();
+    return idle ? IDLE_TICK_MILLIS : CALM_TICK_MILLIS;
   }
 
   private void tick(long nowMillis) {
@@ -423,7 +436,8 @@
         holder.tick(fleet.engines(nowMillis), nowMillis);
       }
     }
-    if (nowMillis - upkeepMillis >= UPKEEP_MILLIS) {
+    long upkeepPeriod = isOrdinary() ? ORDINARY_UPKEEP_MILLIS : UPKEEP_MILLIS;
+    if (nowMillis - upkeepMillis >= upkeepPeriod) {
       upkeepMillis = nowMillis;
       upkeep(nowMillis);
     }
@@ -431,9 +445,13 @@
     runnerEnds.tick(nowMillis);
   }
 
+  /** Returns whether this host only takes requests: others watch the store and order runners. */
+  private boolean isOrdinary() {
+    return shape.isLarge() && !shape.isDelegate();
+  }
+
   private void upkeep(long nowMillis) {
-    boolean ordinary = shape.isLarge() && !shape.isDelegate();
-    long holderPeriod = ordinary ? ORDINARY_HOLDER_MILLIS : IDLE_HOLDER_MILLIS;
+    long holderPeriod = isOrdinary() ? ORDINARY_HOLDER_MILLIS : IDLE_HOLDER_MILLIS;
     if (!holder.isActive() && nowMillis - idleHolderMillis >= holderPeriod) {
       idleHolderMillis = nowMillis;
       holder.tick(fleet.engines(nowMillis), nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -37,11 +37,14 @@
 
   /**
    * In a large fleet a host tells its delegates of changes this often at most (ms), and that it
-   * lives at least this often.
+   * lives as often as members speak, within two bounds: a silent host is suspected the later, the
+   * larger the fleet is.
    */
   private static final long DELEGATE_PERIOD_MILLIS = 100;
 
-  private static final long DELEGATE_HEARTBEAT_MILLIS = 250;
+  private static final long LEAST_HEARTBEAT_MILLIS = 250;
+
+  private static final long MOST_HEARTBEAT_MILLIS = 400;
 
   /** Hosts named in each state. */
   private static final int GOSSIP = 2;
@@ -167,7 +170,9 @@
 
   private void tickLarge(long nowMillis) {
     long since = nowMillis - sentMillis;
-    if (since >= DELEGATE_HEARTBEAT_MILLIS || (changed && since >= DELEGATE_PERIOD_MILLIS)) {
+    long heartbeat =
+        Math.max(LEAST_HEARTBEAT_MILLIS, Math.min(MOST_HEARTBEAT_MILLIS, members.periodMillis()));
+    if (since >= heartbeat || (changed && since >= DELEGATE_PERIOD_MILLIS)) {
       tell(shape.nearDelegates(), true, nowMillis);
     }
     digests.tick(nowMillis);
