The addresses that callers are named are a class of their own, tested in a fleet of 77

Node had grown by the choice; CallerAddresses now holds the count of requests and builds the candidates, and Node only asks it. CallerAddressesTest: a small fleet names all, a large one its strongest, more when more is asked, this host alone while nobody else serves, weak ones once the strong are silent. No behaviour changed.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,9 +20,6 @@
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
-import org.sequoiahub.core.member.ArrivalRate;
-import org.sequoiahub.core.member.CallerHosts;
-import org.sequoiahub.core.member.CallerHosts.Candidate;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
@@ -41,6 +37,7 @@
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.holder.HolderService;
+import org.sequoiahub.node.peer.CallerAddresses;
 import org.sequoiahub.node.peer.DatagramPort;
 import org.sequoiahub.node.peer.DemandSender;
 import org.sequoiahub.node.peer.FleetShape;
@@ -129,11 +126,6 @@
   /** Runners that vanished this long ago are forgotten (ms). */
   private static final long FORGET_MILLIS = 60_000;
 
-  private static final int ANSWER_ADDRESSES = 64;
-
-  /** Callers are sent to as many hosts as the busiest of so many seconds needs. */
-  private static final int DEMAND_SECONDS = 10;
-
   private final HostSettings host;
 
   /** Which process of its host this is: the time of day of its start (ms). */
@@ -141,7 +133,6 @@
 
   private final EventLog log;
   private final MetricRegistry metrics = new MetricRegistry();
-  private final ArrivalRate arrivals = new ArrivalRate(DEMAND_SECONDS);
   private final Random random = new Random(new SecureRandom().nextLong());
   private final EventLoopGroup network = WireThreads.one("peers");
   private final HttpClient storeHttp;
@@ -160,6 +151,7 @@
   private final RequestCoordinator calls;
   private final HolderService holder;
   private final FleetShape shape;
+  private final CallerAddresses callerAddresses;
   private final PeerHeartbeats peers;
   private final RequestQuarantine knownEnds;
   private final RunnerEndExchange runnerEnds;
@@ -220,6 +212,7 @@
         DatagramPort.open(network, host.ip(), host.datagramPort(), log, this::datagram);
     this.incarnation = System.currentTimeMillis();
     this.shape = new FleetShape(host, members);
+    this.callerAddresses = new CallerAddresses(host, members, shape);
     this.peers =
         new PeerHeartbeats(
             host,
@@ -512,40 +505,13 @@
   }
 
   private void arrived(CallerExchange request) {
-    arrivals.arrived(MonotonicClock.SYSTEM.nowMillis());
+    callerAddresses.arrived(MonotonicClock.SYSTEM.nowMillis());
     calls.arrived(request);
   }
 
   private void refreshAddresses(long nowMillis) {
     ready = fleet.table().isPresent() && book.revision() > 0;
-    List<Candidate> present = new ArrayList<>();
-    int requestsPerSecond = arrivals.perSecond(nowMillis);
-    if (ready && !leaving) {
-      present.add(
-          new Candidate(
-              host.host(), callerAddress(), host.failureDomain(), host.processorPercent()));
-    }
-    for (Member<HostState> member : members.alive(nowMillis)) {
-      HostState state = member.state();
-      if (state != null) {
-        requestsPerSecond += state.getRequestsPerSecond();
-        if (state.getReady()) {
-          present.add(
-              new Candidate(
-                  member.host(),
-                  state.getCallerAddress(),
-                  state.getFailureDomain(),
-                  state.getProcessor()));
-        }
-      }
-    }
-    List<Candidate> named =
-        shape.isLarge() ? CallerHosts.named(present, requestsPerSecond) : present;
-    addresses = named.stream().limit(ANSWER_ADDRESSES).map(Candidate::address).toList();
-  }
-
-  private String callerAddress() {
-    return host.ip() + ":" + host.callerPort();
+    addresses = callerAddresses.named(ready && !leaving, nowMillis);
   }
 
   private void datagram(String ip, PeerDatagram datagram) {
@@ -632,8 +598,8 @@
             .setFailureDomain(host.failureDomain())
             .setProcessor(host.processorPercent())
             .setFirstStart(host.firstStart())
-            .setCallerAddress(callerAddress())
-            .setRequestsPerSecond(arrivals.perSecond(now))
+            .setCallerAddress(callerAddresses.own())
+            .setRequestsPerSecond(callerAddresses.requestsPerSecond(now))
             .setReady(ready && !leaving)
             .setLeaving(leaving)
             .setConfigRevision(store.newestOperatorRevision())
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/CallerAddresses.java
@@ -0,0 +1,82 @@
+package org.sequoiahub.node.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoiahub.core.member.ArrivalRate;
+import org.sequoiahub.core.member.CallerHosts;
+import org.sequoiahub.core.member.CallerHosts.Candidate;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.usersplatform.HostSettings;
+
+/** The addresses that this host names to callers; decision thread only. */
+public final class CallerAddresses {
+
+  /** Addresses in an answer at most: callers take no more. */
+  private static final int ANSWER_ADDRESSES = 64;
+
+  /** Callers are sent to as many hosts as the busiest of so many seconds needs. */
+  private static final int DEMAND_SECONDS = 10;
+
+  private final HostSettings settings;
+  private final Members<HostState> members;
+  private final FleetShape shape;
+  private final ArrivalRate arrivals = new ArrivalRate(DEMAND_SECONDS);
+
+  /** Creates the addresses of a host that has had no request yet. */
+  public CallerAddresses(HostSettings settings, Members<HostState> members, FleetShape shape) {
+    this.settings = requireNonNull(settings, "settings must not be null");
+    this.members = requireNonNull(members, "members must not be null");
+    this.shape = requireNonNull(shape, "shape must not be null");
+  }
+
+  /** Counts a request that a caller sent to this host. */
+  public void arrived(long nowMillis) {
+    arrivals.arrived(nowMillis);
+  }
+
+  /** Returns the requests that came to this host in the busiest of the last seconds. */
+  public int requestsPerSecond(long nowMillis) {
+    return arrivals.perSecond(nowMillis);
+  }
+
+  /** Returns where callers reach this host. */
+  public String own() {
+    return settings.ip() + ":" + settings.callerPort();
+  }
+
+  /**
+   * Returns the addresses to name: of all hosts that take requests, in a large fleet of the
+   * strongest only.
+   *
+   * @param serves whether this host takes requests
+   */
+  public List<String> named(boolean serves, long nowMillis) {
+    List<Candidate> present = new ArrayList<>();
+    int demand = requestsPerSecond(nowMillis);
+    if (serves) {
+      present.add(
+          new Candidate(
+              settings.host(), own(), settings.failureDomain(), settings.processorPercent()));
+    }
+    for (Member<HostState> member : members.alive(nowMillis)) {
+      HostState state = member.state();
+      if (state != null) {
+        demand += state.getRequestsPerSecond();
+        if (state.getReady()) {
+          present.add(candidate(member.host(), state));
+        }
+      }
+    }
+    List<Candidate> named = shape.isLarge() ? CallerHosts.named(present, demand) : present;
+    return named.stream().limit(ANSWER_ADDRESSES).map(Candidate::address).toList();
+  }
+
+  private static Candidate candidate(String host, HostState state) {
+    return new Candidate(
+        host, state.getCallerAddress(), state.getFailureDomain(), state.getProcessor());
+  }
+}
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
@@ -0,0 +1,116 @@
+package org.sequoiahub.node.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.member.MemberSettings;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.usersplatform.HostSettings;
+
+class CallerAddressesTest {
+
+  private static final int STRONG = 150;
+  private static final int WEAK = 36;
+  private static final int DOMAINS = 4;
+  private static final long NOW = 100_000;
+
+  private final Members<HostState> members = new Members<>("host-0", MemberSettings.DEFAULT);
+  private final FleetShape shape = new FleetShape(settings(), members);
+  private final CallerAddresses addresses = new CallerAddresses(settings(), members, shape);
+
+  private static HostSettings settings() {
+    return new HostSettings(
+        "host-0",
+        "z0",
+        "ip-0",
+        1,
+        2,
+        3,
+        4,
+        5,
+        List.of("ip-1"),
+        true,
+        "store:1",
+        8_000,
+        3_000,
+        0.2,
+        50,
+        10_000,
+        5_000,
+        WEAK,
+        AllowanceSettings.DEFAULT);
+  }
+
+  /** Hosts 1 to {@code count}, the first eight of which are strong, tell their state. */
+  private void fleet(int count, int requestsPerSecond, boolean ready, long nowMillis) {
+    for (int number = 1; number <= count; number++) {
+      HostState state =
+          HostState.newBuilder()
+              .setIp("ip-" + number)
+              .setFailureDomain("z" + number % DOMAINS)
+              .setCallerAddress("ip-" + number + ":1")
+              .setProcessor(number <= 8 ? STRONG : WEAK)
+              .setReady(ready)
+              .setRequestsPerSecond(requestsPerSecond)
+              .build();
+      members.heard("host-" + number, "ip-" + number, 1, nowMillis, false, state, nowMillis);
+    }
+    shape.refresh(nowMillis);
+  }
+
+  @Nested
+  class SmallFleets {
+
+    @Test
+    void nameAll() {
+      fleet(6, 0, true, NOW);
+      assertThat(addresses.named(true, NOW)).hasSize(7);
+      assertThat(addresses.named(false, NOW)).hasSize(6);
+    }
+  }
+
+  @Nested
+  class LargeFleets {
+
+    @Test
+    void nameTheStrongest() {
+      fleet(76, 2, true, NOW);
+      assertThat(addresses.named(true, NOW)).hasSize(8);
+      assertThat(addresses.named(true, NOW)).doesNotContain(addresses.own());
+    }
+
+    @Test
+    void nameMoreWhenTheFleetIsAskedMore() {
+      fleet(76, 12, true, NOW);
+      assertThat(addresses.named(true, NOW)).hasSize(64);
+    }
+
+    /** After the loss of all hosts each knows only itself for a while. */
+    @Test
+    void nameThisHostWhenNobodyElseServes() {
+      fleet(76, 2, false, NOW);
+      assertThat(addresses.named(true, NOW)).containsExactly(addresses.own());
+    }
+
+    @Test
+    void nameTheWeakOnceTheStrongAreSilent() {
+      fleet(76, 2, true, NOW);
+      long later = NOW + 15_000;
+      for (int number = 9; number <= 76; number++) {
+        HostState state = requireNonNull(members.find("host-" + number).orElseThrow().state());
+        members.heard("host-" + number, "ip-" + number, 1, later, false, state, later);
+      }
+      shape.refresh(later);
+      List<String> named = addresses.named(true, later);
+      for (int number = 1; number <= 8; number++) {
+        assertThat(named).doesNotContain("ip-" + number + ":1");
+      }
+      assertThat(named.size()).isAtLeast(8);
+    }
+  }
+}
