A test for answers lost by living runners: they hold a request back for seconds only

Three hosts, four runners that lose the answers of one request and live on: it is held back, and served again within the test's patience once answers come through. Green on the code; red with `proved = true` in QuarantineGate.broken ("never came: the request served again").

--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -135,6 +135,11 @@
     }
   }
 
+  /** All runners lose the answers of requests whose body holds {@code text}; of none if empty. */
+  void loseAnswersOf(String text) {
+    runners.forEach(runner -> runner.loseAnswersOf(text));
+  }
+
   /** Returns how many runners have ended. */
   long endedRunners() {
     return runners.stream().filter(StandinRunner::hasEnded).count();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
@@ -147,6 +147,43 @@
     }
   }
 
+  /**
+   * Symptom: a request that harmed nobody is refused for ten minutes, and after it for an hour by
+   * one more lost answer.
+   *
+   * <p>Events: its answer is lost at three runners in a row, each of which lives on.
+   *
+   * <p>Cause looked for: a broken connection that counts as the proved end of a runner. Unproved
+   * ends hold a request back too, but for seconds only.
+   *
+   * <p>Evidence: red if each broken connection is noted as proved.
+   */
+  @Test
+  void answersLostByLivingRunnersHoldARequestBackForSecondsOnly() throws Exception {
+    fleet.loseAnswersOf("unlucky");
+    int[] attempt = {0};
+    LoopbackFleet.await(
+        "the request held back",
+        () -> {
+          try {
+            return status(host(attempt[0]), "unlucky-" + attempt[0]++, "unlucky") == 503;
+          } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+    fleet.loseAnswersOf("");
+    assertThat(fleet.endedRunners()).isEqualTo(0);
+    LoopbackFleet.await(
+        "the request served again",
+        () -> {
+          try {
+            return status(1, "unlucky-again-" + System.nanoTime(), "unlucky") == 200;
+          } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
   /** A host that starts when the ends are long over learns of them before it serves. */
   @Test
   void hostThatStartsLaterHoldsItBackToo() throws Exception {
