Marks of a large group go out in their own turn, whatever other digests carry

Near and far digests shared one turn, so that some hosts of 77 were told only in every fourth digest. Found by reading; AliveMarksTest asserts two digests for all of 77 (red before: the turn moved on by the 19 hosts of each far digest between).

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
@@ -50,15 +50,20 @@
 
   /** Adds the marks of hosts to a digest; of many, others each time. */
   void add(Digest.Builder digest, List<Member<HostState>> told, long nowMillis) {
+    boolean all = told.size() <= MARKS;
+    int first = all ? 0 : turn;
     int count = Math.min(MARKS, told.size());
     for (int i = 0; i < count; i++) {
-      Member<HostState> member = told.get(Math.floorMod(turn++, told.size()));
+      Member<HostState> member = told.get((first + i) % told.size());
       HostState state = member.state();
       if (state != null) {
         digest.addAlive(mark(member, state));
         digest.addAliveAgesMs((int) Math.max(0, nowMillis - member.heardMillis()));
       }
     }
+    if (!all) {
+      turn = (first + count) % told.size();
+    }
   }
 
   /** Takes in the marks of a digest. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
@@ -2,10 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HostState;
 
@@ -50,6 +54,30 @@
     }
   }
 
+  @Nested
+  class ManyHosts {
+
+    private static final int HOSTS = 77;
+
+    /** Digests of few hosts go out in between and must not disturb the turn. */
+    @Test
+    void areAllMarkedByTwoDigests() {
+      for (int number = 0; number < HOSTS; number++) {
+        HostState state = HostState.newBuilder().setReady(true).build();
+        tellers.heard("host-" + number, "ip-" + number, 1, 1, false, state, 0);
+      }
+      List<Member<HostState>> all = tellers.reachable(0);
+      Set<Integer> marked = new HashSet<>();
+      for (int i = 0; i < 2; i++) {
+        Digest.Builder digest = Digest.newBuilder();
+        told.add(digest, all, 0);
+        marked.addAll(digest.getAliveList());
+        told.add(Digest.newBuilder(), all.subList(0, 19), 0);
+      }
+      assertThat(marked).hasSize(HOSTS);
+    }
+  }
+
   @Nested
   class DeadHosts {
 
