Ages beyond an integer in digests keep no dead host alive

Cause, found by reading: an age of 2^31 ms or more is decoded as a negative one, and "now less the age" lies in the future, so that one damaged or forged datagram would keep a dead host among the living for weeks; words of hosts had the same fault before the marks. Ages are read as unsigned for both. AliveMarksTest.hugeAgesKeepNobodyAlive.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
@@ -72,11 +72,20 @@
     for (int i = 0; i < count; i++) {
       String host = hosts.get(digest.getAlive(i));
       if (host != null) {
-        members.stillHeard(host, nowMillis - digest.getAliveAgesMs(i));
+        members.stillHeard(host, heardMillis(digest.getAliveAgesMs(i), nowMillis));
       }
     }
   }
 
+  /**
+   * Returns when a host was heard of which another told the age. An age beyond what fits an integer
+   * is decoded as a negative one: taken as it is, a damaged or forged datagram would put the moment
+   * into the future and keep a dead host alive for weeks.
+   */
+  static long heardMillis(int ageMillis, long nowMillis) {
+    return nowMillis - Integer.toUnsignedLong(ageMillis);
+  }
+
   /** Learns the marks of all hosts that are known by now, and forgets the others. */
   void refresh(long nowMillis) {
     List<Member<HostState>> known = members.reachable(nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -213,7 +213,7 @@
               word.getNumber(),
               state.getLeaving(),
               state,
-              nowMillis - word.getAgeMs(),
+              AliveMarks.heardMillis(word.getAgeMs(), nowMillis),
               nowMillis);
       if (news) {
         wordListener.accept(word.getHost(), state);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerEndingRequestTest.java
@@ -159,7 +159,7 @@
    * <p>Evidence: red if each broken connection is noted as proved.
    */
   @Test
-  void answersLostByLivingRunnersHoldARequestBackForSecondsOnly() throws Exception {
+  void lostAnswersOfLivingRunnersCountForSecondsOnly() throws Exception {
     fleet.loseAnswersOf("unlucky");
     int[] attempt = {0};
     LoopbackFleet.await(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
@@ -102,6 +102,27 @@
     }
   }
 
+  @Nested
+  class DamagedDigests {
+
+    /**
+     * Symptom looked for: a dead host is named for weeks after one damaged datagram.
+     *
+     * <p>Cause looked for: an age above the largest integer, decoded as a negative one, lies in the
+     * future.
+     */
+    @Test
+    void hugeAgesKeepNobodyAlive() {
+      heard(tellers, 1, false, 0);
+      heard(receivers, 1, false, 0);
+      Digest.Builder digest = Digest.newBuilder();
+      told.add(digest, tellers.reachable(0), 0);
+      learnt.refresh(0);
+      learnt.received(digest.setAliveAgesMs(0, -1_000_000).build(), SOON);
+      assertThat(heardMillis()).isEqualTo(0);
+    }
+  }
+
   @Nested
   class MissedWords {
 
