Comments on digests and leases say the present periods; a local no longer hides a field

Found on a second reading: three comments still gave the figures of three renewals a second and of two delegates that tell alike, and a local of DigestExchange.received bore the name of the builder of far digests. No behaviour changed.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
@@ -30,7 +30,7 @@
    */
   public static final int DIRECT_HOSTS = 16;
 
-  /** Hosts of one group at most: its delegates send each of them seven digests a second. */
+  /** Hosts of one group at most: its first delegate sends each of them seven digests a second. */
   public static final int GROUP_HOSTS = 32;
 
   /** Delegates of each group: one may die unnoticed for a second. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -57,8 +57,7 @@
 
   /**
    * How long a lease lasts after the sending of its last granted claim (ms). A granter that
-   * restarted abstains for as long, and a silent holder is replaced after it; three renewals in a
-   * second survive the loss of two datagrams in a row.
+   * restarted abstains for as long, and a silent holder is replaced after it.
    */
   private static final long LEASE_MILLIS = 1_000;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -27,8 +27,8 @@
 public final class DigestExchange {
 
   /**
-   * Digests are sent this often (ms). News takes a host's word and two digests, 0.2 s on average;
-   * at 66 hosts a delegate then sends 150 datagrams a second, and the others receive 14.
+   * Digests are sent this often (ms) by the first delegate of a group. News takes a host's word and
+   * two digests, 0.2 s on average; a host receives nine a second from both delegates.
    */
   private static final long PERIOD_MILLIS = 150;
 
@@ -219,8 +219,8 @@
         wordListener.accept(word.getHost(), state);
       }
     }
-    boolean far = !digest.getGroup().isEmpty();
-    if (far == shape.isDelegate()) {
+    boolean ofOneGroup = !digest.getGroup().isEmpty();
+    if (ofOneGroup == shape.isDelegate()) {
       marks.received(digest, nowMillis);
     }
     for (HeldBy held : digest.getHoldingsList()) {
