A test of the late configuration, red: a watch lost in an outage of the store hides changes

Callers: a confirmed configuration came into force 2.9 s after its confirmation at all hosts of a fleet, instead of within 2 s.

The test plays outages of 3 to 9 s in virtual time through the real follower, registry and exchange: 'version at host 0 after an outage of 3000 ms: expected 2, but was 1'. For that the store's client stands behind an interface, what Node decided about records is in RecordSync, and pulls among hosts go through a functional interface; nothing decides otherwise than before.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -43,6 +43,7 @@
 import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.RecordExchange;
+import org.sequoiahub.node.peer.RecordSync;
 import org.sequoiahub.node.peer.RunnerEndExchange;
 import org.sequoiahub.node.peer.StateCodec;
 import org.sequoiahub.node.store.StoreFollower;
@@ -145,8 +146,6 @@
   private final AllowanceKeeper allowances;
   private final RunnerRegistry book = new RunnerRegistry();
   private final StoreRegistry store;
-  private final StoreFollower operators;
-  private final StoreFollower runners;
   private final FleetView fleet;
   private final RequestCoordinator calls;
   private final HolderService holder;
@@ -158,7 +157,7 @@
   private final QuarantineGate quarantine;
   private final LoadGuard loadGuard;
   private final DemandSender demandSender;
-  private final RecordExchange exchange;
+  private final RecordSync records;
   private final CallerServer callerServer;
   private final DatagramPort datagrams;
   private final WireServer wireServer;
@@ -195,9 +194,6 @@
     RecordDecoder decoder = new RecordDecoder(keys);
     this.store = new StoreRegistry(decoder, book, this::inForce, this::changed, log);
     StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
-    this.operators = follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0);
-    this.runners =
-        follower(storeClient, StoredKeys.RUNNER_PREFIX, RUNNER_WAIT_MILLIS, RUNNER_SPACING_MILLIS);
     this.fleet =
         new FleetView(
             book,
@@ -273,8 +269,17 @@
             peers::holdingsChanged,
             log);
     this.wireClients = new WireClients(network, SILENCE_MILLIS);
-    this.exchange =
-        new RecordExchange(wireClients, host.peerPort(), items -> duty.put(() -> passedOn(items)));
+    this.records =
+        new RecordSync(
+            shape,
+            members,
+            store,
+            follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0),
+            follower(
+                storeClient, StoredKeys.RUNNER_PREFIX, RUNNER_WAIT_MILLIS, RUNNER_SPACING_MILLIS),
+            new RecordExchange(RecordExchange.over(wireClients, host.peerPort()), this::adopt),
+            this::changed,
+            log);
     this.wireServer =
         WireServer.open(network, host.ip(), host.peerPort(), SILENCE_MILLIS, new PeerHandler());
     this.callerServer =
@@ -421,10 +426,7 @@
     }
     if (nowMillis - slowTickMillis >= SLOW_TICK_MILLIS) {
       slowTickMillis = nowMillis;
-      if (watchesStore()) {
-        operators.tick(nowMillis);
-        runners.tick(nowMillis);
-      }
+      records.tick(nowMillis);
       if (holder.isActive()) {
         holder.tick(fleet.engines(nowMillis), nowMillis);
       }
@@ -479,15 +481,6 @@
     return remembered < QuarantineSettings.DEFAULT.holdMillis();
   }
 
-  /**
-   * Returns whether this host asks the store for changes: in a large fleet the delegates do, and
-   * the others learn of changes from them. A host that hears of no delegate becomes one itself.
-   */
-  private boolean watchesStore() {
-    boolean begun = fleet.table().isPresent() && book.revision() > 0;
-    return !begun || !shape.isLarge() || shape.isDelegate();
-  }
-
   private void changed() {
     peers.changed();
   }
@@ -510,7 +503,7 @@
   }
 
   private void refreshAddresses(long nowMillis) {
-    ready = fleet.table().isPresent() && book.revision() > 0;
+    ready = store.isFilled();
     addresses = callerAddresses.named(ready && !leaving, nowMillis);
   }
 
@@ -558,36 +551,13 @@
     wordOf(from, state);
   }
 
-  /** Takes from another host what it has read from the store and this host has not. */
   private void wordOf(String from, HostState state) {
-    long operatorRevision = store.newestOperatorRevision();
-    long runnersRevision = store.newestRunnersRevision();
-    boolean behind = state.getConfigRevision() > operatorRevision;
-    boolean readsRunners = watchesStore() && runners.isReachable();
-    boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersRevision;
-    if (behind || runnersBehind) {
-      long now = MonotonicClock.SYSTEM.nowMillis();
-      members
-          .find(from)
-          .ifPresent(member -> exchange.pull(member.ip(), operatorRevision, runnersRevision, now));
-    }
+    records.told(from, state, MonotonicClock.SYSTEM.nowMillis());
   }
 
   /** Takes in records as if another host had passed them on. */
   void adopt(List<StoredItem> items) {
-    duty.put(() -> passedOn(items));
-  }
-
-  private void passedOn(List<StoredItem> items) {
-    long now = MonotonicClock.SYSTEM.nowMillis();
-    int news = 0;
-    for (StoredItem item : items) {
-      news += store.passedOn(item, now) ? 1 : 0;
-    }
-    if (news > 0) {
-      log.info("records-from-peer", "news", news);
-      changed();
-    }
+    duty.put(() -> records.received(items, MonotonicClock.SYSTEM.nowMillis()));
   }
 
   private HostState.Builder ownState(boolean withHoldings, boolean complete) {
@@ -649,7 +619,9 @@
         duty.put(
             () ->
                 connection.send(
-                    message.getCall(), RecordExchange.answer(message.getStorePull(), store)));
+                    message.getCall(),
+                    Envelope.newBuilder()
+                        .setStoreRecords(RecordExchange.answer(message.getStorePull(), store))));
       }
     }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -13,7 +13,6 @@
 import org.sequoiahub.schema.wire.Envelope;
 import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.wire.CallListener;
-import org.sequoiahub.wire.WireClient;
 import org.sequoiahub.wire.WireClients;
 
 /**
@@ -27,57 +26,69 @@
   /** A pull is not repeated sooner (ms). */
   private static final long PERIOD_MILLIS = 150;
 
-  private final WireClients clients;
-  private final int peerPort;
+  private final PeerCalls calls;
   private final Consumer<List<StoredItem>> received;
   private long pulledMillis = Long.MIN_VALUE / 2;
 
+  /** Asks other hosts for records. */
+  @FunctionalInterface
+  public interface PeerCalls {
+    /** Sends a pull to the host with an IP number; the answer comes on any thread, or never. */
+    void pull(String ip, StorePull pull, Consumer<StoreRecords> answer);
+  }
+
   /**
    * Creates an exchange.
    *
-   * @param received receives what another host passed on, on a network thread
+   * @param received receives what another host passed on, on the thread of its answer
    */
-  public RecordExchange(WireClients clients, int peerPort, Consumer<List<StoredItem>> received) {
-    this.clients = clients;
-    this.peerPort = peerPort;
+  public RecordExchange(PeerCalls calls, Consumer<List<StoredItem>> received) {
+    this.calls = calls;
     this.received = received;
   }
 
+  /** Returns calls over connections to the hosts' ports for peers. */
+  public static PeerCalls over(WireClients clients, int peerPort) {
+    return (ip, pull, answer) ->
+        clients
+            .to(new Endpoint(ip, peerPort))
+            .call(
+                Envelope.newBuilder().setStorePull(pull),
+                new CallListener() {
+                  @Override
+                  public void message(Envelope message) {
+                    if (message.hasStoreRecords()) {
+                      answer.accept(message.getStoreRecords());
+                    }
+                  }
+
+                  @Override
+                  public void lost(boolean handedOn) {
+                    // The next state of any host that is ahead leads to the next pull.
+                  }
+                });
+  }
+
   /** Asks a host for the records that are newer than these revisions. */
   public void pull(String ip, long operatorRevision, long runnersRevision, long nowMillis) {
     if (nowMillis - pulledMillis < PERIOD_MILLIS) {
       return;
     }
     pulledMillis = nowMillis;
-    WireClient client = clients.to(new Endpoint(ip, peerPort));
     StorePull pull =
         StorePull.newBuilder()
             .setConfigRevision(operatorRevision)
             .setRunnersRevision(runnersRevision)
             .build();
-    client.call(
-        Envelope.newBuilder().setStorePull(pull),
-        new CallListener() {
-          @Override
-          public void message(Envelope message) {
-            if (message.hasStoreRecords()) {
-              received.accept(decoded(message.getStoreRecords()));
-            }
-          }
-
-          @Override
-          public void lost(boolean handedOn) {
-            // The next state of any host that is ahead leads to the next pull.
-          }
-        });
+    calls.pull(ip, pull, records -> received.accept(decoded(records)));
   }
 
   /** Answers another host's pull. */
-  public static Envelope.Builder answer(StorePull pull, StoreRegistry store) {
+  public static StoreRecords answer(StorePull pull, StoreRegistry store) {
     StoreRecords.Builder records = StoreRecords.newBuilder();
     store.operatorSince(pull.getConfigRevision()).forEach(item -> records.addVersions(entry(item)));
     store.runnersSince(pull.getRunnersRevision()).forEach(item -> records.addRunners(entry(item)));
-    return Envelope.newBuilder().setStoreRecords(records);
+    return records.build();
   }
 
   private static StoredEntry.Builder entry(StoredItem item) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.sequoiahub.usersplatform.StoreClient;
 import org.sequoiahub.usersplatform.StoreClient.Answer;
+import org.sequoiahub.usersplatform.StoreReader;
 import org.sequoiahub.usersplatform.StoredItem;
 
 /**
@@ -28,7 +28,7 @@
   /** A call that takes this much longer than it may wait is given up (ms). */
   private static final long CALL_TIMEOUT_MILLIS = 1_200;
 
-  private final StoreClient client;
+  private final StoreReader client;
   private final String prefix;
   private final long waitMillis;
   private final long spacingMillis;
@@ -52,7 +52,7 @@
    *     changes of one pause come with one call
    */
   public StoreFollower(
-      StoreClient client,
+      StoreReader client,
       String prefix,
       long waitMillis,
       long spacingMillis,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -173,6 +173,11 @@
     return news;
   }
 
+  /** Returns whether a configuration is in force and the runners are known. */
+  public boolean isFilled() {
+    return operator.containsKey(StoredKeys.CONFIGURATION) && book.revision() > 0;
+  }
+
   /** Returns the newest published version of an adapter; 0 if none was published. */
   public int newestVersion(String target) {
     return versions.getOrDefault(target, 0);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -2,12 +2,15 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.allowance.AllowanceKeeper;
 import org.sequoiahub.core.allowance.AllowanceSettings;
@@ -38,6 +41,7 @@
 
   private int lossOneIn = LOSS;
 
+  private final Function<Host, Records> recordsOf;
   private final Random random;
   private final int domains;
   private final int size;
@@ -47,6 +51,7 @@
   private long now = 1_000_000;
   private long number;
   private long bytes;
+  private final Map<Integer, Long> frozenUntil = new HashMap<>();
 
   private record Late(long atMillis, long number, int from, int to, byte[] datagram)
       implements Comparable<Late> {
@@ -57,6 +62,47 @@
     }
   }
 
+  /** What a host knows of the store's records. */
+  interface Records {
+    long operatorRevision();
+
+    long runnersRevision();
+
+    /** Takes in another host's state. */
+    void told(String from, HostState state);
+
+    void tick(long nowMillis);
+  }
+
+  /** Numbers only: a host that is behind another takes its records at once. */
+  private static final class Numbers implements Records {
+    private final Host host;
+
+    Numbers(Host host) {
+      this.host = host;
+    }
+
+    @Override
+    public long operatorRevision() {
+      return host.configRevision;
+    }
+
+    @Override
+    public long runnersRevision() {
+      return 100_000;
+    }
+
+    @Override
+    public void told(String from, HostState state) {
+      host.configRevision = Math.max(host.configRevision, state.getConfigRevision());
+    }
+
+    @Override
+    public void tick(long nowMillis) {
+      // Nothing is asked for.
+    }
+  }
+
   /** One process of a host. */
   final class Host {
     final int number;
@@ -71,6 +117,7 @@
     final PeerHeartbeats heartbeats;
     final RequestQuarantine quarantine = new RequestQuarantine(QuarantineSettings.DEFAULT);
     final RunnerEndExchange runnerEnds;
+    final Records records;
     long configRevision = 1_000;
 
     private Host(int number) {
@@ -101,6 +148,7 @@
               heartbeats::datagram,
               (ip, datagram) -> send(number, ip, datagram),
               random);
+      this.records = recordsOf.apply(this);
     }
 
     private HostState.Builder state(boolean withHoldings, boolean complete) {
@@ -111,8 +159,8 @@
               .setProcessor(processor(number))
               .setCallerAddress("10.100.100.100:8149")
               .setReady(true)
-              .setConfigRevision(configRevision)
-              .setRunnersRevision(100_000);
+              .setConfigRevision(records.operatorRevision())
+              .setRunnersRevision(records.runnersRevision());
       StateCodec.addUses(state, loads.own());
       return state.setLoadsComplete(true);
     }
@@ -141,13 +189,22 @@
       return quarantine.hold(request, now).isPresent();
     }
 
-    /** A host that is behind another takes its records at once. */
     private void word(String from, HostState state) {
-      configRevision = Math.max(configRevision, state.getConfigRevision());
+      records.told(from, state);
     }
   }
 
   PeerWorld(long seed, int count, int domains) {
+    this(seed, count, domains, Numbers::new);
+  }
+
+  /**
+   * Creates a fleet.
+   *
+   * @param recordsOf makes what each process knows of the store's records
+   */
+  PeerWorld(long seed, int count, int domains, Function<Host, Records> recordsOf) {
+    this.recordsOf = recordsOf;
     this.size = count;
     this.random = new Random(seed);
     this.domains = domains;
@@ -212,6 +269,15 @@
     hosts.set(host, new Host(host));
   }
 
+  /** Stops a host's process until a moment; what comes for it meanwhile waits. */
+  void freeze(int host, long untilMillis) {
+    frozenUntil.put(host, untilMillis);
+  }
+
+  boolean isFrozen(int host) {
+    return frozenUntil.getOrDefault(host, 0L) > now;
+  }
+
   /** Loses all datagrams for which {@code lost} holds, until the next call. */
   void cut(BiPredicate<Integer, Integer> lost) {
     cut = lost;
@@ -242,10 +308,14 @@
         deliver(late.poll());
       }
       for (Host host : running()) {
+        if (isFrozen(host.number)) {
+          continue;
+        }
         host.heartbeats.tick(now);
         host.runnerEnds.tick(now);
         host.members.forget(now);
         host.allowances.upkeep(now);
+        host.records.tick(now);
       }
     }
   }
@@ -264,6 +334,11 @@
     if (to == null) {
       return;
     }
+    if (isFrozen(arrived.to)) {
+      long until = frozenUntil.getOrDefault(arrived.to, now);
+      late.add(new Late(until, number++, arrived.from, arrived.to, arrived.datagram));
+      return;
+    }
     try {
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
       String ip = "ip-" + arrived.from;
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
@@ -0,0 +1,231 @@
+package org.sequoiahub.node.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.sequoiahub.core.upstream.RunnerRegistry;
+import org.sequoiahub.core.workspace.KeyHasher;
+import org.sequoiahub.node.store.StoreFollower;
+import org.sequoiahub.node.store.StoreRegistry;
+import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.StorePull;
+import org.sequoiahub.schema.peer.StoreRecords;
+import org.sequoiahub.usersplatform.RecordDecoder;
+import org.sequoiahub.usersplatform.StoreReader;
+import org.sequoiahub.usersplatform.StoredKeys;
+import org.sequoiahub.usersplatform.standin.VirtualStore;
+
+/**
+ * A fleet that follows a store, in virtual time: the real follower, registry and exchange of each
+ * host over a store and a network that fail.
+ */
+final class RecordWorld {
+
+  static final int TICK_MILLIS = 10;
+
+  /** What the users' deployments give for a configuration. */
+  static final long BOUND_MILLIS = 2_000;
+
+  static final long DRAIN_MILLIS = 2_000;
+
+  private static final int MAX_DELAY_MILLIS = 4;
+  private static final long RUNNER_HEARTBEAT_MILLIS = 1_200;
+  private static final int RUNNERS = 4;
+
+  final PeerWorld peers;
+  final VirtualStore store;
+  private final Random random;
+  private final Map<Integer, HostRecords> records = new HashMap<>();
+  private final PriorityQueue<Late> late = new PriorityQueue<>();
+  private long number;
+  private long sequence;
+  private long heartbeatMillis;
+  private long version;
+
+  private record Late(long atMillis, long number, Runnable work) implements Comparable<Late> {
+    @Override
+    public int compareTo(Late other) {
+      int byTime = Long.compare(atMillis, other.atMillis);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  /** The records of one process. */
+  final class HostRecords implements PeerWorld.Records {
+    final PeerWorld.Host host;
+    final RunnerRegistry runners = new RunnerRegistry();
+    final StoreRegistry registry;
+    final List<Long> versions = new ArrayList<>();
+    private final RecordSync sync;
+    private final List<Runnable> decisions = new ArrayList<>();
+    private boolean ended;
+
+    HostRecords(PeerWorld.Host host) {
+      this.host = host;
+      EventLog log = new EventLog("test", "host-" + host.number);
+      this.registry =
+          new StoreRegistry(
+              new RecordDecoder(KeyHasher.drawn(new SecureRandom())),
+              runners,
+              table -> versions.add(table.version()),
+              () -> host.heartbeats.changed(),
+              log);
+      StoreReader reader = store.reader(host.number);
+      this.sync =
+          new RecordSync(
+              host.shape,
+              host.members,
+              registry,
+              follower(reader, StoredKeys.OPERATOR_PREFIX, 4_000, 0),
+              follower(reader, StoredKeys.RUNNER_PREFIX, 1_000, 600),
+              new RecordExchange(
+                  (ip, pull, answer) -> pull(this, ip, pull, answer),
+                  items -> decide(() -> sync().received(items, peers.now()))),
+              () -> host.heartbeats.changed(),
+              log);
+      records.put(host.number, this);
+    }
+
+    private RecordSync sync() {
+      return sync;
+    }
+
+    private StoreFollower follower(StoreReader reader, String prefix, long wait, long spacing) {
+      return new StoreFollower(
+          reader, prefix, wait, spacing, registry, this::decide, RecordWorld.this::now);
+    }
+
+    /** A frozen process decides when it wakes up. */
+    private void decide(Runnable work) {
+      decisions.add(work);
+    }
+
+    long versionInForce() {
+      return versions.isEmpty() ? -1 : versions.get(versions.size() - 1);
+    }
+
+    @Override
+    public long operatorRevision() {
+      return registry.newestOperatorRevision();
+    }
+
+    @Override
+    public long runnersRevision() {
+      return registry.newestRunnersRevision();
+    }
+
+    @Override
+    public void told(String from, HostState state) {
+      sync.told(from, state, peers.now());
+    }
+
+    @Override
+    public void tick(long nowMillis) {
+      if (ended) {
+        return;
+      }
+      List<Runnable> due = List.copyOf(decisions);
+      decisions.clear();
+      due.forEach(Runnable::run);
+      sync.tick(nowMillis);
+    }
+  }
+
+  RecordWorld(long seed, int hosts, int domains) {
+    this.random = new Random(seed);
+    this.store = new VirtualStore(seed, 1_000_000);
+    configure();
+    runnerHeartbeats();
+    this.peers = new PeerWorld(seed, hosts, domains, HostRecords::new);
+  }
+
+  long now() {
+    return peers.now();
+  }
+
+  HostRecords host(int number) {
+    return requireNonNull(records.get(number), "no such host");
+  }
+
+  /** Writes the next configuration and returns its version. */
+  long configure() {
+    version++;
+    store.configure(version, "/v" + version + "/");
+    return version;
+  }
+
+  long version() {
+    return version;
+  }
+
+  void kill(int host) {
+    host(host).ended = true;
+    store.forget(host);
+    peers.kill(host);
+  }
+
+  void start(int host) {
+    peers.start(host);
+  }
+
+  /** Loses all that passes between hosts for which {@code lost} holds, until the next call. */
+  void cut(BiPredicate<Integer, Integer> lost) {
+    peers.cut(lost);
+  }
+
+  void pass(long millis) {
+    for (long end = now() + millis; now() < end; ) {
+      step();
+    }
+  }
+
+  void step() {
+    if (now() - heartbeatMillis >= RUNNER_HEARTBEAT_MILLIS) {
+      runnerHeartbeats();
+    }
+    store.advance(now());
+    while (!late.isEmpty() && late.peek().atMillis <= now()) {
+      late.poll().work.run();
+    }
+    peers.pass(TICK_MILLIS);
+  }
+
+  private void runnerHeartbeats() {
+    heartbeatMillis = peers == null ? 0 : now();
+    sequence++;
+    for (int runner = 0; runner < RUNNERS; runner++) {
+      store.runner("i-" + runner, false, sequence);
+    }
+  }
+
+  private void pull(HostRecords from, String ip, StorePull pull, Consumer<StoreRecords> answer) {
+    int to = Integer.parseInt(ip.substring("ip-".length()));
+    int asker = from.host.number;
+    deliver(
+        asker,
+        to,
+        () -> {
+          HostRecords asked = host(to);
+          asked.decide(
+              () -> {
+                StoreRecords answered = RecordExchange.answer(pull, asked.registry);
+                deliver(to, asker, () -> answer.accept(answered));
+              });
+        });
+  }
+
+  private void deliver(int from, int to, Runnable work) {
+    if (peers.reaches(from, to)) {
+      late.add(new Late(now() + 1 + random.nextInt(MAX_DELAY_MILLIS), number++, work));
+    }
+  }
+}
