A lost watch of the store is noticed within the time that a change has to be known

Callers: a confirmed configuration came into force 2.9 s after its confirmation at all seven hosts; until then a request ran at the service that its route had left, and a new route got 404. Cause: a watch of op/ might be held for 4,000 ms and was given up after 5,200. A watch that the store took and never answered, here one sent 0.1 s before the end of an outage, looks like one that waits, so nothing said that the host was blind. The logs of all seven hosts agree: store-regained prefix=op/ at 26.30 s, 5.2 s after the call before. Ruled out: a host that had the record and did not pass it on (none had it), a record that was refused (no record-ignored).

After a failure the store is not allowed to hold the next call at all: its answer alone is wanted. A slow store gets twice the patience each time, up to 1.2 s. A store that answers readings older than its history is asked with growing pauses, not at once again.

Weighed: a watch that is renewed while the old one still waits (as many calls, two answers to merge); one watch over all keys (fewer calls, but every change waits for the spacing of the runners' watch, and it would carry whatever else the store holds); taking the runners' watch as a witness (no calls, but nothing notices a silent connection of op/ alone).

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -48,6 +48,7 @@
 import org.sequoiahub.node.peer.StateCodec;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
+import org.sequoiahub.node.store.WatchTiming;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.Duty;
 import org.sequoiahub.runtime.duty.MonotonicClock;
@@ -113,17 +114,12 @@
   /** A connection between hosts that answers no probe for this long is dropped (ms). */
   private static final long SILENCE_MILLIS = 1_500;
 
-  /** How long the store may hold a watch of the operators' records (ms). */
-  private static final long OPERATOR_WAIT_MILLIS = 4_000;
-
   /**
    * Watches of the runners start this far apart (ms): runners write all the time, each call has a
    * price, and one that leaves must be known within the 2 s that it goes on serving.
    */
   private static final long RUNNER_SPACING_MILLIS = 600;
 
-  private static final long RUNNER_WAIT_MILLIS = 1_000;
-
   /** Runners that vanished this long ago are forgotten (ms). */
   private static final long FORGET_MILLIS = 60_000;
 
@@ -274,9 +270,14 @@
             shape,
             members,
             store,
-            follower(storeClient, StoredKeys.OPERATOR_PREFIX, OPERATOR_WAIT_MILLIS, 0),
             follower(
-                storeClient, StoredKeys.RUNNER_PREFIX, RUNNER_WAIT_MILLIS, RUNNER_SPACING_MILLIS),
+                storeClient,
+                StoredKeys.OPERATOR_PREFIX,
+                WatchTiming.within(host.configurationMillis(), 0)),
+            follower(
+                storeClient,
+                StoredKeys.RUNNER_PREFIX,
+                WatchTiming.within(host.drainMillis(), RUNNER_SPACING_MILLIS)),
             new RecordExchange(RecordExchange.over(wireClients, host.peerPort()), this::adopt),
             this::changed,
             log);
@@ -397,16 +398,9 @@
     metrics.register("decisions.backlog", (Gauge<Integer>) duty::backlog);
   }
 
-  private StoreFollower follower(
-      StoreClient client, String prefix, long waitMillis, long spacingMillis) {
+  private StoreFollower follower(StoreClient client, String prefix, WatchTiming timing) {
     return new StoreFollower(
-        client,
-        prefix,
-        waitMillis,
-        spacingMillis,
-        store,
-        duty::put,
-        MonotonicClock.SYSTEM::nowMillis);
+        client, prefix, timing, store, duty::put, MonotonicClock.SYSTEM::nowMillis);
   }
 
   private long tickMillis() {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -138,6 +138,8 @@
         true,
         ip + ":" + ports.get(5),
         STOP_MILLIS,
+        2_000,
+        2_000,
         3_000,
         0.2,
         50,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -19,50 +19,44 @@
   /** First pause after a failed call (ms); doubles up to the longest. */
   private static final long FIRST_PAUSE_MILLIS = 100;
 
-  /**
-   * Longest pause after failed calls (ms): the store is asked again well within the 2 s in which a
-   * change must be in force.
-   */
   private static final long LONGEST_PAUSE_MILLIS = 400;
 
-  /** A call that takes this much longer than it may wait is given up (ms). */
-  private static final long CALL_TIMEOUT_MILLIS = 1_200;
+  /** The longest that an answer may take beyond the hold (ms), for a store that is slow. */
+  private static final long LONGEST_PATIENCE_MILLIS = 1_200;
+
+  /** How long the store may hold the first watch after a failure (ms): only its answer is asked. */
+  private static final long PROBE_HOLD_MILLIS = 1;
 
   private final StoreReader client;
   private final String prefix;
-  private final long waitMillis;
-  private final long spacingMillis;
+  private final WatchTiming timing;
   private final StoreListener listener;
   private final Consumer<Runnable> decisions;
   private final LongSupplier clock;
   private long revision = -1;
   private long dueMillis;
   private long pauseMillis = FIRST_PAUSE_MILLIS;
+  private long patienceMillis;
+  private long askedMillis;
   private boolean calling;
   private boolean reachable = true;
+  private boolean rereading;
   private List<StoredItem> pages = new ArrayList<>();
   private long firstPageRevision;
   private String after = "";
 
-  /**
-   * Creates a follower; {@link #tick} makes the calls.
-   *
-   * @param waitMillis how long the store may hold a watch
-   * @param spacingMillis watches start at least this far apart: each call has a price, and the
-   *     changes of one pause come with one call
-   */
+  /** Creates a follower; {@link #tick} makes the calls. */
   public StoreFollower(
       StoreReader client,
       String prefix,
-      long waitMillis,
-      long spacingMillis,
+      WatchTiming timing,
       StoreListener listener,
       Consumer<Runnable> decisions,
       LongSupplier clock) {
     this.client = client;
     this.prefix = prefix;
-    this.waitMillis = waitMillis;
-    this.spacingMillis = spacingMillis;
+    this.timing = timing;
+    this.patienceMillis = timing.patienceMillis();
     this.listener = listener;
     this.decisions = decisions;
     this.clock = clock;
@@ -74,20 +68,18 @@
       return;
     }
     calling = true;
-    dueMillis = nowMillis + spacingMillis;
+    askedMillis = nowMillis;
+    dueMillis = nowMillis + timing.spacingMillis();
     if (revision < 0) {
-      client.range(prefix, after, CALL_TIMEOUT_MILLIS, answer -> post(() -> page(answer)));
+      client.range(prefix, after, patienceMillis, answer -> post(() -> page(answer)));
     } else {
+      long hold = reachable ? timing.holdMillis() : PROBE_HOLD_MILLIS;
       client.watch(
-          prefix,
-          revision,
-          waitMillis,
-          waitMillis + CALL_TIMEOUT_MILLIS,
-          answer -> post(() -> changes(answer)));
+          prefix, revision, hold, hold + patienceMillis, answer -> post(() -> changes(answer)));
     }
   }
 
-  /** Returns whether the last call was answered. */
+  /** Returns whether the last call that ended was answered. */
   public boolean isReachable() {
     return reachable;
   }
@@ -117,6 +109,10 @@
     revision = firstPageRevision;
     List<StoredItem> all = pages;
     restartReading();
+    if (rereading) {
+      // A reading older than the history would be followed by the next one at once.
+      dueMillis = now + nextPause();
+    }
     listener.whole(prefix, all, revision, now);
   }
 
@@ -125,11 +121,14 @@
     calling = false;
     if (answer instanceof Answer.Items items) {
       succeeded(now);
+      rereading = false;
+      pauseMillis = FIRST_PAUSE_MILLIS;
       revision = Math.max(revision, items.revision());
       listener.changes(prefix, items.items(), revision, now);
     } else if (answer instanceof Answer.HistoryLost) {
       succeeded(now);
       revision = -1;
+      rereading = true;
       dueMillis = now;
       restartReading();
     } else {
@@ -143,20 +142,27 @@
   }
 
   private void succeeded(long nowMillis) {
-    pauseMillis = FIRST_PAUSE_MILLIS;
+    patienceMillis = Math.max(timing.patienceMillis(), patienceMillis / 2);
     if (!reachable) {
       reachable = true;
-      listener.reachable(prefix, true, "", nowMillis);
+      listener.reachable(prefix, true, "", nowMillis - askedMillis, nowMillis);
     }
   }
 
   private void failed(Answer answer, long nowMillis) {
-    dueMillis = nowMillis + pauseMillis;
-    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+    dueMillis = nowMillis + nextPause();
+    patienceMillis =
+        Math.max(timing.patienceMillis(), Math.min(LONGEST_PATIENCE_MILLIS, patienceMillis * 2));
     restartReading();
     if (reachable) {
       reachable = false;
-      listener.reachable(prefix, false, answer.toString(), nowMillis);
+      listener.reachable(prefix, false, answer.toString(), nowMillis - askedMillis, nowMillis);
     }
   }
+
+  private long nextPause() {
+    long pause = pauseMillis;
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+    return pause;
+  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreListener.java
@@ -12,6 +12,10 @@
   /** Receives changes of a prefix up to one revision. */
   void changes(String prefix, List<StoredItem> items, long revision, long nowMillis);
 
-  /** Told that the store was lost or regained, for one prefix. */
-  void reachable(String prefix, boolean reachable, String why, long nowMillis);
+  /**
+   * Told that the store was lost or regained, for one prefix.
+   *
+   * @param askedMillisAgo when the call was made that shows it
+   */
+  void reachable(String prefix, boolean reachable, String why, long askedMillisAgo, long nowMillis);
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -151,11 +151,12 @@
   }
 
   @Override
-  public void reachable(String prefix, boolean reachable, String why, long nowMillis) {
+  public void reachable(
+      String prefix, boolean reachable, String why, long askedMillisAgo, long nowMillis) {
     if (reachable) {
-      log.info("store-regained", "prefix", prefix);
+      log.info("store-regained", "prefix", prefix, "asked_ms_ago", askedMillisAgo);
     } else {
-      log.warning("store-lost", "prefix", prefix, "why", why);
+      log.warning("store-lost", "prefix", prefix, "asked_ms_ago", askedMillisAgo, "why", why);
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -57,6 +57,7 @@
     client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS);
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setIdleTimeout(IDLE_MILLIS);
+    client.setDestinationIdleTimeout(2 * IDLE_MILLIS);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
     client.setHttpCookieStore(new HttpCookieStore.Empty());
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -66,6 +66,8 @@
             true,
             store.address(),
             STOP_MILLIS,
+            2_000,
+            2_000,
             3_000,
             0.2,
             50,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -295,6 +295,8 @@
           firstStart,
           "10.0.0.9:1",
           8_000,
+          2_000,
+          2_000,
           LEASE_MILLIS,
           0.2,
           50,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
@@ -37,6 +37,8 @@
         true,
         "store:1",
         8_000,
+        2_000,
+        2_000,
         3_000,
         0.2,
         50,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -232,6 +232,8 @@
         true,
         "store:1",
         8_000,
+        2_000,
+        2_000,
         3_000,
         0.2,
         50,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
@@ -15,6 +15,7 @@
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
+import org.sequoiahub.node.store.WatchTiming;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.StorePull;
@@ -45,6 +46,8 @@
   final VirtualStore store;
   private final Random random;
   private final Map<Integer, HostRecords> records = new HashMap<>();
+  private final Map<Integer, Integer> starts = new HashMap<>();
+  private BiPredicate<Integer, Integer> silent = (from, to) -> false;
   private final PriorityQueue<Late> late = new PriorityQueue<>();
   private long number;
   private long sequence;
@@ -85,8 +88,8 @@
               host.shape,
               host.members,
               registry,
-              follower(reader, StoredKeys.OPERATOR_PREFIX, 4_000, 0),
-              follower(reader, StoredKeys.RUNNER_PREFIX, 1_000, 600),
+              follower(reader, StoredKeys.OPERATOR_PREFIX, WatchTiming.within(BOUND_MILLIS, 0)),
+              follower(reader, StoredKeys.RUNNER_PREFIX, WatchTiming.within(DRAIN_MILLIS, 600)),
               new RecordExchange(
                   (ip, pull, answer) -> pull(this, ip, pull, answer),
                   items -> decide(() -> sync().received(items, peers.now()))),
@@ -99,9 +102,9 @@
       return sync;
     }
 
-    private StoreFollower follower(StoreReader reader, String prefix, long wait, long spacing) {
+    private StoreFollower follower(StoreReader reader, String prefix, WatchTiming timing) {
       return new StoreFollower(
-          reader, prefix, wait, spacing, registry, this::decide, RecordWorld.this::now);
+          reader, prefix, timing, registry, this::decide, RecordWorld.this::now);
     }
 
     /** A frozen process decides when it wakes up. */
@@ -113,6 +116,11 @@
       return versions.isEmpty() ? -1 : versions.get(versions.size() - 1);
     }
 
+    /** Returns whether new requests may go to a runner. */
+    boolean isUsable(String runner) {
+      return runners.usable(peers.now()).stream().anyMatch(entry -> entry.id().equals(runner));
+    }
+
     @Override
     public long operatorRevision() {
       return registry.newestOperatorRevision();
@@ -182,6 +190,11 @@
     peers.cut(lost);
   }
 
+  /** Loses all on connections between hosts for which {@code lost} holds; datagrams still pass. */
+  void silenceConnections(BiPredicate<Integer, Integer> lost) {
+    silent = lost;
+  }
+
   void pass(long millis) {
     for (long end = now() + millis; now() < end; ) {
       step();
@@ -203,10 +216,24 @@
     heartbeatMillis = peers == null ? 0 : now();
     sequence++;
     for (int runner = 0; runner < RUNNERS; runner++) {
-      store.runner("i-" + runner, false, sequence);
+      store.runner(runnerId(runner), false, sequence);
     }
   }
 
+  private String runnerId(int runner) {
+    return "i-" + runner + "-" + starts.getOrDefault(runner, 0);
+  }
+
+  /** A runner says that it leaves, another one starts; returns the id of the one that leaves. */
+  String runnerLeaves() {
+    int runner = random.nextInt(RUNNERS);
+    String id = runnerId(runner);
+    store.runner(id, true, ++sequence);
+    starts.merge(runner, 1, Integer::sum);
+    store.runner(runnerId(runner), false, ++sequence);
+    return id;
+  }
+
   private void pull(HostRecords from, String ip, StorePull pull, Consumer<StoreRecords> answer) {
     int to = Integer.parseInt(ip.substring("ip-".length()));
     int asker = from.host.number;
@@ -224,7 +251,7 @@
   }
 
   private void deliver(int from, int to, Runnable work) {
-    if (peers.reaches(from, to)) {
+    if (peers.reaches(from, to) && !silent.test(from, to)) {
       late.add(new Late(now() + 1 + random.nextInt(MAX_DELAY_MILLIS), number++, work));
     }
   }
