A host of a large fleet that is cut off from its delegates asks the store itself

Callers: at a host that its delegates do not reach, or that cannot ask them for records, a route that had been changed was served as before until the host suspected the delegates, 2.3 s and more (found in virtual time: 77 and 300 hosts, two fifths of them heard by the rest and not the other way round; 'version at host 8 in touch: 21 in place of 22', and at 300 hosts a leaving runner in use after 2 s). Cause: an ordinary host relied on others for its records for as long as it held them for alive.

It now relies on them for a quarter of the bound: without a word of its delegates for so long, or behind a number that was told for so long, it watches the store until it hears from them again. Ordinary hosts of a calm fleet ask the store as little as before.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -267,6 +267,7 @@
     this.wireClients = new WireClients(network, SILENCE_MILLIS);
     this.records =
         new RecordSync(
+            host.configurationMillis(),
             shape,
             members,
             store,
@@ -508,6 +509,7 @@
   private void received(String ip, PeerDatagram datagram) {
     long now = MonotonicClock.SYSTEM.nowMillis();
     String from = datagram.getHost();
+    records.heard(from, now);
     switch (datagram.getBodyCase()) {
       case STATE -> {
         peers.received(ip, datagram, now);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetShape.java
@@ -116,6 +116,11 @@
     return group().equals(groups.get(host));
   }
 
+  /** Returns whether a host is a delegate of this host's group. */
+  public boolean isNearDelegate(String host) {
+    return delegates.contains(host) && isNear(host);
+  }
+
   /** Returns the other hosts to tell as delegates of this host's group. */
   public List<Member<HostState>> nearDelegates() {
     return toTell(true);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.node.peer;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
@@ -16,6 +17,10 @@
  */
 public final class RecordSync {
 
+  /** Others are relied on for this part of the time in which a change must be known. */
+  private static final int PARTS = 4;
+
+  private final long relianceMillis;
   private final FleetShape shape;
   private final Members<HostState> members;
   private final StoreRegistry store;
@@ -24,15 +29,23 @@
   private final RecordExchange exchange;
   private final Runnable changed;
   private final EventLog log;
+  private long delegateHeardMillis = Long.MIN_VALUE / 2;
+
+  /** Since when another host is known to be ahead, and when that was told last. */
+  private long behindSinceMillis;
+
+  private long behindToldMillis = Long.MIN_VALUE / 2;
 
   /**
    * Creates the sync of a host.
    *
+   * @param boundMillis the time in which a change must be known
    * @param operators follows the operators' records
    * @param runners follows the runners' entries
    * @param changed told when another host passed on something that is news
    */
   public RecordSync(
+      long boundMillis,
       FleetShape shape,
       Members<HostState> members,
       StoreRegistry store,
@@ -41,6 +54,8 @@
       RecordExchange exchange,
       Runnable changed,
       EventLog log) {
+    checkArgument(boundMillis > 0, "boundMillis must be above 0, was %s", boundMillis);
+    this.relianceMillis = boundMillis / PARTS;
     this.shape = requireNonNull(shape, "shape must not be null");
     this.members = requireNonNull(members, "members must not be null");
     this.store = requireNonNull(store, "store must not be null");
@@ -53,7 +68,7 @@
 
   /** Makes the calls to the store that are due. */
   public void tick(long nowMillis) {
-    if (watchesStore()) {
+    if (watchesStore(nowMillis)) {
       operators.tick(nowMillis);
       runners.tick(nowMillis);
     }
@@ -64,9 +79,10 @@
     long operatorRevision = store.newestOperatorRevision();
     long runnersRevision = store.newestRunnersRevision();
     boolean behind = state.getConfigRevision() > operatorRevision;
-    boolean readsRunners = watchesStore() && runners.isReachable();
+    boolean readsRunners = watchesStore(nowMillis) && runners.isReachable();
     boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersRevision;
     if (behind || runnersBehind) {
+      noteBehind(nowMillis);
       members
           .find(from)
           .ifPresent(
@@ -74,6 +90,13 @@
     }
   }
 
+  private void noteBehind(long nowMillis) {
+    if (nowMillis - behindToldMillis > relianceMillis) {
+      behindSinceMillis = nowMillis;
+    }
+    behindToldMillis = nowMillis;
+  }
+
   /** Takes in records that another host passed on. */
   public void received(List<StoredItem> items, long nowMillis) {
     int news = 0;
@@ -86,11 +109,28 @@
     }
   }
 
+  /** Records that a datagram of another host came. */
+  public void heard(String from, long nowMillis) {
+    if (shape.isNearDelegate(from)) {
+      delegateHeardMillis = nowMillis;
+    }
+  }
+
   /**
    * Returns whether this host asks the store for changes: in a large fleet the delegates do, and
-   * the others learn of changes from them. A host that hears of no delegate becomes one itself.
+   * the others learn of changes from them. A host that hears none of its delegates, or hears of
+   * changes that it does not get, cannot wait until it suspects them: it asks the store itself.
    */
-  private boolean watchesStore() {
-    return !store.isFilled() || !shape.isLarge() || shape.isDelegate();
+  private boolean watchesStore(long nowMillis) {
+    return !store.isFilled()
+        || !shape.isLarge()
+        || shape.isDelegate()
+        || nowMillis - delegateHeardMillis > relianceMillis
+        || isLeftBehind(nowMillis);
+  }
+
+  private boolean isLeftBehind(long nowMillis) {
+    return nowMillis - behindToldMillis <= relianceMillis
+        && nowMillis - behindSinceMillis > relianceMillis;
   }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -72,4 +72,28 @@
       }
     }
   }
+
+  @Nested
+  class LargeFleets {
+
+    private void playEach(int hosts, int forMillis, List<Kind> kinds) {
+      RecordBounds bounds = new RecordBounds(new RecordWorld(hosts, hosts, 4), hosts);
+      bounds.pass(2 * JOIN_MILLIS);
+      for (Kind kind : kinds) {
+        bounds.play(new RecordTrouble(kind, 4, forMillis, 500));
+      }
+      bounds.pass(RecordBounds.SETTLED_MILLIS);
+      System.out.printf("configuration at %d hosts: %s%n", hosts, bounds.summary());
+    }
+
+    @Test
+    void holdsAt77Hosts() {
+      playEach(77, 3_000, List.of(Kind.values()));
+    }
+
+    @Test
+    void holdsAt300Hosts() {
+      playEach(300, 1_500, List.of(Kind.HOSTS_CUT_ONE_WAY, Kind.STORE_SILENT));
+    }
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -71,6 +71,9 @@
     /** Takes in another host's state. */
     void told(String from, HostState state);
 
+    /** Told that a datagram of another host came. */
+    default void heard(String from) {}
+
     void tick(long nowMillis);
   }
 
@@ -344,6 +347,7 @@
     try {
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
       String ip = "ip-" + arrived.from;
+      to.records.heard(datagram.getHost());
       if (datagram.hasDigest()) {
         to.heartbeats.receivedDigest(ip, datagram, now);
       } else if (datagram.hasEnds()) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
@@ -85,6 +85,7 @@
       StoreReader reader = store.reader(host.number);
       this.sync =
           new RecordSync(
+              BOUND_MILLIS,
               host.shape,
               host.members,
               registry,
@@ -136,6 +137,11 @@
       sync.told(from, state, peers.now());
     }
 
+    @Override
+    public void heard(String from) {
+      sync.heard(from, peers.now());
+    }
+
     @Override
     public void tick(long nowMillis) {
       if (ended) {
