Hosts say up to which revision they know all records; a number ahead of its record hides none

Callers: at a host that the store turns away, a change could stay unknown until the next one. Cause: hosts compared one number, the revision of the newest operators' record. A host that reads the store in pages may show a later record of the last page while it lacks an earlier change of the first; who took its records then had the larger number as well, and never asked again. Played in virtual time with two hosts, a reading in two pages and a change between them: the host that is turned away kept the configuration before ('expected 2, but was 1'), now it has the new one.

A pull names the revision up to which the asking host knows all records, and the answer brings the answering host's; who is told of a record that is newer than that asks. So a host also learns from others that it knows all runners, and becomes ready without the store. A host that owes an answer is passed over for a second, so that one silent connection between hosts does not hold up the others' records.

Fields of the pull and its answer are named for what they hold; the call is between hosts of one build.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -42,6 +42,7 @@
 import org.sequoiahub.node.peer.DemandSender;
 import org.sequoiahub.node.peer.FleetShape;
 import org.sequoiahub.node.peer.PeerHeartbeats;
+import org.sequoiahub.node.peer.PulledRecords;
 import org.sequoiahub.node.peer.RecordExchange;
 import org.sequoiahub.node.peer.RecordSync;
 import org.sequoiahub.node.peer.RunnerEndExchange;
@@ -279,7 +280,7 @@
                 storeClient,
                 StoredKeys.RUNNER_PREFIX,
                 WatchTiming.within(host.drainMillis(), RUNNER_SPACING_MILLIS)),
-            new RecordExchange(RecordExchange.over(wireClients, host.peerPort()), this::adopt),
+            new RecordExchange(RecordExchange.over(wireClients, host.peerPort()), this::passedOn),
             this::changed,
             log);
     this.wireServer =
@@ -551,9 +552,13 @@
     records.told(from, state, MonotonicClock.SYSTEM.nowMillis());
   }
 
-  /** Takes in records as if another host had passed them on. */
+  /** Takes in records as if another host had passed them on that knows no others. */
   void adopt(List<StoredItem> items) {
-    duty.put(() -> records.received(items, MonotonicClock.SYSTEM.nowMillis()));
+    passedOn(new PulledRecords(host.ip(), items, 0, 0));
+  }
+
+  private void passedOn(PulledRecords pulled) {
+    duty.put(() -> records.received(pulled, MonotonicClock.SYSTEM.nowMillis()));
   }
 
   private HostState.Builder ownState(boolean withHoldings, boolean complete) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -1,8 +1,8 @@
 package org.sequoiahub.node.peer;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.node.store.StoreRegistry;
@@ -26,8 +26,15 @@
   /** A pull is not repeated sooner (ms). */
   private static final long PERIOD_MILLIS = 150;
 
+  /**
+   * A host that owes an answer is passed over for so long (ms): its connection may be silent for
+   * good, and others can be asked.
+   */
+  private static final long SILENCE_MILLIS = 1_000;
+
   private final PeerCalls calls;
-  private final Consumer<List<StoredItem>> received;
+  private final Consumer<PulledRecords> received;
+  private final Map<String, Long> unansweredMillis = new HashMap<>();
   private long pulledMillis = Long.MIN_VALUE / 2;
 
   /** Asks other hosts for records. */
@@ -42,7 +49,7 @@
    *
    * @param received receives what another host passed on, on the thread of its answer
    */
-  public RecordExchange(PeerCalls calls, Consumer<List<StoredItem>> received) {
+  public RecordExchange(PeerCalls calls, Consumer<PulledRecords> received) {
     this.calls = calls;
     this.received = received;
   }
@@ -69,25 +76,43 @@
                 });
   }
 
-  /** Asks a host for the records that are newer than these revisions. */
-  public void pull(String ip, long operatorRevision, long runnersRevision, long nowMillis) {
-    if (nowMillis - pulledMillis < PERIOD_MILLIS) {
+  /**
+   * Asks a host for the records that are newer than these revisions; nothing if that is too soon
+   * after the last pull, or if the host still owes an answer.
+   */
+  public void pull(String ip, long operatorsCompleteTo, long runnersCompleteTo, long nowMillis) {
+    Long unanswered = unansweredMillis.get(ip);
+    if (nowMillis - pulledMillis < PERIOD_MILLIS
+        || (unanswered != null && nowMillis - unanswered < SILENCE_MILLIS)) {
       return;
     }
     pulledMillis = nowMillis;
+    unansweredMillis.put(ip, nowMillis);
     StorePull pull =
         StorePull.newBuilder()
-            .setConfigRevision(operatorRevision)
-            .setRunnersRevision(runnersRevision)
+            .setOperatorsCompleteTo(operatorsCompleteTo)
+            .setRunnersCompleteTo(runnersCompleteTo)
             .build();
-    calls.pull(ip, pull, records -> received.accept(decoded(records)));
+    calls.pull(ip, pull, records -> received.accept(PulledRecords.decode(ip, records)));
+  }
+
+  /** Records that a host has answered. */
+  public void answered(String ip) {
+    unansweredMillis.remove(ip);
   }
 
   /** Answers another host's pull. */
   public static StoreRecords answer(StorePull pull, StoreRegistry store) {
-    StoreRecords.Builder records = StoreRecords.newBuilder();
-    store.operatorSince(pull.getConfigRevision()).forEach(item -> records.addVersions(entry(item)));
-    store.runnersSince(pull.getRunnersRevision()).forEach(item -> records.addRunners(entry(item)));
+    StoreRecords.Builder records =
+        StoreRecords.newBuilder()
+            .setOperatorsCompleteTo(store.operatorsCompleteTo())
+            .setRunnersCompleteTo(store.runnersCompleteTo());
+    store
+        .operatorSince(pull.getOperatorsCompleteTo())
+        .forEach(item -> records.addOperators(entry(item)));
+    store
+        .runnersSince(pull.getRunnersCompleteTo())
+        .forEach(item -> records.addRunners(entry(item)));
     return records.build();
   }
 
@@ -100,15 +125,4 @@
     }
     return entry;
   }
-
-  private static List<StoredItem> decoded(StoreRecords records) {
-    List<StoredItem> items = new ArrayList<>();
-    List<StoredEntry> entries = new ArrayList<>(records.getVersionsList());
-    entries.addAll(records.getRunnersList());
-    for (StoredEntry entry : entries) {
-      byte @Nullable [] value = entry.getValue().isEmpty() ? null : entry.getValue().toByteArray();
-      items.add(new StoredItem(entry.getKey(), entry.getRevision(), value));
-    }
-    return items;
-  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
-import java.util.List;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
@@ -76,17 +75,18 @@
 
   /** Takes from another host what it has read from the store and this host has not. */
   public void told(String from, HostState state, long nowMillis) {
-    long operatorRevision = store.newestOperatorRevision();
-    long runnersRevision = store.newestRunnersRevision();
-    boolean behind = state.getConfigRevision() > operatorRevision;
+    long operatorsCompleteTo = store.operatorsCompleteTo();
+    long runnersCompleteTo = store.runnersCompleteTo();
+    boolean behind = state.getConfigRevision() > operatorsCompleteTo;
     boolean readsRunners = watchesStore(nowMillis) && runners.isReachable();
-    boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersRevision;
+    boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersCompleteTo;
     if (behind || runnersBehind) {
       noteBehind(nowMillis);
       members
           .find(from)
           .ifPresent(
-              member -> exchange.pull(member.ip(), operatorRevision, runnersRevision, nowMillis));
+              member ->
+                  exchange.pull(member.ip(), operatorsCompleteTo, runnersCompleteTo, nowMillis));
     }
   }
 
@@ -97,14 +97,16 @@
     behindToldMillis = nowMillis;
   }
 
-  /** Takes in records that another host passed on. */
-  public void received(List<StoredItem> items, long nowMillis) {
+  /** Takes in what another host passed on. */
+  public void received(PulledRecords records, long nowMillis) {
+    exchange.answered(records.ip());
     int news = 0;
-    for (StoredItem item : items) {
+    for (StoredItem item : records.items()) {
       news += store.passedOn(item, nowMillis) ? 1 : 0;
     }
+    store.completeTo(records.operatorsCompleteTo(), records.runnersCompleteTo());
     if (news > 0) {
-      log.info("records-from-peer", "news", news);
+      log.info("records-from-peer", "peer", records.ip(), "news", news);
       changed.run();
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -43,7 +43,7 @@
   private final Map<String, StoredItem> operator = new HashMap<>();
   private final Map<String, StoredItem> runners = new HashMap<>();
   private final Map<String, Integer> versions = new HashMap<>();
-  private long operatorRevision;
+  private long operatorsCompleteTo;
   private long newestOperator;
   private long runnersRevision;
 
@@ -90,7 +90,7 @@
       missing(items, revision).forEach(this::noteRemoval);
     } else {
       items.forEach(item -> operatorChange(item, nowMillis));
-      operatorRevision = Math.max(operatorRevision, revision);
+      operatorsCompleteTo = Math.max(operatorsCompleteTo, revision);
     }
     log.info("store-read", "prefix", prefix, "items", items.size(), "revision", revision);
     changed.run();
@@ -143,7 +143,7 @@
       for (StoredItem item : items) {
         news |= operatorChange(item, nowMillis);
       }
-      operatorRevision = Math.max(operatorRevision, revision);
+      operatorsCompleteTo = Math.max(operatorsCompleteTo, revision);
     }
     if (news) {
       changed.run();
@@ -194,6 +194,28 @@
     return runnersRevision;
   }
 
+  /**
+   * Returns the store's revision up to which all operators' records are known here. The newest
+   * record may be later: a reading in pages shows some changes before others.
+   */
+  public long operatorsCompleteTo() {
+    return operatorsCompleteTo;
+  }
+
+  /** Returns the store's revision up to which all runners' entries are known here. */
+  public long runnersCompleteTo() {
+    return book.revision();
+  }
+
+  /**
+   * Records that another host passed on all that is newer here than what was known, up to these
+   * revisions.
+   */
+  public void completeTo(long operatorsRevision, long runnersRevision) {
+    operatorsCompleteTo = Math.max(operatorsCompleteTo, operatorsRevision);
+    book.completeTo(runnersRevision);
+  }
+
   /** Returns the operators' records that are newer than {@code revision}. */
   public List<StoredItem> operatorSince(long revision) {
     return operator.values().stream().filter(item -> item.revision() > revision).toList();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -73,6 +73,43 @@
     }
   }
 
+  @Nested
+  class NumberAheadOfItsRecord {
+
+    private static final int ADAPTERS = 80;
+
+    /**
+     * Guards against a host that tells a newer number than that of a record which it lacks: those
+     * that take its records would never ask for that one.
+     */
+    @Test
+    void recordThatFollowsLaterIsTakenToo() {
+      RecordWorld world = new RecordWorld(1, 2, 2);
+      for (int adapter = 0; adapter < ADAPTERS; adapter++) {
+        world.store.publishVersion(adapterName(adapter), 1);
+      }
+      world.pass(JOIN_MILLIS);
+      world.kill(0);
+      world.store.faults(host -> host == 0 ? Fault.SLOW : Fault.REFUSING);
+      world.start(0);
+      world.pass(100);
+      // Between its two pages: the first lacks the configuration, the second has a later record.
+      long version = world.configure();
+      world.store.publishVersion(adapterName(ADAPTERS - 1), 2);
+      world.pass(JOIN_MILLIS);
+      assertWithMessage("at the host that reads the store")
+          .that(world.host(0).versionInForce())
+          .isEqualTo(version);
+      assertWithMessage("at the host that is turned away")
+          .that(world.host(1).versionInForce())
+          .isEqualTo(version);
+    }
+
+    private static String adapterName(int number) {
+      return "b%02d".formatted(number);
+    }
+  }
+
   @Nested
   class LargeFleets {
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
@@ -93,7 +93,7 @@
               follower(reader, StoredKeys.RUNNER_PREFIX, WatchTiming.within(DRAIN_MILLIS, 600)),
               new RecordExchange(
                   (ip, pull, answer) -> pull(this, ip, pull, answer),
-                  items -> decide(() -> sync().received(items, peers.now()))),
+                  records -> decide(() -> sync().received(records, peers.now()))),
               () -> host.heartbeats.changed(),
               log);
       records.put(host.number, this);
