Restarts of hosts and small views of the fleet no longer exceed the retry budget

Callers and runners: repeats piled up beyond what is allowed.

A process younger than a window that may have a predecessor draws on a part of the budget of its own (0.30), of which it earns what its requests and its age give, so that any number of restarts add up to that part; processes that know the window keep to 0.65. A host that hears of nobody has no share of the fixed allowance, and one that has just started goes by the largest fleet that others tell of.

SharedRetryBudgetTest: the idle share follows the new part (0.65 in place of 0.8), as exact as before.

--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/retry/RetryBudgetSettings.java
@@ -0,0 +1,20 @@
+package org.sequoiahub.core.retry;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * How many retries all hosts together may send to the runners of one service.
+ *
+ * @param ratio retries allowed for each request
+ * @param allowance retries allowed besides
+ * @param windowMillis the time over which both are counted
+ */
+public record RetryBudgetSettings(double ratio, double allowance, long windowMillis) {
+
+  /** Checks the figures. */
+  public RetryBudgetSettings {
+    checkArgument(ratio >= 0, "ratio must not be negative, was %s", ratio);
+    checkArgument(allowance >= 0, "allowance must not be negative, was %s", allowance);
+    checkArgument(windowMillis > 0, "windowMillis must be above 0, was %s", windowMillis);
+  }
+}
--- a/sequoia-core/src/main/java/org/sequoiahub/core/retry/SharedRetryBudget.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/retry/SharedRetryBudget.java
@@ -1,47 +1,57 @@
 package org.sequoiahub.core.retry;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * This host's part of a retry budget that all hosts share, for each service.
  *
  * <p>When everything fails, retries multiply the load on what is left; the sign is more arrivals at
  * runners than requests. Nobody counts for all hosts: each keeps to a share of the requests that it
- * took itself, plus an equal part of the fixed allowance. The parts add up to no more than the
- * whole, as long as no host believes the fleet to be smaller than it is.
+ * took itself, plus an equal part of the fixed allowance.
+ *
+ * <p>A process that ends takes what it knew with it, and the next one may spend again in the same
+ * window. So a process that may have a predecessor draws on a part of the budget of its own while
+ * it is younger than a window. It earns of that part what its own requests and its age give: any
+ * number of restarts in one window add up to no more than the part.
  */
 public final class SharedRetryBudget {
 
-  /**
-   * Part of the allowed figures that is used. A host that restarts forgets what it spent; the rest
-   * covers one restart of a host in the window.
-   */
-  private static final double USED_PART = 0.8;
+  /** Part of the budget for processes that know all that their host spent in the window. */
+  private static final double KNOWING_PART = 0.65;
+
+  /** Part of the budget for processes that do not; the rest covers retries that arrive late. */
+  private static final double YOUNG_PART = 0.3;
 
   private static final int BUCKETS = 10;
 
-  private final double ratio;
-  private final double allowance;
+  private final RetryBudgetSettings settings;
   private final long bucketMillis;
+  private final long startedMillis;
+  private final boolean firstOfHost;
   private final Map<String, Window> windows = new HashMap<>();
 
   /**
    * Creates a budget.
    *
-   * @param ratio retries allowed for each request
-   * @param allowance retries allowed besides, over all hosts
-   * @param windowMillis the time over which both are counted
+   * @param startedMillis when this process started
+   * @param firstOfHost whether no process of this host ran before
    */
-  public SharedRetryBudget(double ratio, double allowance, long windowMillis) {
-    checkArgument(ratio >= 0, "ratio must not be negative, was %s", ratio);
-    checkArgument(allowance >= 0, "allowance must not be negative, was %s", allowance);
-    checkArgument(windowMillis >= BUCKETS, "windowMillis must be %s or more", BUCKETS);
-    this.ratio = ratio;
-    this.allowance = allowance;
-    this.bucketMillis = windowMillis / BUCKETS;
+  public SharedRetryBudget(RetryBudgetSettings settings, long startedMillis, boolean firstOfHost) {
+    this.settings = requireNonNull(settings, "settings must not be null");
+    checkArgument(
+        settings.windowMillis() >= BUCKETS,
+        "windowMillis must be %s or more, was %s",
+        BUCKETS,
+        settings.windowMillis());
+    this.bucketMillis = settings.windowMillis() / BUCKETS;
+    this.startedMillis = startedMillis;
+    this.firstOfHost = firstOfHost;
   }
 
   /** Counts a request of a service. */
@@ -52,29 +62,46 @@
   /**
    * Takes one retry; false if none is left.
    *
-   * @param hosts how many hosts share the budget, this one included
+   * @param hosts how many hosts share the budget, this one included; 0 if that is not known
    */
   public boolean tryRetry(String service, int hosts, long nowMillis) {
-    checkArgument(hosts > 0, "hosts must be above 0, was %s", hosts);
-    Window window = window(service, nowMillis);
-    if (window.retries() + 1 > allowed(window, hosts)) {
+    if (!hasRetry(service, hosts, nowMillis)) {
       return false;
     }
-    window.retries[0]++;
+    window(service, nowMillis).retries[0]++;
     return true;
   }
 
+  /** Returns whether {@link #tryRetry} would succeed now. */
+  public boolean hasRetry(String service, int hosts, long nowMillis) {
+    Usage usage = usage(service, hosts, nowMillis);
+    return usage.taken() + 1 <= usage.allowed();
+  }
+
   /** Returns the retries taken and allowed in the present window. */
   public Usage usage(String service, int hosts, long nowMillis) {
+    checkArgument(hosts >= 0, "hosts must not be negative, was %s", hosts);
     Window window = window(service, nowMillis);
-    return new Usage(window.retries(), allowed(window, hosts));
+    return new Usage(window.retries(), allowed(window, hosts, nowMillis));
+  }
+
+  /** Returns the services for which something was counted. */
+  public Set<String> services() {
+    return Set.copyOf(windows.keySet());
   }
 
   /** Retries taken and allowed. */
   public record Usage(long taken, double allowed) {}
 
-  private double allowed(Window window, int hosts) {
-    return USED_PART * (ratio * window.requests() + allowance / hosts);
+  private double allowed(Window window, int hosts, long nowMillis) {
+    double earned = settings.ratio() * window.requests();
+    // A host that sees no other may be one of many that see none.
+    double share = hosts == 0 ? 0 : settings.allowance() / hosts;
+    long age = nowMillis - startedMillis;
+    if (firstOfHost || age > settings.windowMillis() + bucketMillis) {
+      return KNOWING_PART * (earned + share);
+    }
+    return YOUNG_PART * (earned + share * Math.min(1, (double) age / settings.windowMillis()));
   }
 
   private Window window(String service, long nowMillis) {
@@ -101,8 +128,8 @@
         retries[0] = 0;
       }
       if (bucket < present) {
-        java.util.Arrays.fill(requests, 0);
-        java.util.Arrays.fill(retries, 0);
+        Arrays.fill(requests, 0);
+        Arrays.fill(retries, 0);
         bucket = present;
       }
     }
--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryBudgetRestartTest.java
@@ -0,0 +1,150 @@
+package org.sequoiahub.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Retries of all hosts stay within the budget although processes end and start again. */
+class RetryBudgetRestartTest {
+
+  /** Requests a second of seven hosts. */
+  private static final List<Integer> RATES = Collections.nCopies(7, 16);
+
+  private static final int DOWN_MILLIS = 600;
+
+  /** Each host retries as often as it may. */
+  private static final double GREEDY = 1;
+
+  private static RetryBudgetWorld world(long seed, List<Integer> requestsPerSecond) {
+    return new RetryBudgetWorld(
+        seed,
+        requestsPerSecond,
+        (first, now) -> new SharedRetryBudget(RetryBudgetWorld.SETTINGS, now, first));
+  }
+
+  /** What happens to some hosts. */
+  enum Kind {
+    KILL_ONE,
+    KILL_ALL,
+    ISOLATE,
+    HEAL,
+    JOIN,
+    NOTHING
+  }
+
+  record Step(Kind kind, int host, int thenMillis) {}
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    return Combinators.combine(
+            Arbitraries.of(Kind.class),
+            Arbitraries.integers().between(0, 8),
+            Arbitraries.integers().between(100, 6_000))
+        .as(Step::new)
+        .list()
+        .ofMinSize(1)
+        .ofMaxSize(10);
+  }
+
+  @Property(tries = 300, seed = "20261215")
+  void holdsUnderAnyRestarts(
+      @ForAll @Size(min = 1, max = 9) List<@IntRange(min = 0, max = 40) Integer> requestsPerSecond,
+      @ForAll("steps") List<Step> steps,
+      @ForAll long seed) {
+    RetryBudgetWorld world = world(seed, requestsPerSecond);
+    world.pass(12_000, GREEDY);
+    for (Step step : steps) {
+      int host = step.host() % world.size();
+      switch (step.kind()) {
+        case KILL_ONE -> restart(world, host, host + 1, GREEDY);
+        case KILL_ALL -> restart(world, 0, world.size(), GREEDY);
+        case ISOLATE -> world.isolate(host, true);
+        case HEAL -> world.isolate(host, false);
+        case JOIN -> {
+          if (world.size() < 12) {
+            world.join(5);
+          }
+        }
+        default -> {}
+      }
+      world.pass(step.thenMillis(), GREEDY);
+    }
+    assertThat(world.worstExcess()).isAtMost(0.0);
+  }
+
+  private static void restart(RetryBudgetWorld world, int from, int to, double failing) {
+    for (int host = from; host < to; host++) {
+      world.kill(host);
+    }
+    world.pass(DOWN_MILLIS, failing);
+    for (int host = from; host < to; host++) {
+      world.start(host);
+    }
+  }
+
+  @Nested
+  class SevenHosts {
+
+    private final RetryBudgetWorld world = world(7, RATES);
+
+    /** Guards against processes that spend their host's part anew after each start. */
+    @Test
+    void killedAllAtOnceFiveTimesInOneWindow() {
+      world.pass(15_000, GREEDY);
+      for (int kill = 0; kill < 5; kill++) {
+        restart(world, 0, 7, GREEDY);
+        world.pass(1_000, GREEDY);
+      }
+      world.pass(10_000, GREEDY);
+      assertThat(world.worstExcess()).isAtMost(0.0);
+    }
+
+    @Test
+    void killedOneAfterTheOther() {
+      world.pass(15_000, GREEDY);
+      for (int host = 0; host < 7; host++) {
+        restart(world, host, host + 1, GREEDY);
+        world.pass(500, GREEDY);
+      }
+      assertThat(world.worstExcess()).isAtMost(0.0);
+    }
+
+    /** Guards against a budget that is kept by refusing the retries that callers need. */
+    @Test
+    void mostRetriesAreServedBesideRestarts() {
+      for (double failing : new double[] {0.04, 0.08, 0.12, 0.16}) {
+        RetryBudgetWorld calm = world(7, RATES);
+        calm.pass(30_000, failing);
+        RetryBudgetWorld rolling = world(7, RATES);
+        rolling.pass(15_000, failing);
+        for (int host = 0; host < 7; host++) {
+          restart(rolling, host, host + 1, failing);
+          rolling.pass(2_000, failing);
+        }
+        RetryBudgetWorld lost = world(7, RATES);
+        lost.pass(15_000, failing);
+        restart(lost, 0, 7, failing);
+        lost.pass(10_000, failing);
+        System.out.printf(
+            "part of retries served where %.2f fail: calm %.3f, hosts in turn %.3f, all %.3f%n",
+            failing, calm.servedPart(), rolling.servedPart(), lost.servedPart());
+        if (failing <= 0.08) {
+          assertThat(calm.servedPart()).isAtLeast(0.99);
+          assertThat(rolling.servedPart()).isAtLeast(0.9);
+          assertThat(lost.servedPart()).isAtLeast(0.8);
+        }
+      }
+    }
+  }
+}
--- a/sequoia-core/src/test/java/org/sequoiahub/core/retry/SharedRetryBudgetTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/SharedRetryBudgetTest.java
@@ -16,6 +16,8 @@
   private static final double RATIO = 0.2;
   private static final double ALLOWANCE = 54;
   private static final long WINDOW = 10_000;
+  private static final RetryBudgetSettings SETTINGS =
+      new RetryBudgetSettings(RATIO, ALLOWANCE, WINDOW);
 
   /**
    * Symptom: more arrivals at runners than the fleet's budget allows in some window.
@@ -31,7 +33,7 @@
           List<@IntRange(min = 0, max = 40) Integer> requestsPerSecond) {
     int hosts = requestsPerSecond.size();
     List<SharedRetryBudget> budgets = new ArrayList<>();
-    requestsPerSecond.forEach(r -> budgets.add(new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW)));
+    requestsPerSecond.forEach(r -> budgets.add(new SharedRetryBudget(SETTINGS, 0, true)));
     List<Long> retries = new ArrayList<>();
     List<Long> requests = new ArrayList<>();
     for (long now = 50_000; now < 85_000; now += 100) {
@@ -55,17 +57,17 @@
   class Use {
     @Test
     void idleServiceHasItsPartOfTheAllowance() {
-      SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+      SharedRetryBudget budget = new SharedRetryBudget(SETTINGS, 0, true);
       int taken = 0;
       while (budget.tryRetry("s", 9, 1_000)) {
         taken++;
       }
-      assertThat(taken).isEqualTo((int) (0.8 * ALLOWANCE / 9));
+      assertThat(taken).isEqualTo((int) (0.65 * ALLOWANCE / 9));
     }
 
     @Test
     void servicesDoNotShare() {
-      SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+      SharedRetryBudget budget = new SharedRetryBudget(SETTINGS, 0, true);
       while (budget.tryRetry("s", 1, 1_000)) {
         assertThat(budget.usage("s", 1, 1_000).taken()).isAtMost(54);
       }
@@ -74,7 +76,7 @@
 
     @Test
     void retriesComeBackAfterWindow() {
-      SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+      SharedRetryBudget budget = new SharedRetryBudget(SETTINGS, 0, true);
       while (budget.tryRetry("s", 1, 1_000)) {
         assertThat(budget.usage("s", 1, 1_000).taken()).isAtMost(54);
       }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -198,7 +198,7 @@
             loads,
             host.failureDomain(),
             (name, now) -> name.equals(host.host()) || members.isSound(name, now),
-            now -> 1 + members.reachable(now).size(),
+            this::sharingHosts,
             store::newestVersion,
             this::missing);
     this.datagrams =
@@ -228,7 +228,7 @@
     this.loadGuard = new LoadGuard(knownEnds, runnerEnds);
     metrics.register("quarantine.requests", (Gauge<Integer>) knownEnds::size);
     SharedRetryBudget budget =
-        new SharedRetryBudget(host.retryRatio(), host.retryAllowance(), host.retryWindowMillis());
+        new SharedRetryBudget(host.retries(), startedMillis, host.firstStart());
     this.calls =
         new RequestCoordinator(
             fleet,
@@ -405,6 +405,20 @@
         client, prefix, timing, store, duty::put, MonotonicClock.SYSTEM::nowMillis);
   }
 
+  /**
+   * Returns how many hosts share what the fleet may spend, this one included; 0 if this host hears
+   * of no other though there are some. A host that has just started goes by those that know more.
+   */
+  private int sharingHosts(long nowMillis) {
+    List<Member<HostState>> others = members.reachable(nowMillis);
+    int hosts = 1 + others.size();
+    for (Member<HostState> other : others) {
+      HostState state = other.state();
+      hosts = Math.max(hosts, state == null ? 0 : state.getFleetSize());
+    }
+    return hosts == 1 && host.expectsOthers() ? 0 : hosts;
+  }
+
   private long tickMillis() {
     if (calls.isAnyWaiting()) {
       return TICK_MILLIS;
@@ -573,6 +587,7 @@
             .setRequestsPerSecond(callerAddresses.requestsPerSecond(now))
             .setReady(ready && !leaving)
             .setLeaving(leaving)
+            .setFleetSize(1 + members.reachable(now).size())
             .setConfigRevision(store.newestOperatorRevision())
             .setRunnersRevision(store.newestRunnersRevision());
     state.setLoadsComplete(complete);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.LineFormatter;
@@ -141,9 +142,7 @@
         2_000,
         2_000,
         3_000,
-        0.2,
-        50,
-        10_000,
+        new RetryBudgetSettings(0.2, 50, 10_000),
         5_000,
         100,
         AllowanceSettings.DEFAULT);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.port.FreePorts;
@@ -69,9 +70,7 @@
             2_000,
             2_000,
             3_000,
-            0.2,
-            50,
-            10_000,
+            new RetryBudgetSettings(0.2, 50, 10_000),
             5_000,
             100,
             AllowanceSettings.DEFAULT);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderWorld.java
@@ -30,6 +30,7 @@
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerEnd;
 import org.sequoiahub.core.quarantine.RunnerEndListener;
+import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -298,9 +299,7 @@
           2_000,
           2_000,
           LEASE_MILLIS,
-          0.2,
-          50,
-          10_000,
+          new RetryBudgetSettings(0.2, 50, 10_000),
           5_000,
           100,
           AllowanceSettings.DEFAULT);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
@@ -9,6 +9,7 @@
 import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.usersplatform.HostSettings;
 
@@ -40,9 +41,7 @@
         2_000,
         2_000,
         3_000,
-        0.2,
-        50,
-        10_000,
+        new RetryBudgetSettings(0.2, 50, 10_000),
         5_000,
         WEAK,
         AllowanceSettings.DEFAULT);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerWorld.java
@@ -22,6 +22,7 @@
 import org.sequoiahub.core.quarantine.QuarantineSettings;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerEnd;
+import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
@@ -238,9 +239,7 @@
         2_000,
         2_000,
         3_000,
-        0.2,
-        50,
-        10_000,
+        new RetryBudgetSettings(0.2, 50, 10_000),
         5_000,
         processor(number),
         AllowanceSettings.DEFAULT);
