A retry draws on the budget when it is sent, not when it is decided

Runners: a retry that waits for an adapter or for prompts ahead was counted at its decision, so that retries of many seconds could arrive in one window; and one that found no runner in the end was counted for nothing. RetryAccountTest decides a tenth of 100 requests a second again over 25 s and sends them at once: as many as were decided would be more than the budget, what is sent now is not.

RetryGate asks the budget and tells operators: a line retry-denied with what was taken and allowed and the hosts that share, a counter, and gauges of retries taken and left for each service.

--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryAccountTest.java
@@ -0,0 +1,54 @@
+package org.sequoiahub.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RetryAccountTest {
+
+  private static final int REQUESTS_PER_SECOND = 100;
+  private static final int FAILS_EACH = 10;
+  private static final long DECIDING_MILLIS = 25_000;
+
+  private final RetryBudgetSettings settings = new RetryBudgetSettings(0.2, 10, 10_000);
+  private final SharedRetryBudget budget = new SharedRetryBudget(settings, 0, true);
+
+  /** Guards against retries that were decided over a long time and are all sent at once. */
+  @Test
+  void retriesThatWaitedStayWithinOneWindowsBudget() {
+    List<RetryAccount> waiting = new ArrayList<>();
+    long step = 1_000 / REQUESTS_PER_SECOND;
+    for (long now = 0, request = 0; now < DECIDING_MILLIS; now += step, request++) {
+      budget.request("s", now);
+      RetryAccount account = new RetryAccount(budget, "s");
+      assertThat(account.pay(1, now)).isTrue();
+      account.reachedRunner();
+      if (request % FAILS_EACH == 0 && account.maySend(1, now)) {
+        waiting.add(account);
+      }
+    }
+    long sent = waiting.stream().filter(account -> account.pay(1, DECIDING_MILLIS)).count();
+    double allowed = settings.ratio() * REQUESTS_PER_SECOND * 10 + settings.allowance();
+    assertThat((double) waiting.size()).isGreaterThan(allowed);
+    assertThat((double) sent).isAtMost(allowed);
+  }
+
+  @Test
+  void sendThatReachedNoRunnerCostsNothing() {
+    RetryAccount account = new RetryAccount(budget, "s");
+    assertThat(account.pay(1, 0)).isTrue();
+    assertThat(account.pay(1, 0)).isTrue();
+    assertThat(budget.usage("s", 1, 0).taken()).isEqualTo(0);
+  }
+
+  @Test
+  void retryIsTakenOnceUntilItReachesRunner() {
+    RetryAccount account = new RetryAccount(budget, "s");
+    account.reachedRunner();
+    assertThat(account.pay(1, 0)).isTrue();
+    assertThat(account.pay(1, 0)).isTrue();
+    assertThat(budget.usage("s", 1, 0).taken()).isEqualTo(1);
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -467,6 +467,7 @@
     fleet.forget(nowMillis);
     knownEnds.memoryLost(hasFleetForgotten(nowMillis));
     allowances.upkeep(nowMillis);
+    calls.upkeep(nowMillis);
     quarantine.upkeep(nowMillis);
     loadGuard.upkeep(book::hasEnded, nowMillis);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.quarantine.RequestFingerprint;
+import org.sequoiahub.core.retry.RetryAccount;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.Workspace;
@@ -31,6 +32,7 @@
   /** When nobody wants the answer any more. */
   private long endMillis;
 
+  final RetryAccount retries;
   final StreamRelay relay;
   final List<Running> running = new ArrayList<>();
 
@@ -77,6 +79,7 @@
       CallerHeaders headers,
       Admission.Permitted permitted,
       String service,
+      RetryAccount retries,
       long arrivedMillis,
       long endMillis) {
     this.exchange = exchange;
@@ -84,6 +87,7 @@
     this.permitted = permitted;
     this.route = permitted.route();
     this.service = service;
+    this.retries = retries;
     this.generation = permitted.generation(service, headers);
     this.arrivedMillis = arrivedMillis;
     this.endMillis = endMillis;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -99,7 +99,7 @@
   private final KeyHasher keys;
   private final Admission admission;
   private final UpstreamClient upstreams;
-  private final SharedRetryBudget budget;
+  private final RetryGate retries;
   private final QuarantineGate quarantine;
   private final LoadGuard loadGuard;
   private final GenerationPlacement generations =
@@ -148,7 +148,7 @@
     this.keys = keys;
     this.admission = new Admission(fleet::table, allowances, new WorkspaceMetrics(metrics), log);
     this.upstreams = upstreams;
-    this.budget = budget;
+    this.retries = new RetryGate(budget, fleet, metrics, log);
     this.quarantine = quarantine;
     this.loadGuard = loadGuard;
     this.decisions = decisions;
@@ -197,10 +197,10 @@
       deny(exchange, headers, beyond.get());
       return;
     }
-    Call call = new Call(exchange, headers, permitted, service, now, end);
+    Call call =
+        new Call(exchange, headers, permitted, service, retries.opened(service, now), now, end);
     calls.add(call);
     metrics.counter("requests.accepted").inc();
-    budget.request(service, now);
     place(call, now);
   }
 
@@ -285,6 +285,11 @@
         });
   }
 
+  /** Does what is due now and then. */
+  public void upkeep(long nowMillis) {
+    retries.publish(nowMillis);
+  }
+
   /** Returns how many requests are in progress. */
   public int size() {
     return calls.size();
@@ -469,6 +474,10 @@
   }
 
   private void start(Call call, RunnerEntry runner, int unreadTokens, long nowMillis) {
+    if (!retries.pay(call, nowMillis)) {
+      giveUp(call, "no retry is left", BUSY_RETRY_MILLIS);
+      return;
+    }
     stopWaiting(call);
     call.sends++;
     Call.Running running = new Call.Running(call.sends, runner, nowMillis, unreadTokens);
@@ -686,11 +695,10 @@
             call.runs,
             call.route.maxAttempts(),
             call.endMillis() - now);
-    boolean allowed =
-        again
-            && (!RetryRule.drawsOnBudget(ending)
-                || budget.tryRetry(call.service, fleet.hosts(now), now));
-    if (allowed) {
+    if (RetryRule.drawsOnBudget(ending)) {
+      call.retries.reachedRunner();
+    }
+    if (again && retries.maySendAgain(call, now)) {
       place(call, now);
     } else if (answer != null) {
       pass(call, answer, now);
@@ -759,9 +767,11 @@
       }
     } else if (repetition == Repetition.RESUMABLE_STREAM
         && silent >= STREAM_SILENCE_MILLIS + call.route.pauseMillis()
-        && call.runs + 1 < call.route.maxAttempts()
-        && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis)) {
-      moveSilent(call, newest, nowMillis);
+        && call.runs + 1 < call.route.maxAttempts()) {
+      call.retries.reachedRunner();
+      if (retries.mayMove(call, nowMillis)) {
+        moveSilent(call, newest, nowMillis);
+      }
     }
   }
 
@@ -773,7 +783,7 @@
   private void hedge(Call call, long nowMillis) {
     Optional<Candidate> second =
         services.choose(candidates(call, null, nowMillis), random.nextDouble());
-    if (second.isPresent() && budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis)) {
+    if (second.isPresent() && retries.payHedge(call, nowMillis)) {
       log.info("request-hedged", "request", call.id());
       start(call, second.get().runner(), 0, nowMillis);
     }
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RetryGate.java
@@ -0,0 +1,93 @@
+package org.sequoiahub.node.call;
+
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.DefaultSettableGauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SettableGauge;
+import java.util.HashMap;
+import java.util.Map;
+import org.sequoiahub.core.retry.RetryAccount;
+import org.sequoiahub.core.retry.SharedRetryBudget;
+import org.sequoiahub.runtime.log.EventLog;
+
+/** Asks the retry budget before requests are sent again, and tells operators what came of it. */
+final class RetryGate {
+
+  private final SharedRetryBudget budget;
+  private final FleetView fleet;
+  private final MetricRegistry metrics;
+  private final EventLog log;
+  private final Map<String, SettableGauge<Long>> gauges = new HashMap<>();
+
+  RetryGate(SharedRetryBudget budget, FleetView fleet, MetricRegistry metrics, EventLog log) {
+    this.budget = requireNonNull(budget, "budget must not be null");
+    this.fleet = requireNonNull(fleet, "fleet must not be null");
+    this.metrics = requireNonNull(metrics, "metrics must not be null");
+    this.log = requireNonNull(log, "log must not be null");
+  }
+
+  /** Counts a request and returns its account. */
+  RetryAccount opened(String service, long nowMillis) {
+    budget.request(service, nowMillis);
+    return new RetryAccount(budget, service);
+  }
+
+  /** Returns whether a request could be sent again now. */
+  boolean maySendAgain(Call call, long nowMillis) {
+    return call.retries.maySend(fleet.hosts(nowMillis), nowMillis)
+        || denied(call, "decided", nowMillis);
+  }
+
+  /** Returns whether a stream could go on at another runner now; asked again and again. */
+  boolean mayMove(Call call, long nowMillis) {
+    return call.retries.maySend(fleet.hosts(nowMillis), nowMillis);
+  }
+
+  /** Takes what the next send of a request draws on the budget; false if it must not be made. */
+  boolean pay(Call call, long nowMillis) {
+    return call.retries.pay(fleet.hosts(nowMillis), nowMillis) || denied(call, "sent", nowMillis);
+  }
+
+  /** Takes a second send beside one that runs; false if it must not be made. */
+  boolean payHedge(Call call, long nowMillis) {
+    return budget.tryRetry(call.service, fleet.hosts(nowMillis), nowMillis);
+  }
+
+  private boolean denied(Call call, String when, long nowMillis) {
+    int hosts = fleet.hosts(nowMillis);
+    SharedRetryBudget.Usage usage = budget.usage(call.service, hosts, nowMillis);
+    metrics.counter("retries.denied").inc();
+    log.info(
+        "retry-denied",
+        "request",
+        call.id(),
+        "service",
+        call.service,
+        "when",
+        when,
+        "taken",
+        usage.taken(),
+        "allowed",
+        (long) usage.allowed(),
+        "hosts",
+        hosts);
+    return false;
+  }
+
+  /** Tells the retries taken and left at this host; the sums over all hosts are the fleet's. */
+  void publish(long nowMillis) {
+    int hosts = fleet.hosts(nowMillis);
+    for (String service : budget.services()) {
+      SharedRetryBudget.Usage usage = budget.usage(service, hosts, nowMillis);
+      gauge(service, "taken").setValue(usage.taken());
+      gauge(service, "left").setValue((long) usage.allowed() - usage.taken());
+    }
+  }
+
+  private SettableGauge<Long> gauge(String service, String what) {
+    return gauges.computeIfAbsent(
+        "retries." + service + "." + what,
+        name -> metrics.gauge(name, () -> new DefaultSettableGauge<>(0L)));
+  }
+}
