A host that has just started uses no configuration that may be old; operators see its age and its way

Callers: a host that started beside one that was cut off took that one's configuration and served it, also when a newer one was in force elsewhere (virtual time: version 1 in force 1 s after the start, 'expected: -1'). It now holds what others pass on until the store, or a host that the store confirmed within the bound, says that nothing newer is there; if nobody can say so, it uses it once the bound has passed since the start. 503 until then.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -269,6 +269,7 @@
     this.records =
         new RecordSync(
             host.configurationMillis(),
+            startedMillis,
             shape,
             members,
             store,
@@ -398,6 +399,19 @@
     metrics.register("ready", (Gauge<Integer>) () -> ready && !leaving ? 1 : 0);
     metrics.register("addresses.named", (Gauge<Integer>) () -> addresses.size());
     metrics.register("decisions.backlog", (Gauge<Integer>) duty::backlog);
+    metrics.register("configuration.version", (Gauge<Long>) () -> store.status().version());
+    metrics.register(
+        "configuration.from_peer", (Gauge<Integer>) () -> store.status().fromPeer() ? 1 : 0);
+    metrics.register(
+        "configuration.in_force_ms", (Gauge<Long>) () -> ago(store.status().inForceMillis()));
+    metrics.register(
+        "configuration.confirmed_ms_ago",
+        (Gauge<Long>) () -> ago(store.status().confirmedMillis()));
+  }
+
+  /** Returns how long ago a moment was (ms); -1 if it never was. */
+  private static long ago(long millis) {
+    return millis < 0 ? -1 : MonotonicClock.SYSTEM.nowMillis() - millis;
   }
 
   private StoreFollower follower(StoreClient client, String prefix, WatchTiming timing) {
@@ -569,7 +583,7 @@
 
   /** Takes in records as if another host had passed them on that knows no others. */
   void adopt(List<StoredItem> items) {
-    passedOn(new PulledRecords(host.ip(), items, 0, 0));
+    passedOn(new PulledRecords(host.ip(), items, 0, 0, 0));
   }
 
   private void passedOn(PulledRecords pulled) {
@@ -638,7 +652,11 @@
                 connection.send(
                     message.getCall(),
                     Envelope.newBuilder()
-                        .setStoreRecords(RecordExchange.answer(message.getStorePull(), store))));
+                        .setStoreRecords(
+                            RecordExchange.answer(
+                                message.getStorePull(),
+                                store,
+                                MonotonicClock.SYSTEM.nowMillis()))));
       }
     }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PulledRecords.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PulledRecords.java
@@ -14,9 +14,14 @@
  * @param items what it knows that is newer than it was asked for
  * @param operatorsCompleteTo store revision up to which it knows all operators' records
  * @param runnersCompleteTo store revision up to which it knows all runners' entries
+ * @param confirmedMillisAgo how long ago it knew that there was nothing newer of operators
  */
 public record PulledRecords(
-    String ip, List<StoredItem> items, long operatorsCompleteTo, long runnersCompleteTo) {
+    String ip,
+    List<StoredItem> items,
+    long operatorsCompleteTo,
+    long runnersCompleteTo,
+    long confirmedMillisAgo) {
 
   /** Copies the list. */
   public PulledRecords {
@@ -28,7 +33,11 @@
     records.getOperatorsList().forEach(entry -> items.add(item(entry)));
     records.getRunnersList().forEach(entry -> items.add(item(entry)));
     return new PulledRecords(
-        ip, items, records.getOperatorsCompleteTo(), records.getRunnersCompleteTo());
+        ip,
+        items,
+        records.getOperatorsCompleteTo(),
+        records.getRunnersCompleteTo(),
+        records.getConfirmedMsAgo());
   }
 
   private static StoredItem item(StoredEntry entry) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -102,11 +102,12 @@
   }
 
   /** Answers another host's pull. */
-  public static StoreRecords answer(StorePull pull, StoreRegistry store) {
+  public static StoreRecords answer(StorePull pull, StoreRegistry store, long nowMillis) {
     StoreRecords.Builder records =
         StoreRecords.newBuilder()
             .setOperatorsCompleteTo(store.operatorsCompleteTo())
-            .setRunnersCompleteTo(store.runnersCompleteTo());
+            .setRunnersCompleteTo(store.runnersCompleteTo())
+            .setConfirmedMsAgo(nowMillis - store.status().confirmedMillis());
     store
         .operatorSince(pull.getOperatorsCompleteTo())
         .forEach(item -> records.addOperators(entry(item)));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -19,7 +19,9 @@
   /** Others are relied on for this part of the time in which a change must be known. */
   private static final int PARTS = 4;
 
+  private final long boundMillis;
   private final long relianceMillis;
+  private final long startedMillis;
   private final FleetShape shape;
   private final Members<HostState> members;
   private final StoreRegistry store;
@@ -39,12 +41,14 @@
    * Creates the sync of a host.
    *
    * @param boundMillis the time in which a change must be known
+   * @param startedMillis when this host's process began
    * @param operators follows the operators' records
    * @param runners follows the runners' entries
    * @param changed told when another host passed on something that is news
    */
   public RecordSync(
       long boundMillis,
+      long startedMillis,
       FleetShape shape,
       Members<HostState> members,
       StoreRegistry store,
@@ -54,6 +58,8 @@
       Runnable changed,
       EventLog log) {
     checkArgument(boundMillis > 0, "boundMillis must be above 0, was %s", boundMillis);
+    this.boundMillis = boundMillis;
+    this.startedMillis = startedMillis;
     this.relianceMillis = boundMillis / PARTS;
     this.shape = requireNonNull(shape, "shape must not be null");
     this.members = requireNonNull(members, "members must not be null");
@@ -67,6 +73,10 @@
 
   /** Makes the calls to the store that are due. */
   public void tick(long nowMillis) {
+    if (nowMillis - startedMillis > boundMillis) {
+      // What others passed on may be old, but nothing better can be had.
+      store.useHeld(nowMillis);
+    }
     if (watchesStore(nowMillis)) {
       operators.tick(nowMillis);
       runners.tick(nowMillis);
@@ -105,6 +115,9 @@
       news += store.passedOn(item, nowMillis) ? 1 : 0;
     }
     store.completeTo(records.operatorsCompleteTo(), records.runnersCompleteTo());
+    if (records.confirmedMillisAgo() <= boundMillis) {
+      store.confirmed(nowMillis - records.confirmedMillisAgo(), nowMillis);
+    }
     if (news > 0) {
       log.info("records-from-peer", "peer", records.ip(), "news", news);
       changed.run();
@@ -115,6 +128,9 @@
   public void heard(String from, long nowMillis) {
     if (shape.isNearDelegate(from)) {
       delegateHeardMillis = nowMillis;
+      if (!isLeftBehind(nowMillis)) {
+        store.confirmed(nowMillis, nowMillis);
+      }
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -45,6 +45,12 @@
   private final Map<String, Integer> versions = new HashMap<>();
   private long operatorsCompleteTo;
   private long newestOperator;
+
+  /** A configuration that was passed on before this host could know whether it is the newest. */
+  private @Nullable Held held;
+
+  private boolean unconfirmedUsed;
+  private volatile ConfigurationStatus status = ConfigurationStatus.NONE;
   private long runnersRevision;
 
   /** The revision of each key that was logged as unreadable last; the oldest keys are forgotten. */
@@ -56,6 +62,8 @@
         }
       };
 
+  private record Held(RoutingTable table, long revision, boolean fromPeer) {}
+
   /**
    * Creates a registry.
    *
@@ -89,7 +97,8 @@
       book.replace(entries, unreadable, revision, nowMillis);
       missing(items, revision).forEach(this::noteRemoval);
     } else {
-      items.forEach(item -> operatorChange(item, nowMillis));
+      items.forEach(item -> operatorChange(item, false, nowMillis));
+      confirmed(nowMillis, nowMillis);
       operatorsCompleteTo = Math.max(operatorsCompleteTo, revision);
     }
     log.info("store-read", "prefix", prefix, "items", items.size(), "revision", revision);
@@ -141,8 +150,9 @@
       book.completeTo(revision);
     } else {
       for (StoredItem item : items) {
-        news |= operatorChange(item, nowMillis);
+        news |= operatorChange(item, false, nowMillis);
       }
+      confirmed(nowMillis, nowMillis);
       operatorsCompleteTo = Math.max(operatorsCompleteTo, revision);
     }
     if (news) {
@@ -163,7 +173,7 @@
   /** Takes in a record that another host passed on; returns whether it was news. */
   public boolean passedOn(StoredItem item, long nowMillis) {
     if (!item.key().startsWith(StoredKeys.RUNNER_PREFIX)) {
-      return operatorChange(item, nowMillis);
+      return operatorChange(item, true, nowMillis);
     }
     List<Change> entries = new ArrayList<>();
     runnerChange(item, entries);
@@ -176,7 +186,54 @@
 
   /** Returns whether a configuration is in force and the runners are known. */
   public boolean isFilled() {
-    return operator.containsKey(StoredKeys.CONFIGURATION) && book.revision() > 0;
+    return status.version() >= 0 && book.revision() > 0;
+  }
+
+  /** Returns which configuration is in force; may be called on any thread. */
+  public ConfigurationStatus status() {
+    return status;
+  }
+
+  /**
+   * Records that nothing newer of operators was known at a moment to the store, or to a host that
+   * this one relies on. A configuration that was held until then comes into force.
+   */
+  public void confirmed(long atMillis, long nowMillis) {
+    status = status.confirmedAt(atMillis);
+    useHeld(nowMillis);
+  }
+
+  /** Puts the configuration into force that waits for its confirmation, if there is one. */
+  public void useHeld(long nowMillis) {
+    unconfirmedUsed = true;
+    Held waiting = held;
+    held = null;
+    if (waiting != null) {
+      use(waiting, nowMillis);
+    }
+  }
+
+  private void use(Held next, long nowMillis) {
+    tables.accept(next.table);
+    status =
+        new ConfigurationStatus(
+            next.table.version(),
+            next.revision,
+            next.fromPeer,
+            nowMillis,
+            status.confirmedMillis());
+    log.info(
+        "configuration-in-force",
+        "version",
+        next.table.version(),
+        "revision",
+        next.revision,
+        "routes",
+        next.table.size(),
+        "from",
+        next.fromPeer ? "peer" : "store",
+        "confirmed_ms_ago",
+        next.fromPeer ? nowMillis - status.confirmedMillis() : 0);
   }
 
   /** Returns the newest published version of an adapter; 0 if none was published. */
@@ -283,7 +340,7 @@
     return news;
   }
 
-  private boolean operatorChange(StoredItem item, long nowMillis) {
+  private boolean operatorChange(StoredItem item, boolean fromPeer, long nowMillis) {
     StoredItem before = operator.get(item.key());
     byte @Nullable [] value = item.value();
     if (value == null || (before != null && before.revision() >= item.revision())) {
@@ -291,16 +348,10 @@
     }
     try {
       if (item.key().equals(StoredKeys.CONFIGURATION)) {
-        RoutingTable table = decoder.configuration(value);
-        tables.accept(table);
-        log.info(
-            "configuration-in-force",
-            "version",
-            table.version(),
-            "revision",
-            item.revision(),
-            "routes",
-            table.size());
+        held = new Held(decoder.configuration(value), item.revision(), fromPeer);
+        if (unconfirmedUsed || !fromPeer) {
+          useHeld(nowMillis);
+        }
       } else if (item.key().startsWith(StoredKeys.VERSION_PREFIX)) {
         PublishedVersion version = decoder.version(value);
         versions.merge(version.target(), version.version(), Math::max);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -110,6 +110,48 @@
     }
   }
 
+  @Nested
+  class Start {
+
+    /** Guards against a host that begins with the configuration of one that is cut off. */
+    @Test
+    void oldConfigurationIsNotUsedWhileItMayBeOld() {
+      RecordWorld world = new RecordWorld(3, 3, 3);
+      world.pass(JOIN_MILLIS);
+      world.store.fault(Fault.REFUSING, host -> host > 0);
+      world.cut((from, to) -> from == 0 || to == 0);
+      world.pass(RecordWorld.BOUND_MILLIS);
+      world.configure();
+      world.pass(JOIN_MILLIS);
+      world.kill(2);
+      world.start(2);
+      world.pass(1_000);
+      assertWithMessage("version while it may be old")
+          .that(world.host(2).versionInForce())
+          .isEqualTo(-1);
+      world.pass(RecordWorld.BOUND_MILLIS);
+      assertWithMessage("version when no better one can be had")
+          .that(world.host(2).versionInForce())
+          .isEqualTo(1);
+    }
+
+    /** Guards against a host that does not serve because the store turns it away. */
+    @Test
+    void configurationOfHostsInTouchIsUsedAtOnce() {
+      RecordWorld world = new RecordWorld(4, 3, 3);
+      world.pass(JOIN_MILLIS);
+      world.store.fault(Fault.REFUSING, host -> host == 2);
+      long version = world.configure();
+      world.kill(2);
+      world.start(2);
+      world.pass(1_000);
+      assertWithMessage("version of the other hosts")
+          .that(world.host(2).versionInForce())
+          .isEqualTo(version);
+      assertWithMessage("is ready").that(world.host(2).registry.isFilled()).isTrue();
+    }
+  }
+
   @Nested
   class LargeFleets {
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordWorld.java
@@ -38,6 +38,9 @@
 
   static final long DRAIN_MILLIS = 2_000;
 
+  /** When {@link PeerWorld} begins. */
+  private static final long START_MILLIS = 1_000_000;
+
   private static final int MAX_DELAY_MILLIS = 4;
   private static final long RUNNER_HEARTBEAT_MILLIS = 1_200;
   private static final int RUNNERS = 4;
@@ -74,6 +77,7 @@
 
     HostRecords(PeerWorld.Host host) {
       this.host = host;
+      long startedMillis = peers == null ? START_MILLIS : now();
       EventLog log = new EventLog("test", "host-" + host.number);
       this.registry =
           new StoreRegistry(
@@ -86,6 +90,7 @@
       this.sync =
           new RecordSync(
               BOUND_MILLIS,
+              startedMillis,
               host.shape,
               host.members,
               registry,
@@ -156,7 +161,7 @@
 
   RecordWorld(long seed, int hosts, int domains) {
     this.random = new Random(seed);
-    this.store = new VirtualStore(seed, 1_000_000);
+    this.store = new VirtualStore(seed, START_MILLIS);
     configure();
     runnerHeartbeats();
     this.peers = new PeerWorld(seed, hosts, domains, HostRecords::new);
@@ -250,7 +255,7 @@
           HostRecords asked = host(to);
           asked.decide(
               () -> {
-                StoreRecords answered = RecordExchange.answer(pull, asked.registry);
+                StoreRecords answered = RecordExchange.answer(pull, asked.registry, now());
                 deliver(to, asker, () -> answer.accept(answered));
               });
         });
