A host takes leaving runners from others when its own watch is late

Cause: others' word on runners counted only once the host had given its own watch up, 1.5 s after it was lost.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -268,7 +268,7 @@
     this.wireClients = new WireClients(network, SILENCE_MILLIS);
     this.records =
         new RecordSync(
-            host.configurationMillis(),
+            Math.min(host.configurationMillis(), host.drainMillis()),
             startedMillis,
             shape,
             members,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -19,6 +19,9 @@
   /** Others are relied on for this part of the time in which a change must be known. */
   private static final int PARTS = 4;
 
+  /** A watch of the runners that is so many times as late may be lost. */
+  private static final int AWAITED = 2;
+
   private final long boundMillis;
   private final long relianceMillis;
   private final long startedMillis;
@@ -32,10 +35,25 @@
   private final EventLog log;
   private long delegateHeardMillis = Long.MIN_VALUE / 2;
 
-  /** Since when another host is known to be ahead, and when that was told last. */
-  private long behindSinceMillis;
+  private final Lag operatorsLag = new Lag();
+  private final Lag runnersLag = new Lag();
+
+  /** For how long other hosts have told of changes that this one does not have. */
+  private final class Lag {
+    private long sinceMillis;
+    private long toldMillis = Long.MIN_VALUE / 2;
+
+    void told(long nowMillis) {
+      if (nowMillis - toldMillis > relianceMillis) {
+        sinceMillis = nowMillis;
+      }
+      toldMillis = nowMillis;
+    }
 
-  private long behindToldMillis = Long.MIN_VALUE / 2;
+    boolean lasts(long millis, long nowMillis) {
+      return nowMillis - toldMillis <= relianceMillis && nowMillis - sinceMillis > millis;
+    }
+  }
 
   /**
    * Creates the sync of a host.
@@ -88,10 +106,14 @@
     long operatorsCompleteTo = store.operatorsCompleteTo();
     long runnersCompleteTo = store.runnersCompleteTo();
     boolean behind = state.getConfigRevision() > operatorsCompleteTo;
-    boolean readsRunners = watchesStore(nowMillis) && runners.isReachable();
-    boolean runnersBehind = !readsRunners && state.getRunnersRevision() > runnersCompleteTo;
-    if (behind || runnersBehind) {
-      noteBehind(nowMillis);
+    boolean runnersBehind = state.getRunnersRevision() > runnersCompleteTo;
+    if (behind) {
+      operatorsLag.told(nowMillis);
+    }
+    if (runnersBehind) {
+      runnersLag.told(nowMillis);
+    }
+    if (behind || (runnersBehind && !awaitsRunners(nowMillis))) {
       members
           .find(from)
           .ifPresent(
@@ -100,11 +122,14 @@
     }
   }
 
-  private void noteBehind(long nowMillis) {
-    if (nowMillis - behindToldMillis > relianceMillis) {
-      behindSinceMillis = nowMillis;
-    }
-    behindToldMillis = nowMillis;
+  /**
+   * Returns whether this host's own watch of the runners is about to tell the same: runners change
+   * all the time, and their entries are many.
+   */
+  private boolean awaitsRunners(long nowMillis) {
+    return watchesStore(nowMillis)
+        && runners.isReachable()
+        && !runnersLag.lasts(AWAITED * relianceMillis, nowMillis);
   }
 
   /** Takes in what another host passed on. */
@@ -148,7 +173,7 @@
   }
 
   private boolean isLeftBehind(long nowMillis) {
-    return nowMillis - behindToldMillis <= relianceMillis
-        && nowMillis - behindSinceMillis > relianceMillis;
+    return operatorsLag.lasts(relianceMillis, nowMillis)
+        || runnersLag.lasts(relianceMillis, nowMillis);
   }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -44,6 +44,16 @@
     bounds.pass(RecordBounds.SETTLED_MILLIS);
   }
 
+  /** Guards against a host that relies on its lost watch though others know of a change. */
+  @Test
+  void leavingRunnerIsKnownWhereTheStoreIsSilent() {
+    long seed = 1_028;
+    RecordBounds bounds = new RecordBounds(new RecordWorld(seed, 2, DOMAINS), seed);
+    bounds.pass(JOIN_MILLIS);
+    bounds.play(new RecordTrouble(Kind.STORE_SILENT, 1, 2_141, 91));
+    bounds.pass(RecordBounds.SETTLED_MILLIS);
+  }
+
   @Provide
   Arbitrary<Integer> sizes() {
     return Arbitraries.integers().between(2, 9);
