A host that catches up with each of many changes is not taken to be left behind

The lag of a host counts from the first number that it still lacks. A delegate's word confirms a configuration only at a host that has one in force, and a call between hosts is forgotten once it is answered.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -13,6 +13,7 @@
 import org.sequoiahub.schema.wire.Envelope;
 import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.wire.CallListener;
+import org.sequoiahub.wire.WireClient;
 import org.sequoiahub.wire.WireClients;
 
 /**
@@ -56,24 +57,25 @@
 
   /** Returns calls over connections to the hosts' ports for peers. */
   public static PeerCalls over(WireClients clients, int peerPort) {
-    return (ip, pull, answer) ->
-        clients
-            .to(new Endpoint(ip, peerPort))
-            .call(
-                Envelope.newBuilder().setStorePull(pull),
-                new CallListener() {
-                  @Override
-                  public void message(Envelope message) {
-                    if (message.hasStoreRecords()) {
-                      answer.accept(message.getStoreRecords());
-                    }
-                  }
+    return (ip, pull, answer) -> {
+      WireClient client = clients.to(new Endpoint(ip, peerPort));
+      client.call(
+          Envelope.newBuilder().setStorePull(pull),
+          new CallListener() {
+            @Override
+            public void message(Envelope message) {
+              client.end(message.getCall());
+              if (message.hasStoreRecords()) {
+                answer.accept(message.getStoreRecords());
+              }
+            }
 
-                  @Override
-                  public void lost(boolean handedOn) {
-                    // The next state of any host that is ahead leads to the next pull.
-                  }
-                });
+            @Override
+            public void lost(boolean handedOn) {
+              // The next state of any host that is ahead leads to the next pull.
+            }
+          });
+    };
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -38,20 +38,25 @@
   private final Lag operatorsLag = new Lag();
   private final Lag runnersLag = new Lag();
 
-  /** For how long other hosts have told of changes that this one does not have. */
+  /** For how long other hosts have told of a change that this one does not have. */
   private final class Lag {
+    private long revision;
     private long sinceMillis;
     private long toldMillis = Long.MIN_VALUE / 2;
 
-    void told(long nowMillis) {
-      if (nowMillis - toldMillis > relianceMillis) {
+    void told(long newest, long completeTo, long nowMillis) {
+      boolean over = revision <= completeTo || nowMillis - toldMillis > relianceMillis;
+      if (over) {
         sinceMillis = nowMillis;
       }
+      revision = over ? newest : Math.max(revision, newest);
       toldMillis = nowMillis;
     }
 
-    boolean lasts(long millis, long nowMillis) {
-      return nowMillis - toldMillis <= relianceMillis && nowMillis - sinceMillis > millis;
+    boolean lasts(long completeTo, long millis, long nowMillis) {
+      return revision > completeTo
+          && nowMillis - toldMillis <= relianceMillis
+          && nowMillis - sinceMillis > millis;
     }
   }
 
@@ -108,10 +113,10 @@
     boolean behind = state.getConfigRevision() > operatorsCompleteTo;
     boolean runnersBehind = state.getRunnersRevision() > runnersCompleteTo;
     if (behind) {
-      operatorsLag.told(nowMillis);
+      operatorsLag.told(state.getConfigRevision(), operatorsCompleteTo, nowMillis);
     }
     if (runnersBehind) {
-      runnersLag.told(nowMillis);
+      runnersLag.told(state.getRunnersRevision(), runnersCompleteTo, nowMillis);
     }
     if (behind || (runnersBehind && !awaitsRunners(nowMillis))) {
       members
@@ -129,7 +134,7 @@
   private boolean awaitsRunners(long nowMillis) {
     return watchesStore(nowMillis)
         && runners.isReachable()
-        && !runnersLag.lasts(AWAITED * relianceMillis, nowMillis);
+        && !runnersLag.lasts(store.runnersCompleteTo(), AWAITED * relianceMillis, nowMillis);
   }
 
   /** Takes in what another host passed on. */
@@ -153,7 +158,7 @@
   public void heard(String from, long nowMillis) {
     if (shape.isNearDelegate(from)) {
       delegateHeardMillis = nowMillis;
-      if (!isLeftBehind(nowMillis)) {
+      if (store.isFilled() && !isLeftBehind(nowMillis)) {
         store.confirmed(nowMillis, nowMillis);
       }
     }
@@ -173,7 +178,7 @@
   }
 
   private boolean isLeftBehind(long nowMillis) {
-    return operatorsLag.lasts(relianceMillis, nowMillis)
-        || runnersLag.lasts(relianceMillis, nowMillis);
+    return operatorsLag.lasts(store.operatorsCompleteTo(), relianceMillis, nowMillis)
+        || runnersLag.lasts(store.runnersCompleteTo(), relianceMillis, nowMillis);
   }
 }
