--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -17,10 +17,10 @@
 public final class RecordSync {
 
   /** Others are relied on for this part of the time in which a change must be known. */
-  private static final int PARTS = 4;
+  private static final int RELIANCE_DIVISOR = 4;
 
-  /** A watch of the runners that is so many times as late may be lost. */
-  private static final int AWAITED = 2;
+  /** The own watch of the runners is waited for so many times as long. */
+  private static final int AWAITED_FACTOR = 2;
 
   private final long boundMillis;
   private final long relianceMillis;
@@ -83,7 +83,7 @@
     checkArgument(boundMillis > 0, "boundMillis must be above 0, was %s", boundMillis);
     this.boundMillis = boundMillis;
     this.startedMillis = startedMillis;
-    this.relianceMillis = boundMillis / PARTS;
+    this.relianceMillis = boundMillis / RELIANCE_DIVISOR;
     this.shape = requireNonNull(shape, "shape must not be null");
     this.members = requireNonNull(members, "members must not be null");
     this.store = requireNonNull(store, "store must not be null");
@@ -134,7 +134,7 @@
   private boolean awaitsRunners(long nowMillis) {
     return watchesStore(nowMillis)
         && runners.isReachable()
-        && !runnersLag.lasts(store.runnersCompleteTo(), AWAITED * relianceMillis, nowMillis);
+        && !runnersLag.lasts(store.runnersCompleteTo(), AWAITED_FACTOR * relianceMillis, nowMillis);
   }
 
   /** Takes in what another host passed on. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -49,7 +49,9 @@
   /** A configuration that was passed on before this host could know whether it is the newest. */
   private @Nullable Held held;
 
-  private boolean unconfirmedUsed;
+  /** Whether a configuration of another host is used at once. */
+  private boolean trustsPeers;
+
   private volatile ConfigurationStatus status = ConfigurationStatus.NONE;
   private long runnersRevision;
 
@@ -62,6 +64,7 @@
         }
       };
 
+  /** A configuration on its way into force. */
   private record Held(RoutingTable table, long revision, boolean fromPeer) {}
 
   /**
@@ -203,9 +206,9 @@
     useHeld(nowMillis);
   }
 
-  /** Puts the configuration into force that waits for its confirmation, if there is one. */
+  /** Uses a configuration that waits for its confirmation, and later ones at once. */
   public void useHeld(long nowMillis) {
-    unconfirmedUsed = true;
+    trustsPeers = true;
     Held waiting = held;
     held = null;
     if (waiting != null) {
@@ -349,7 +352,7 @@
     try {
       if (item.key().equals(StoredKeys.CONFIGURATION)) {
         held = new Held(decoder.configuration(value), item.revision(), fromPeer);
-        if (unconfirmedUsed || !fromPeer) {
+        if (trustsPeers || !fromPeer) {
           useHeld(nowMillis);
         }
       } else if (item.key().startsWith(StoredKeys.VERSION_PREFIX)) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
@@ -16,6 +16,9 @@
  */
 public record WatchTiming(long holdMillis, long patienceMillis, long spacingMillis) {
 
+  private static final int HOLD_DIVISOR = 2;
+  private static final int PATIENCE_DIVISOR = 4;
+
   /** Checks that a watch can be answered in time. */
   public WatchTiming {
     checkArgument(holdMillis > 0, "holdMillis must be above 0, was %s", holdMillis);
@@ -31,6 +34,8 @@
    */
   public static WatchTiming within(long boundMillis, long spacingMillis) {
     return new WatchTiming(
-        Math.max(1, boundMillis / 2), Math.max(1, boundMillis / 4), spacingMillis);
+        Math.max(1, boundMillis / HOLD_DIVISOR),
+        Math.max(1, boundMillis / PATIENCE_DIVISOR),
+        spacingMillis);
   }
 }
