Ordinary hosts rely on their delegates for half of the bound, not a quarter

A gap of a quarter of the bound in what delegates say is common on weak hosts under load, and then each host asks the store.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -190,7 +190,6 @@
     KeyHasher keys = KeyHasher.drawn(new SecureRandom());
     RecordDecoder decoder = new RecordDecoder(keys);
     this.store = new StoreRegistry(decoder, book, this::inForce, this::changed, log);
-    StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
     this.fleet =
         new FleetView(
             book,
@@ -266,6 +265,7 @@
             peers::holdingsChanged,
             log);
     this.wireClients = new WireClients(network, SILENCE_MILLIS);
+    StoreClient storeClient = new StoreClient(storeHttp, host.storeAddress());
     this.records =
         new RecordSync(
             Math.min(host.configurationMillis(), host.drainMillis()),
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -17,10 +17,7 @@
 public final class RecordSync {
 
   /** Others are relied on for this part of the time in which a change must be known. */
-  private static final int RELIANCE_DIVISOR = 4;
-
-  /** The own watch of the runners is waited for so many times as long. */
-  private static final int AWAITED_FACTOR = 2;
+  private static final int RELIANCE_DIVISOR = 2;
 
   private final long boundMillis;
   private final long relianceMillis;
@@ -134,7 +131,7 @@
   private boolean awaitsRunners(long nowMillis) {
     return watchesStore(nowMillis)
         && runners.isReachable()
-        && !runnersLag.lasts(store.runnersCompleteTo(), AWAITED_FACTOR * relianceMillis, nowMillis);
+        && !runnersLag.lasts(store.runnersCompleteTo(), relianceMillis, nowMillis);
   }
 
   /** Takes in what another host passed on. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -151,7 +151,7 @@
       RecordWorld world = new RecordWorld(4, 3, 3);
       world.pass(JOIN_MILLIS);
       world.store.fault(Fault.REFUSING, host -> host == 2);
-      long version = world.configure();
+      final long version = world.configure();
       world.kill(2);
       world.start(2);
       world.pass(1_000);
