--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -23,12 +23,15 @@
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
+import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.CallerLimits;
 import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerRegistry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.call.FleetView;
@@ -47,6 +50,7 @@
 import org.sequoiahub.node.peer.RecordSync;
 import org.sequoiahub.node.peer.RunnerTerminationExchange;
 import org.sequoiahub.node.peer.StateCodec;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
 import org.sequoiahub.node.store.WatchTiming;
@@ -157,6 +161,7 @@
   private final RunnerTerminationExchange terminationExchange;
   private final QuarantineGate quarantineGate;
   private final LoadGuard loadGuard;
+  private final RunnerRateLimits rateLimits;
   private final DemandSender demandSender;
   private final RecordSync recordSync;
   private final CallerServer callerServer;
@@ -215,6 +220,9 @@
         DatagramPort.open(
             network, hostSettings.ip(), hostSettings.datagramPort(), log, this::datagramReceived);
     this.incarnation = System.currentTimeMillis();
+    this.rateLimits =
+        new RunnerRateLimits(
+            Rendezvous.hash(hostSettings.host() + "/" + incarnation), metrics, log);
     this.fleetShape = new FleetTopology(hostSettings, members);
     this.callerAddresses = new CallerAddresses(hostSettings, members, fleetShape);
     this.heartbeats =
@@ -251,6 +259,7 @@
             budget,
             quarantineGate,
             loadGuard,
+            rateLimits,
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
@@ -269,8 +278,9 @@
             fleetShape,
             holdings,
             fleetLoad,
-            new OrderClient(runnerHttp, decoder),
+            new OrderClient(runnerHttp, decoder, this::limitReceived),
             loadGuard,
+            rateLimits,
             heartbeats::datagram,
             datagrams::send,
             decisionThread::put,
@@ -527,6 +537,7 @@
     allowances.assumeSilentSpending(nowMillis);
     requestCoordinator.publishMetrics(nowMillis);
     quarantineGate.runMaintenance(nowMillis);
+    rateLimits.runMaintenance(runnerRegistry.incarnationKeys(), nowMillis);
     loadGuard.detectTerminations(runnerRegistry::hasTerminated, nowMillis);
   }
 
@@ -567,6 +578,11 @@
     callerServer.apply(table.limits());
   }
 
+  private void limitReceived(RunnerEntry runner, StatedLimit stated) {
+    decisionThread.put(
+        () -> rateLimits.replyReceived(runner.id(), stated, MonotonicClock.SYSTEM.nowMillis()));
+  }
+
   private void requestArrived(CallerExchange request) {
     callerAddresses.recordRequest(MonotonicClock.SYSTEM.nowMillis());
     requestCoordinator.handle(request);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -31,6 +31,7 @@
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.RequestFingerprint;
+import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.RepeatPolicy;
@@ -38,6 +39,8 @@
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.ratelimit.RunnerCall;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.node.upstream.AttemptListener;
 import org.sequoiahub.node.upstream.Outcome;
 import org.sequoiahub.node.upstream.UpstreamClient;
@@ -115,6 +118,7 @@
   private final RetryGate retryGate;
   private final QuarantineGate quarantineGate;
   private final LoadGuard loadGuard;
+  private final RunnerRateLimits rateLimits;
   private final GenerationPlacement generationPlacement =
       new GenerationPlacement(PlacementSettings.DEFAULT);
   private final ServicePlacement servicePlacement = new ServicePlacement(PlacementSettings.DEFAULT);
@@ -150,6 +154,7 @@
       SharedRetryBudget budget,
       QuarantineGate quarantineGate,
       LoadGuard loadGuard,
+      RunnerRateLimits rateLimits,
       Consumer<Runnable> decisionThread,
       LongSupplier clock,
       Runnable inFlightListener,
@@ -166,6 +171,7 @@
     this.retryGate = new RetryGate(budget, fleet, metrics, log);
     this.quarantineGate = quarantineGate;
     this.loadGuard = loadGuard;
+    this.rateLimits = rateLimits;
     this.decisionThread = decisionThread;
     this.clock = clock;
     this.inFlightListener = inFlightListener;
@@ -529,6 +535,7 @@
     Call.ActiveAttempt active = new Call.ActiveAttempt(call.sends, runner, nowMillis, unreadTokens);
     call.activeAttempts.add(active);
     fleet.fleetLoad().add(runner.id(), 1, unreadTokens, 0, call.adapter());
+    rateLimits.recordSent(runner.id(), RunnerCall.REQUEST, nowMillis);
     if (call.generation != null) {
       fleet.recordSentPrompt(runner, call.generation);
     }
@@ -584,6 +591,16 @@
       this.active = active;
     }
 
+    @Override
+    public void limitStated(StatedLimit limit) {
+      if (rateLimits.isRelevant(limit)) {
+        decisionThread.accept(
+            () ->
+                rateLimits.responseReceived(
+                    active.runner.id(), limit, active.startedMillis, clock.getAsLong()));
+      }
+    }
+
     @Override
     public void streamStarted(int status, HttpFields headers) {
       call.relay.start(active.number, status, headers);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -36,6 +36,8 @@
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.StateCodec;
+import org.sequoiahub.node.ratelimit.RunnerCall;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HeldBy;
@@ -131,6 +133,7 @@
   private final FleetLoad fleetLoad;
   private final RunnerOrders orders;
   private final LoadGuard loadGuard;
+  private final RunnerRateLimits rateLimits;
   private final Supplier<PeerDatagram.Builder> datagramFactory;
   private final BiConsumer<String, byte[]> sender;
   private final Consumer<Runnable> decisionThread;
@@ -244,6 +247,7 @@
       FleetLoad fleetLoad,
       RunnerOrders orders,
       LoadGuard loadGuard,
+      RunnerRateLimits rateLimits,
       Supplier<PeerDatagram.Builder> datagramFactory,
       BiConsumer<String, byte[]> sender,
       Consumer<Runnable> decisionThread,
@@ -260,6 +264,7 @@
     this.fleetLoad = fleetLoad;
     this.orders = orders;
     this.loadGuard = loadGuard;
+    this.rateLimits = rateLimits;
     this.datagramFactory = datagramFactory;
     this.sender = sender;
     this.decisionThread = decisionThread;
@@ -702,6 +707,7 @@
     held.reportPending = true;
     held.reportDueMillis = nowMillis + REPORT_PERIOD_MILLIS;
     RunnerEntry runner = held.runner;
+    rateLimits.recordSent(runner.id(), RunnerCall.REPORT, nowMillis);
     orders.fetchReport(
         runner,
         ORDER_TIMEOUT_MILLIS,
@@ -785,6 +791,7 @@
         "expect",
         sequence);
     RunnerEntry runner = held.runner;
+    rateLimits.recordSent(runner.id(), RunnerCall.ORDER, nowMillis);
     orders.sendOrder(
         runner,
         order,
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerCall.java
@@ -0,0 +1,11 @@
+package org.sequoiahub.node.ratelimit;
+
+/** The kinds of calls to a runner, all of which count towards its limit. */
+public enum RunnerCall {
+  /** A caller's request, sent for the first time or again. */
+  REQUEST,
+  /** An order of the runner's holder. */
+  ORDER,
+  /** The reading of the runner's report by its holder. */
+  REPORT
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -85,6 +85,7 @@
       request.abort(new IOException("response has the id of another request"));
       return;
     }
+    listener.limitStated(answer.limit());
     boolean successful = HttpStatus.isSuccess(response.getStatus());
     if (successful && (!answer.intact() || answer.requestId().isEmpty())) {
       finish(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -38,6 +39,7 @@
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.StateCodec;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HostState;
@@ -355,6 +357,8 @@
               new FleetLoad(),
               this,
               new LoadGuard(new RequestQuarantine(QuarantineSettings.DEFAULT), NO_OP_LISTENER),
+              new RunnerRateLimits(
+                  number, new MetricRegistry(), new EventLog("test", "host-" + number)),
               heartbeats::datagram,
               this::send,
               this::deliver,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.usersplatform.Headers;
 
 class UpstreamClientTest {
@@ -35,9 +37,15 @@
   }
 
   private static final class Recorder implements AttemptListener {
+    final BlockingQueue<StatedLimit> limits = new LinkedBlockingQueue<>();
     private final StringBuffer content = new StringBuffer();
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
 
+    @Override
+    public void limitStated(StatedLimit limit) {
+      limits.add(limit);
+    }
+
     @Override
     public void streamStarted(int status, HttpFields headers) {}
 
@@ -272,4 +280,63 @@
       }
     }
   }
+
+  @Nested
+  class StatedLimits {
+    private Recorder receive(String head, boolean stream) throws Exception {
+      Recorder recorder = new Recorder();
+      try (ScriptedRunner runner =
+          new ScriptedRunner((number, connection, out) -> ScriptedRunner.write(out, head))) {
+        send(runner, "1", stream, recorder);
+      }
+      return recorder;
+    }
+
+    private String refusal(String limit) {
+      return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+          + Headers.RATE_LIMIT
+          + ": "
+          + limit
+          + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    @Test
+    void areReadFromRefusals() throws Exception {
+      assertThat(receive(refusal("0.5"), true).limits).containsExactly(new StatedLimit.Rate(0.5));
+    }
+
+    @Test
+    void areReadBeforeTheStreamEnds() throws Exception {
+      CountDownLatch end = new CountDownLatch(1);
+      Recorder recorder = new Recorder();
+      try (ScriptedRunner runner =
+          new ScriptedRunner(
+              (number, connection, out) -> {
+                ScriptedRunner.write(
+                    out,
+                    responseWithoutLength("1")
+                        .replace("\r\n\r\n", "\r\n" + Headers.RATE_LIMIT + ": 2\r\n\r\n"));
+                end.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                connection.close();
+              })) {
+        HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
+        client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], true, recorder);
+        assertThat(recorder.limits.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+            .isEqualTo(new StatedLimit.Rate(2));
+        end.countDown();
+      }
+    }
+
+    /** Guards against a response that is lost because its limit is unreadable. */
+    @Test
+    void ofEightKilobytesLoseNoResponse() throws Exception {
+      Recorder recorder = new Recorder();
+      try (ScriptedRunner runner =
+          new ScriptedRunner(
+              (number, connection, out) -> ScriptedRunner.write(out, refusal("9".repeat(8_192))))) {
+        assertThat(send(runner, "1", true, recorder)).isEqualTo(new Outcome.Refused(503));
+      }
+      assertThat(recorder.limits.poll()).isInstanceOf(StatedLimit.Unreadable.class);
+    }
+  }
 }
