--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
@@ -12,6 +12,8 @@
  * @param unreadTokens the prompt tokens of this request that the runner would have to read
  * @param adapterWaitMillis the time until the adapter can serve requests (ms); 0 if it can now or
  *     if none is needed
+ * @param permitWaitMillis the time until the runner's rate limit permits this request and the
+ *     orders that must precede it (ms); 0 if the runner has no limit
  * @param warm whether the runner unloaded the adapter so recently that it can reload it quickly
  * @param adapterUses the number of requests that use the adapter or wait for it, at all runners
  * @param heldOrLoading whether the runner holds or is loading the model and the adapter
@@ -29,6 +31,7 @@
     long queuedAheadTokens,
     int unreadTokens,
     long adapterWaitMillis,
+    long permitWaitMillis,
     boolean warm,
     int adapterUses,
     boolean heldOrLoading,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -85,7 +85,9 @@
     long overSlots = Math.max(0, candidate.inFlight() + 1 - candidate.runner().slots());
     double queue = ahead / settings.readTokensPerMilli() + overSlots * settings.slotWaitMillis();
     double expected =
-        Math.max(queue, (double) candidate.adapterWaitMillis())
+        Math.max(
+                queue,
+                (double) Math.max(candidate.adapterWaitMillis(), candidate.permitWaitMillis()))
             + candidate.unreadTokens() / settings.readTokensPerMilli()
             + candidate.inFlight() * settings.perRequestMillis();
     if (candidate.heldOrLoading()) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/ServicePlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/ServicePlacement.java
@@ -11,6 +11,9 @@
   /** Assumed work time of a request before any was observed (ms); deployments specify 21 to 86. */
   private static final double UNKNOWN_LATENCY_MILLIS = 40;
 
+  /** How much faster another runner must be for a waiting request to move there (ms). */
+  private static final double MIN_GAIN_MILLIS = 20;
+
   private final PlacementSettings settings;
 
   /** Creates a placement with the given weights. */
@@ -21,9 +24,14 @@
   /**
    * Returns the best of the candidates; empty if there are none.
    *
+   * <p>A request that waits for a permit of a runner stays there while no other one is clearly
+   * faster: it would otherwise leave among equals just when it gets the permit.
+   *
+   * @param waitingAt the id of the runner where the request waits; empty if it waits nowhere
    * @param draw a uniformly distributed random number from 0 to 1 that decides between equal ones
    */
-  public Optional<Candidate> choose(Collection<Candidate> candidates, double draw) {
+  public Optional<Candidate> choose(
+      Collection<Candidate> candidates, String waitingAt, double draw) {
     Candidate best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     int index = (int) (draw * candidates.size());
@@ -32,6 +40,7 @@
       // Rotates the order so that equal candidates are chosen evenly.
       int rotated = Math.floorMod(position++ - index, candidates.size());
       double score = expectedMillis(candidate) + rotated * 0.001;
+      score -= candidate.runner().id().equals(waitingAt) ? MIN_GAIN_MILLIS : 0;
       if (score < bestScore) {
         bestScore = score;
         best = candidate;
@@ -49,7 +58,7 @@
     // A runner works slower the more of its slots are in use.
     double crowding = work * 0.3 * Math.min(1.0, (double) candidate.inFlight() / slots);
     return work
-        + waiting
+        + Math.max(waiting, (double) candidate.permitWaitMillis())
         + crowding
         + candidate.failureRate() * settings.failurePenaltyMillis()
         + (candidate.vanished() ? settings.vanishedPenaltyMillis() : 0)
--- a/sequoia-core/src/main/java/org/sequoiahub/core/ratelimit/RunnerLimits.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/ratelimit/RunnerLimits.java
@@ -26,6 +26,9 @@
   /** Maximum number of runners whose limits are kept. */
   public static final int MAX_RUNNERS = 4_096;
 
+  /** A limit that was observed this long ago may have ended (ms). */
+  private static final long OUTDATED_MILLIS = 5_000;
+
   /** Interval after which a limit that is stated again unchanged is reported again (ms). */
   private static final long REFRESH_MILLIS = 500;
 
@@ -98,6 +101,12 @@
     return perSecond(runner) < UNLIMITED;
   }
 
+  /** Returns whether no host has received a response of a limited runner for some time. */
+  boolean isOutdated(String runner, long nowMillis) {
+    Entry entry = entries.get(runner);
+    return entry != null && nowMillis - entry.observedMillis >= OUTDATED_MILLIS;
+  }
+
   /** Returns the limits in force, by runner. */
   public Map<String, Limit> inForce() {
     Map<String, Limit> limits = new HashMap<>();
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -48,7 +48,7 @@
   private static Candidate candidate(String id, boolean present, long ahead, int unread) {
     long wait = present ? 0 : 250;
     return new Candidate(
-        runner(id), 3, ahead, 0, unread, wait, false, 0, present, true, true, 0, 0, false, true);
+        runner(id), 3, ahead, 0, unread, wait, 0, false, 0, present, true, true, 0, 0, false, true);
   }
 
   private String choose(Generation generation, List<Candidate> candidates) {
@@ -112,6 +112,7 @@
           0,
           20_000,
           wait,
+          0,
           false,
           0,
           present,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -22,16 +22,12 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
-import org.sequoiahub.core.member.Members.Member;
-import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
-import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.CallerLimits;
 import org.sequoiahub.core.routing.RoutingTable;
-import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerRegistry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.call.FleetView;
@@ -43,14 +39,17 @@
 import org.sequoiahub.node.peer.CallerAddresses;
 import org.sequoiahub.node.peer.DatagramPort;
 import org.sequoiahub.node.peer.DemandSender;
+import org.sequoiahub.node.peer.FleetHistory;
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.PeerHeartbeats;
+import org.sequoiahub.node.peer.PermitExchange;
 import org.sequoiahub.node.peer.PulledRecords;
 import org.sequoiahub.node.peer.RecordExchange;
 import org.sequoiahub.node.peer.RecordSync;
 import org.sequoiahub.node.peer.RunnerTerminationExchange;
 import org.sequoiahub.node.peer.StateCodec;
 import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.store.ConfigurationStatus;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
 import org.sequoiahub.node.store.WatchTiming;
@@ -145,6 +144,7 @@
   private final HttpClient runnerHttp;
   private final Duty<Runnable> decisionThread;
   private final Members<HostState> members;
+  private final FleetHistory history;
   private final Holdings holdings = new Holdings();
   private final FleetLoad fleetLoad = new FleetLoad();
   private final FleetSpending spending;
@@ -162,6 +162,7 @@
   private final QuarantineGate quarantineGate;
   private final LoadGuard loadGuard;
   private final RunnerRateLimits rateLimits;
+  private final PermitExchange permitExchange;
   private final DemandSender demandSender;
   private final RecordSync recordSync;
   private final CallerServer callerServer;
@@ -181,7 +182,10 @@
       throws Exception {
     this.hostSettings = hostSettings;
     this.log = new EventLog("node", hostSettings.host());
+    this.incarnation = System.currentTimeMillis();
     this.members = new Members<>(hostSettings.host(), MemberSettings.DEFAULT);
+    this.history = new FleetHistory(hostSettings, incarnation, members);
+    this.rateLimits = new RunnerRateLimits(hostSettings, incarnation, startedMillis, metrics, log);
     this.storeHttp = UpstreamClient.start();
     this.runnerHttp = UpstreamClient.start();
     this.decisionThread =
@@ -213,16 +217,13 @@
             fleetLoad,
             hostSettings.failureDomain(),
             (name, now) -> name.equals(hostSettings.host()) || members.isHealthy(name, now),
-            this::sharingHostCount,
+            history::sharingHostCount,
             storeRegistry::newestVersion,
-            this::reportMissingAdapter);
+            this::reportMissingAdapter,
+            rateLimits.permits());
     this.datagrams =
         DatagramPort.open(
             network, hostSettings.ip(), hostSettings.datagramPort(), log, this::datagramReceived);
-    this.incarnation = System.currentTimeMillis();
-    this.rateLimits =
-        new RunnerRateLimits(
-            Rendezvous.hash(hostSettings.host() + "/" + incarnation), metrics, log);
     this.fleetShape = new FleetTopology(hostSettings, members);
     this.callerAddresses = new CallerAddresses(hostSettings, members, fleetShape);
     this.heartbeats =
@@ -234,6 +235,8 @@
             fleetLoad,
             holdings,
             spending,
+            rateLimits.limits(),
+            rateLimits.following(),
             datagrams::send,
             this::newState,
             this::handleState,
@@ -266,6 +269,21 @@
             random,
             metrics,
             log);
+    this.permitExchange =
+        new PermitExchange(
+            hostSettings.host(),
+            incarnation,
+            members,
+            fleetShape,
+            rateLimits.limits(),
+            rateLimits.following(),
+            rateLimits.permits(),
+            history::sharingHostCount,
+            heartbeats::datagram,
+            datagrams::send,
+            this::stateChanged,
+            runners ->
+                requestCoordinator.permitsReceived(runners, MonotonicClock.SYSTEM.nowMillis()));
     this.demandSender =
         new DemandSender(
             hostSettings.host(), members, holdings, heartbeats::datagram, datagrams::send);
@@ -278,7 +296,14 @@
             fleetShape,
             holdings,
             fleetLoad,
-            new OrderClient(runnerHttp, decoder, this::limitReceived),
+            new OrderClient(
+                runnerHttp,
+                decoder,
+                (runner, limit) ->
+                    decisionThread.put(
+                        () ->
+                            rateLimits.replyReceived(
+                                runner.id(), limit, MonotonicClock.SYSTEM.nowMillis()))),
             loadGuard,
             rateLimits,
             heartbeats::datagram,
@@ -396,6 +421,7 @@
           long now = MonotonicClock.SYSTEM.nowMillis();
           refreshAddresses(now);
           holderService.stop();
+          permitExchange.leave();
           heartbeats.sendToAll(now);
           requestCoordinator.beginShutdown(shutdown);
         });
@@ -440,21 +466,8 @@
     metrics.register("ready", (Gauge<Integer>) () -> ready && !leaving ? 1 : 0);
     metrics.register("addresses.named", (Gauge<Integer>) () -> advertisedAddresses.size());
     metrics.register("decisions.backlog", (Gauge<Integer>) decisionThread::backlog);
-    metrics.register("configuration.version", (Gauge<Long>) () -> storeRegistry.status().version());
-    metrics.register(
-        "configuration.from_peer",
-        (Gauge<Integer>) () -> storeRegistry.status().fromPeer() ? 1 : 0);
-    metrics.register(
-        "configuration.in_force_ms",
-        (Gauge<Long>) () -> elapsedMillis(storeRegistry.status().inForceSinceMillis()));
-    metrics.register(
-        "configuration.confirmed_ms_ago",
-        (Gauge<Long>) () -> elapsedMillis(storeRegistry.status().confirmedMillis()));
-  }
-
-  /** Returns the time since a moment (ms); -1 if the moment is negative, which stands for never. */
-  private static long elapsedMillis(long millis) {
-    return millis < 0 ? -1 : MonotonicClock.SYSTEM.nowMillis() - millis;
+    ConfigurationStatus.registerGauges(
+        metrics, storeRegistry::status, MonotonicClock.SYSTEM::nowMillis);
   }
 
   private StoreFollower newStoreFollower(StoreClient client, String prefix, WatchTiming timing) {
@@ -467,21 +480,6 @@
         MonotonicClock.SYSTEM::nowMillis);
   }
 
-  /**
-   * Returns how many hosts share the fleet's retry budget, this one included; 0 if this host knows
-   * no other although there should be some. The largest fleet size that a reachable host advertises
-   * is used, as a host that has just started knows few others itself.
-   */
-  private int sharingHostCount(long nowMillis) {
-    List<Member<HostState>> others = members.reachable(nowMillis);
-    int hosts = 1 + others.size();
-    for (Member<HostState> other : others) {
-      HostState state = other.state();
-      hosts = Math.max(hosts, state == null ? 0 : state.getFleetSize());
-    }
-    return hosts == 1 && hostSettings.expectsOtherHosts() ? 0 : hosts;
-  }
-
   private long tickPeriodMillis() {
     if (requestCoordinator.hasWaitingRequests()) {
       return TICK_MILLIS;
@@ -512,6 +510,7 @@
     }
     heartbeats.tick(nowMillis);
     terminationExchange.tick(nowMillis);
+    permitExchange.tick(nowMillis);
   }
 
   /**
@@ -533,7 +532,9 @@
     members.removeExpired(nowMillis);
     runnerRegistry.removeExpired(nowMillis, RUNNER_RETENTION_MILLIS);
     fleetView.removeStaleEntries(nowMillis);
-    requestQuarantine.historyLost(isTerminationHistoryIncomplete(nowMillis));
+    requestQuarantine.historyLost(
+        history.isShorterThan(
+            QuarantineSettings.DEFAULT.quarantineMillis(), System.currentTimeMillis(), nowMillis));
     allowances.assumeSilentSpending(nowMillis);
     requestCoordinator.publishMetrics(nowMillis);
     quarantineGate.runMaintenance(nowMillis);
@@ -541,27 +542,6 @@
     loadGuard.detectTerminations(runnerRegistry::hasTerminated, nowMillis);
   }
 
-  /**
-   * Returns whether the fleet may have forgotten terminations of runners that still count for the
-   * quarantine: all hosts that are alive started less than the quarantine's hold time ago, and none
-   * of them with the deployment, before which there were no terminations.
-   */
-  private boolean isTerminationHistoryIncomplete(long nowMillis) {
-    if (hostSettings.firstStart()) {
-      return false;
-    }
-    long oldestIncarnation = incarnation;
-    for (Member<HostState> member : members.alive(nowMillis)) {
-      HostState state = member.state();
-      if (state != null && state.getFirstStart()) {
-        return false;
-      }
-      oldestIncarnation = Math.min(oldestIncarnation, member.incarnation());
-    }
-    long rememberedMillis = System.currentTimeMillis() - oldestIncarnation;
-    return rememberedMillis < QuarantineSettings.DEFAULT.quarantineMillis();
-  }
-
   private void stateChanged() {
     heartbeats.changed();
   }
@@ -578,11 +558,6 @@
     callerServer.apply(table.limits());
   }
 
-  private void limitReceived(RunnerEntry runner, StatedLimit stated) {
-    decisionThread.put(
-        () -> rateLimits.replyReceived(runner.id(), stated, MonotonicClock.SYSTEM.nowMillis()));
-  }
-
   private void requestArrived(CallerExchange request) {
     callerAddresses.recordRequest(MonotonicClock.SYSTEM.nowMillis());
     requestCoordinator.handle(request);
@@ -615,6 +590,10 @@
       case GRANT -> holderService.handleGrant(from, datagram.getGrant(), now);
       case RELEASE -> holderService.handleRelease(from, datagram.getRelease());
       case DEMAND -> handleDemands(from, ip, datagram.getDemand(), now);
+      case PERMIT_REQUEST -> permitExchange.receivedRequest(from, datagram.getPermitRequest(), now);
+      case PERMIT_GRANTS ->
+          permitExchange.receivedGrants(
+              from, datagram.getIncarnation(), datagram.getPermitGrants(), now);
       case ENDS -> terminationExchange.received(from, ip, datagram.getEnds(), now);
       default ->
           log.warning(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -12,6 +12,7 @@
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.node.upstream.Attempt;
 import org.sequoiahub.usersplatform.HeaderCodec.CallerHeaders;
 
@@ -48,6 +49,9 @@
   /** Since when it has waited at {@link #waitingAt} (ms). */
   long waitingSinceMillis;
 
+  /** Whether only a permit of the runner at which it waits is missing. */
+  boolean waitsForPermit;
+
   /** When it is placed again at the latest while it waits (ms). */
   long nextPlacementMillis;
 
@@ -130,6 +134,22 @@
     deadlineMillis = Math.min(deadlineMillis, newDeadlineMillis);
   }
 
+  /** Returns until when a first event is in time (ms). */
+  long targetMillis() {
+    return arrivedMillis + route.targetLatencyMillis();
+  }
+
+  /** Returns its priority for permits of limited runners. */
+  int permitPriority(long nowMillis) {
+    return RunnerRateLimits.permitPriority(priority(), nowMillis < targetMillis());
+  }
+
+  /** Returns the id of the runner at which it waits; empty if it does not wait. */
+  String waitingAtId() {
+    RunnerEntry runner = waitingAt;
+    return runner == null ? "" : runner.id();
+  }
+
   /** Returns its priority; 0 is the most urgent. */
   int priority() {
     return permitted.priority();
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CandidateSelector.java
@@ -0,0 +1,102 @@
+package org.sequoiahub.node.call;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.dispatch.Candidate;
+import org.sequoiahub.core.dispatch.StreamLimits;
+import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.upstream.RunnerEntry;
+
+/** Selects the runners among which a request may choose; used by the decision thread only. */
+final class CandidateSelector {
+
+  /**
+   * How long a request waits at a runner before it may move to one that does not have its adapter
+   * (ms): the time of one and a half loads. A request that moved sooner would oscillate between
+   * runners and be the last in each queue.
+   */
+  private static final long MIN_WAIT_BEFORE_MOVE_MILLIS = 400;
+
+  /**
+   * Shortest interval between two evaluations of all runners for a waiting request (ms). In between
+   * only the runner where it waits and those that have its adapter are evaluated: hosts exchange
+   * their state no more often, and the cost of an evaluation grows with the number of runners.
+   */
+  private static final long FULL_SCAN_INTERVAL_MILLIS = 100;
+
+  private final FleetView fleet;
+
+  CandidateSelector(FleetView fleet) {
+    this.fleet = requireNonNull(fleet, "fleet must not be null");
+  }
+
+  /**
+   * Returns the runners that a request may be sent to, or at which it may wait.
+   *
+   * @param generation the generation that is requested; null for a plain request
+   */
+  List<Candidate> candidates(Call call, @Nullable Generation generation, long nowMillis) {
+    List<Candidate> candidates = new ArrayList<>();
+    int adapterUses = fleet.adapterUses(generation, nowMillis);
+    for (RunnerEntry runner : eligibleRunners(call, generation, nowMillis)) {
+      boolean alreadyRunning =
+          call.activeAttempts.stream().anyMatch(r -> r.runner.id().equals(runner.id()));
+      if (!call.excludedRunners.contains(runner.id()) && !alreadyRunning) {
+        boolean counted = call.waitingAt != null && call.waitingAt.id().equals(runner.id());
+        candidates.add(
+            fleet.candidate(
+                runner,
+                generation,
+                counted ? call.waitingTokens : -1,
+                call,
+                adapterUses,
+                nowMillis));
+      }
+    }
+    return candidates;
+  }
+
+  /**
+   * Returns the runners among which a request may choose.
+   *
+   * <p>These are all usable runners of its service. A waiting request that has not waited long, or
+   * for which all runners were evaluated recently, chooses only among the one where it waits and
+   * those that have its adapter: the queues that hosts report change from one datagram to the next,
+   * and each move begins another wait at the end of a queue.
+   */
+  private List<RunnerEntry> eligibleRunners(
+      Call call, @Nullable Generation generation, long nowMillis) {
+    List<RunnerEntry> usable = fleet.usableRunners(call.service, nowMillis);
+    RunnerEntry before = call.waitingAt;
+    if (before == null || generation == null) {
+      return usable;
+    }
+    boolean mustStay =
+        !call.waitsForPermit && nowMillis - call.waitingSinceMillis < MIN_WAIT_BEFORE_MOVE_MILLIS;
+    if (!mustStay && nowMillis - call.lastFullScanMillis >= FULL_SCAN_INTERVAL_MILLIS) {
+      call.lastFullScanMillis = nowMillis;
+      return usable;
+    }
+    boolean stillUsable = false;
+    List<RunnerEntry> preferred = new ArrayList<>();
+    for (RunnerEntry runner : usable) {
+      boolean here = runner.id().equals(before.id());
+      stillUsable |= here;
+      if (here || fleet.isAdapterKnownAt(runner, generation)) {
+        preferred.add(runner);
+      }
+    }
+    return stillUsable ? preferred : usable;
+  }
+
+  /** Returns what a request requires of its stream. */
+  StreamLimits streamLimits(Call call, long nowMillis) {
+    int tokensPerEvent = fleet.engineSpec(call.service).map(EngineSpec::tokensPerEvent).orElse(1);
+    long inTimeMillis = call.arrivedMillis + call.route.targetLatencyMillis() - nowMillis;
+    return new StreamLimits(fleet.pauseMillis(call.service), tokensPerEvent, inTimeMillis);
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -18,6 +18,7 @@
 import org.sequoiahub.core.dispatch.RunnerHealth;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.ResidentAdapter;
+import org.sequoiahub.core.ratelimit.SenderPermits;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
@@ -57,6 +58,7 @@
   private final LongFunction<Integer> hostCount;
   private final ToIntFunction<String> newestVersion;
   private final MissingAdapterListener missingAdapterListener;
+  private final SenderPermits runnerPermits;
   private final Map<String, RunnerHealth> health = new HashMap<>();
   private final Map<String, PrefixCacheEstimate> promptMemories = new HashMap<>();
   private final Map<String, Long> pauseMillisByService = new HashMap<>();
@@ -81,6 +83,7 @@
    * @param isHostAlive whether a host is alive at a time
    * @param hostCount the number of hosts that share the retry budget at a time
    * @param newestVersion the newest published version of an adapter; 0 if none was published
+   * @param runnerPermits this host's permits for calls to limited runners
    */
   public FleetView(
       RunnerRegistry runners,
@@ -90,7 +93,8 @@
       BiPredicate<String, Long> isHostAlive,
       LongFunction<Integer> hostCount,
       ToIntFunction<String> newestVersion,
-      MissingAdapterListener missingAdapterListener) {
+      MissingAdapterListener missingAdapterListener,
+      SenderPermits runnerPermits) {
     this.runners = runners;
     this.holdings = holdings;
     this.fleetLoad = fleetLoad;
@@ -99,6 +103,7 @@
     this.hostCount = hostCount;
     this.newestVersion = newestVersion;
     this.missingAdapterListener = missingAdapterListener;
+    this.runnerPermits = runnerPermits;
   }
 
   /** Applies a configuration. */
@@ -205,6 +210,7 @@
    *
    * @param countedTokens prompt tokens of the request that are already counted at the runner;
    *     negative if it is not counted there
+   * @param call the request
    * @param adapterUses number of requests, at all runners, that use the generation's adapter or
    *     wait for it
    */
@@ -212,6 +218,7 @@
       RunnerEntry runner,
       @Nullable Generation generation,
       int countedTokens,
+      Call call,
       int adapterUses,
       long nowMillis) {
     boolean counted = countedTokens >= 0;
@@ -226,6 +233,7 @@
         Math.max(0, heldTokens),
         generation == null ? 0 : promptMemory(runner).unreadTokens(generation),
         residency.waitMillis,
+        permitWaitMillis(runner, residency, call, nowMillis),
         residency.kept,
         adapterUses,
         residency.present,
@@ -237,6 +245,16 @@
         runner.failureDomain().equals(failureDomain));
   }
 
+  /**
+   * Returns the wait for a permit; an adapter's load, and its room if there is none, take one each.
+   */
+  private long permitWaitMillis(
+      RunnerEntry runner, Residency residency, Call call, long nowMillis) {
+    int permits = 1 + (residency.present ? 0 : 1) + (residency.room ? 0 : 1);
+    return runnerPermits.waitMillis(
+        runner.id(), call, call.permitPriority(nowMillis), permits, nowMillis);
+  }
+
   /**
    * Returns whether a generation's adapter is loaded at a runner or in transit to it, according to
    * the latest report.
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -215,4 +215,24 @@
         + (end.responseStarted() ? "(begun)" : "")
         + (end.confirmed() ? "" : "(unconfirmed)");
   }
+
+  /**
+   * Logs the fingerprint of a request whose response was lost. A request that terminates the
+   * runners that run it comes back under new ids and at other hosts, where only its fingerprint
+   * identifies it.
+   */
+  void logLostResponse(Call call, Call.ActiveAttempt active, long now) {
+    log.info(
+        "answer-lost",
+        "request",
+        call.id(),
+        "fingerprint",
+        RequestFingerprint.format(call.fingerprint().value()),
+        "caller",
+        call.exchange.callerIp(),
+        "runner",
+        active.runner.id(),
+        "ran_ms",
+        now - active.startedMillis);
+  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -3,7 +3,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -30,10 +30,8 @@
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
-import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.retry.SharedRetryBudget;
-import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -60,20 +58,6 @@
   /** Interval between checks for callers that have disconnected (ms). */
   private static final long CALLER_CHECK_INTERVAL_MILLIS = 100;
 
-  /**
-   * How long a request waits at a runner before it may move to one that does not have its adapter
-   * (ms): the time of one and a half loads. A request that moved sooner would oscillate between
-   * runners and be the last in each queue.
-   */
-  private static final long MIN_WAIT_BEFORE_MOVE_MILLIS = 400;
-
-  /**
-   * Shortest interval between two evaluations of all runners for a waiting request (ms). In between
-   * only the runner where it waits and those that have its adapter are evaluated: hosts exchange
-   * their state no more often, and the cost of an evaluation grows with the number of runners.
-   */
-  private static final long FULL_SCAN_INTERVAL_MILLIS = 100;
-
   /**
    * Interval at which a request is placed again whose adapter is ready, but which waits for the
    * prompts ahead of it to be read (ms).
@@ -112,6 +96,7 @@
   private static final long DEFAULT_DEADLINE_MILLIS = 120_000;
 
   private final FleetView fleet;
+  private final CandidateSelector selector;
   private final KeyHasher keyHasher;
   private final Admission admission;
   private final UpstreamClient upstreams;
@@ -165,6 +150,7 @@
     this.firstEventMillis = metrics.histogram("requests.first_event_ms");
     this.totalMillis = metrics.histogram("requests.whole_ms");
     this.fleet = fleet;
+    this.selector = new CandidateSelector(fleet);
     this.keyHasher = keyHasher;
     this.admission = new Admission(fleet::table, allowances, new WorkspaceMetrics(metrics), log);
     this.upstreams = upstreams;
@@ -358,8 +344,9 @@
   }
 
   private void placePlain(Call call, long nowMillis) {
-    List<Candidate> candidates = candidates(call, null, nowMillis);
-    Optional<Candidate> chosen = servicePlacement.choose(candidates, random.nextDouble());
+    List<Candidate> candidates = selector.candidates(call, null, nowMillis);
+    Optional<Candidate> chosen =
+        servicePlacement.choose(candidates, call.waitingAtId(), random.nextDouble());
     if (chosen.isEmpty()) {
       fail(
           call,
@@ -368,16 +355,21 @@
           NO_RUNNER_RETRY_AFTER_MILLIS);
       return;
     }
-    startAttempt(call, chosen.get().runner(), 0, nowMillis);
+    Candidate candidate = chosen.get();
+    if (isTooLateForLimit(call, candidate, nowMillis)) {
+      failForLimit(call, candidate);
+    } else if (tryAcquire(call, candidate, nowMillis)) {
+      startAttempt(call, candidate.runner(), 0, nowMillis);
+    } else {
+      waitAt(call, candidate, nowMillis);
+    }
   }
 
   private void placeGeneration(Call call, Generation generation, long nowMillis) {
-    List<Candidate> candidates = candidates(call, generation, nowMillis);
-    RunnerEntry before = call.waitingAt;
-    StreamLimits limits = streamLimits(call, nowMillis);
+    List<Candidate> candidates = selector.candidates(call, generation, nowMillis);
+    StreamLimits limits = selector.streamLimits(call, nowMillis);
     Optional<GenerationPlacement.Choice> chosen =
-        generationPlacement.choose(
-            generation, limits, candidates, before == null ? "" : before.id());
+        generationPlacement.choose(generation, limits, candidates, call.waitingAtId());
     if (chosen.isEmpty()) {
       fail(
           call,
@@ -388,6 +380,10 @@
     }
     GenerationPlacement.Choice choice = chosen.get();
     Candidate candidate = choice.candidate();
+    if (isTooLateForLimit(call, candidate, nowMillis)) {
+      failForLimit(call, candidate);
+      return;
+    }
     if (nowMillis + choice.firstTokenMillis() > call.firstEventDeadlineMillis()) {
       // A caller that retries sooner would be rejected again.
       fail(call, "the first event would miss its deadline", (long) choice.firstTokenMillis());
@@ -404,13 +400,49 @@
       return;
     }
     boolean ready = candidate.heldOrLoading() && candidate.adapterWaitMillis() <= 0;
-    if (ready && generationPlacement.mayStartReading(candidate, limits)) {
+    if (ready
+        && generationPlacement.mayStartReading(candidate, limits)
+        && tryAcquire(call, candidate, nowMillis)) {
       startAttempt(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
       waitAt(call, candidate, nowMillis);
     }
   }
 
+  /** Takes a permit to send a request to a runner, or requests one; true if there is no limit. */
+  private boolean tryAcquire(Call call, Candidate candidate, long nowMillis) {
+    return rateLimits.tryAcquire(
+        candidate.runner().id(), call, call.permitPriority(nowMillis), nowMillis);
+  }
+
+  private boolean isTooLateForLimit(Call call, Candidate candidate, long nowMillis) {
+    return rateLimits
+        .permits()
+        .isTooLate(
+            candidate.runner().id(),
+            candidate.permitWaitMillis(),
+            call.targetMillis(),
+            call.firstEventDeadlineMillis(),
+            nowMillis);
+  }
+
+  private void failForLimit(Call call, Candidate candidate) {
+    metrics.counter("runner_limits.rejected").inc();
+    fail(
+        call,
+        "the rate limits of the service's runners leave no permit in time",
+        candidate.permitWaitMillis());
+  }
+
+  /** Places the requests again that wait for a permit at these runners. */
+  public void permitsReceived(Set<String> runners, long nowMillis) {
+    calls.stream()
+        .filter(call -> call.waitsForPermit && runners.contains(call.waitingAtId()))
+        .sorted(Comparator.comparingInt(call -> call.permitPriority(nowMillis)))
+        .toList()
+        .forEach(call -> place(call, nowMillis));
+  }
+
   private Optional<ActiveQuarantine> loadHold(Call call, long nowMillis) {
     String adapter = call.adapter();
     return adapter.isEmpty()
@@ -427,44 +459,6 @@
     }
   }
 
-  /**
-   * Returns the runners among which a request may choose.
-   *
-   * <p>These are all usable runners of its service. A waiting request that has not waited long, or
-   * for which all runners were evaluated recently, chooses only among the one where it waits and
-   * those that have its adapter: the queues that hosts report change from one datagram to the next,
-   * and each move begins another wait at the end of a queue.
-   */
-  private List<RunnerEntry> eligibleRunners(
-      Call call, @Nullable Generation generation, long nowMillis) {
-    List<RunnerEntry> usable = fleet.usableRunners(call.service, nowMillis);
-    RunnerEntry before = call.waitingAt;
-    if (before == null || generation == null) {
-      return usable;
-    }
-    boolean mustStay = nowMillis - call.waitingSinceMillis < MIN_WAIT_BEFORE_MOVE_MILLIS;
-    if (!mustStay && nowMillis - call.lastFullScanMillis >= FULL_SCAN_INTERVAL_MILLIS) {
-      call.lastFullScanMillis = nowMillis;
-      return usable;
-    }
-    boolean stillUsable = false;
-    List<RunnerEntry> preferred = new ArrayList<>();
-    for (RunnerEntry runner : usable) {
-      boolean here = runner.id().equals(before.id());
-      stillUsable |= here;
-      if (here || fleet.isAdapterKnownAt(runner, generation)) {
-        preferred.add(runner);
-      }
-    }
-    return stillUsable ? preferred : usable;
-  }
-
-  private StreamLimits streamLimits(Call call, long nowMillis) {
-    int tokensPerEvent = fleet.engineSpec(call.service).map(EngineSpec::tokensPerEvent).orElse(1);
-    long inTimeMillis = call.arrivedMillis + call.route.targetLatencyMillis() - nowMillis;
-    return new StreamLimits(fleet.pauseMillis(call.service), tokensPerEvent, inTimeMillis);
-  }
-
   private void waitAt(Call call, Candidate candidate, long nowMillis) {
     long adapterWait = candidate.adapterWaitMillis();
     call.nextPlacementMillis =
@@ -472,6 +466,7 @@
             + (adapterWait > 0
                 ? Math.min(ADAPTER_WAIT_INTERVAL_MILLIS, adapterWait)
                 : PROMPT_WAIT_INTERVAL_MILLIS);
+    call.waitsForPermit = adapterWait <= 0 && candidate.permitWaitMillis() > 0;
     call.holdingRevision = fleet.holdingRevision(candidate.runner());
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
@@ -504,27 +499,13 @@
     if (before != null) {
       fleet.fleetLoad().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
       call.waitingAt = null;
+      call.waitsForPermit = false;
+      rateLimits.permits().withdraw(call);
       waitingCount--;
       demandsChanged = true;
     }
   }
 
-  private List<Candidate> candidates(Call call, @Nullable Generation generation, long nowMillis) {
-    List<Candidate> candidates = new ArrayList<>();
-    int adapterUses = fleet.adapterUses(generation, nowMillis);
-    for (RunnerEntry runner : eligibleRunners(call, generation, nowMillis)) {
-      boolean alreadyRunning =
-          call.activeAttempts.stream().anyMatch(r -> r.runner.id().equals(runner.id()));
-      if (!call.excludedRunners.contains(runner.id()) && !alreadyRunning) {
-        boolean counted = call.waitingAt != null && call.waitingAt.id().equals(runner.id());
-        candidates.add(
-            fleet.candidate(
-                runner, generation, counted ? call.waitingTokens : -1, adapterUses, nowMillis));
-      }
-    }
-    return candidates;
-  }
-
   private void startAttempt(Call call, RunnerEntry runner, int unreadTokens, long nowMillis) {
     if (!retryGate.chargeSend(call, nowMillis)) {
       fail(call, "the retry budget is exhausted", MIN_RETRY_AFTER_MILLIS);
@@ -665,7 +646,7 @@
     } else if (outcome instanceof Outcome.ResponseLost lost) {
       call.runs++;
       fleet.health(active.runner).failed(now);
-      logLostResponse(call, active, now);
+      quarantineGate.logLostResponse(call, active, now);
       if (lost.connectionBroken()) {
         quarantineGate.recordBrokenConnection(call, active, now);
       }
@@ -673,26 +654,6 @@
     }
   }
 
-  /**
-   * Logs the fingerprint of a request whose response was lost. A request that terminates the
-   * runners that run it comes back under new ids and at other hosts, where only its fingerprint
-   * identifies it.
-   */
-  private void logLostResponse(Call call, Call.ActiveAttempt active, long now) {
-    log.info(
-        "answer-lost",
-        "request",
-        call.id(),
-        "fingerprint",
-        RequestFingerprint.format(call.fingerprint().value()),
-        "caller",
-        call.exchange.callerIp(),
-        "runner",
-        active.runner.id(),
-        "ran_ms",
-        now - active.startedMillis);
-  }
-
   private void onResponse(
       Call call, Call.ActiveAttempt active, Outcome.Answered answered, long now) {
     call.runs++;
@@ -868,8 +829,12 @@
 
   private void hedge(Call call, long nowMillis) {
     Optional<Candidate> second =
-        servicePlacement.choose(candidates(call, null, nowMillis), random.nextDouble());
-    if (second.isPresent() && retryGate.chargeHedge(call, nowMillis)) {
+        servicePlacement.choose(
+            selector.candidates(call, null, nowMillis), "", random.nextDouble());
+    if (second.isPresent()
+        && second.get().permitWaitMillis() <= 0
+        && tryAcquire(call, second.get(), nowMillis)
+        && retryGate.chargeHedge(call, nowMillis)) {
       log.info("request-hedged", "request", call.id());
       startAttempt(call, second.get().runner(), 0, nowMillis);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -1,6 +1,5 @@
 package org.sequoiahub.node.holder;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -87,9 +86,6 @@
   /** Minimum remaining time of the lease for an order to be sent (ms). */
   private static final long LEASE_MARGIN_MILLIS = 200;
 
-  /** Lifetime of a demand received from another host (ms); demands are repeated every 120 ms. */
-  private static final long DEMAND_TTL_MILLIS = 300;
-
   /**
    * Difference between the advances of the wall clock and the monotonic clock above which the host
    * is assumed to have been suspended (ms); all leases are then abandoned. Unlike the wall clock,
@@ -167,18 +163,13 @@
   /** The highest token seen in advertised holdings, by runner address. */
   private final Map<String, Long> highestTokenByAddress = new HashMap<>();
 
-  /** Demands of other hosts, by runner id, then by host and target. */
-  private final Map<String, Map<String, RemoteDemand>> remoteDemands = new HashMap<>();
-
-  private Map<String, List<Demand>> localDemands = Map.of();
+  private final RunnerDemands demands = new RunnerDemands();
   private long clockOffsetMillis = Long.MIN_VALUE;
   private boolean stopping;
   private int engineCount;
   private long claimRound;
   private @Nullable LoadEstimates loadEstimates;
 
-  private record RemoteDemand(Demand demand, long receivedMillis) {}
-
   /**
    * The last sending of a runner's holdings to a waiting host.
    *
@@ -346,19 +337,15 @@
   }
 
   /** Replaces the demands of this host's own requests, by runner id, and sends orders at once. */
-  public void updateLocalDemands(Map<String, List<Demand>> demands, long nowMillis) {
-    localDemands = demands;
-    demands.keySet().forEach(runner -> sendNextOrder(runner, nowMillis));
+  public void updateLocalDemands(Map<String, List<Demand>> changed, long nowMillis) {
+    demands.updateLocal(changed);
+    changed.keySet().forEach(runner -> sendNextOrder(runner, nowMillis));
   }
 
   /** Applies a demand of another host's requests; a new demand may cause an order at once. */
   public void updateRemoteDemand(String host, String runner, Demand demand, long nowMillis) {
-    RemoteDemand previous =
-        remoteDemands
-            .computeIfAbsent(runner, id -> new HashMap<>())
-            .put(host + " " + demand.target(), new RemoteDemand(demand, nowMillis));
     // Repeated demands wait for the next tick: 70 hosts send about 300 of them a second.
-    if (previous == null || nowMillis - previous.receivedMillis > DEMAND_TTL_MILLIS) {
+    if (demands.updateRemote(host, runner, demand, nowMillis)) {
       sendNextOrder(runner, nowMillis);
     }
   }
@@ -607,7 +594,9 @@
     boolean reportWanted =
         residency != null && residency.isReportDue(nowMillis) && nowMillis >= held.reportDueMillis;
     // Also requested while orders must wait: the adapters that the runner holds can serve requests.
-    if (reportWanted && !held.reportPending) {
+    if (reportWanted
+        && !held.reportPending
+        && rateLimits.tryAcquireForHolder(held.runner.id(), RunnerCall.REPORT, nowMillis)) {
       requestReport(held, nowMillis);
     }
     sendNextOrder(held.runner.id(), nowMillis);
@@ -750,16 +739,15 @@
             newestVersion,
             transitElsewhere,
             nowMillis);
-    next.ifPresent(order -> sendOrder(held, residency, order, transitElsewhere, nowMillis));
+    if (next.isPresent() && rateLimits.tryAcquireForHolder(runnerId, RunnerCall.ORDER, nowMillis)) {
+      sendOrder(held, residency, next.get(), transitElsewhere, nowMillis);
+    }
   }
 
   private Collection<Demand> currentDemands(String runnerId, long nowMillis) {
-    List<Demand> demands = new ArrayList<>(localDemands.getOrDefault(runnerId, List.of()));
-    Map<String, RemoteDemand> remote = remoteDemands.getOrDefault(runnerId, Map.of());
-    remote.values().removeIf(demand -> nowMillis - demand.receivedMillis > DEMAND_TTL_MILLIS);
-    remote.values().forEach(demand -> demands.add(demand.demand));
-    demands.removeIf(demand -> !mayLoad(demand, nowMillis));
-    return demands;
+    List<Demand> current = demands.current(runnerId, nowMillis);
+    current.removeIf(demand -> !mayLoad(demand, nowMillis));
+    return current;
   }
 
   private boolean mayLoad(Demand demand, long nowMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestBuilder.java
@@ -129,7 +129,13 @@
       return;
     }
     HostState summary =
-        state.toBuilder().clearLoads().clearHoldings().clearGossip().clearSpending().build();
+        state.toBuilder()
+            .clearLoads()
+            .clearHoldings()
+            .clearGossip()
+            .clearSpending()
+            .clearLimits()
+            .build();
     digest.addWords(
         HostWord.newBuilder()
             .setHost(member.host())
@@ -157,7 +163,9 @@
             + state.getLeaving()
             + state.getConfigRevision()
             + " "
-            + state.getRunnersRevision();
+            + state.getRunnersRevision()
+            + " "
+            + state.getPermitIssuer();
   }
 
   private static Set<String> changeKey(Holdings.Holding holding, long nowMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.allowance.SpendingReport;
@@ -12,6 +13,7 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.ratelimit.RunnerLimits;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HeldBy;
 import org.sequoiahub.schema.peer.HostState;
@@ -83,8 +85,9 @@
   private final FleetLoad loads;
   private final Holdings holdings;
   private final FleetSpending spending;
+  private final RunnerLimits limits;
   private final Supplier<PeerDatagram.Builder> datagrams;
-  private final Supplier<HostWord> ownReport;
+  private final LongFunction<HostWord> ownReport;
   private final BiConsumer<String, byte[]> sender;
   private final BiConsumer<String, HostState> reportListener;
   private final Random random;
@@ -102,7 +105,7 @@
    * Creates an exchange.
    *
    * @param datagrams creates datagrams of this host, without a body
-   * @param ownReport creates this host's report of itself
+   * @param ownReport creates this host's report of itself at a time (ms)
    * @param sender sends bytes to an IP address
    * @param reportListener receives each host's latest report
    */
@@ -113,8 +116,9 @@
       FleetLoad loads,
       Holdings holdings,
       FleetSpending spending,
+      RunnerLimits limits,
       Supplier<PeerDatagram.Builder> datagrams,
-      Supplier<HostWord> ownReport,
+      LongFunction<HostWord> ownReport,
       BiConsumer<String, byte[]> sender,
       BiConsumer<String, HostState> reportListener,
       Random random) {
@@ -124,6 +128,7 @@
     this.loads = loads;
     this.holdings = holdings;
     this.spending = spending;
+    this.limits = limits;
     this.datagrams = datagrams;
     this.ownReport = ownReport;
     this.sender = sender;
@@ -156,7 +161,7 @@
     Digest.Builder digest = Digest.newBuilder().setGroup(topology.group());
     List<Member<HostState>> group =
         members.reachable(nowMillis).stream().filter(m -> topology.isInOwnGroup(m.host())).toList();
-    digest.addWords(ownReport.get());
+    digest.addWords(ownReport.apply(nowMillis));
     interGroup.addReports(digest, group, nowMillis);
     marks.add(digest, group, nowMillis);
     gossip.addRepeatedReports(digest, members.reachable(nowMillis), nowMillis);
@@ -167,6 +172,7 @@
           StateCodec.encodeSpending(
               spending.aggregateReport(topology::isInOwnGroup, topology.groupSize(), nowMillis)));
     }
+    addLimits(digest, nowMillis);
     Digest common = digest.build();
     for (Member<HostState> delegate : delegates) {
       Digest.Builder builder = common.toBuilder();
@@ -177,7 +183,7 @@
 
   private void sendIntraGroup(long nowMillis) {
     Digest.Builder digest = Digest.newBuilder();
-    digest.addWords(ownReport.get());
+    digest.addWords(ownReport.apply(nowMillis));
     List<Member<HostState>> all = members.reachable(nowMillis);
     intraGroup.addReports(digest, all, nowMillis);
     marks.add(digest, all, nowMillis);
@@ -186,10 +192,17 @@
     if (!spending.isUnused()) {
       digest.setSpending(StateCodec.encodeSpending(spending.fleetReport(nowMillis)));
     }
+    addLimits(digest, nowMillis);
     byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
     topology.ownGroupNonDelegates(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
   }
 
+  private void addLimits(Digest.Builder digest, long nowMillis) {
+    if (!limits.isEmpty()) {
+      digest.addAllLimits(StateCodec.encodeLimits(limits.reports(nowMillis)));
+    }
+  }
+
   private boolean holds(String host, String runner) {
     return holdings.find(runner).filter(holding -> holding.host().equals(host)).isPresent();
   }
@@ -204,10 +217,11 @@
     if (membershipSentMillis.putIfAbsent(ip, nowMillis) != null) {
       return;
     }
-    Digest.Builder digest = Digest.newBuilder().addWords(ownReport.get());
+    Digest.Builder digest = Digest.newBuilder().addWords(ownReport.apply(nowMillis));
     members.reachable(nowMillis).stream()
         .limit(MAX_MEMBERSHIP_REPORTS)
         .forEach(member -> DigestBuilder.addReport(digest, member, nowMillis));
+    addLimits(digest, nowMillis);
     send(ip, digest);
   }
 
@@ -247,6 +261,8 @@
             StateCodec.decodeHolding(held.getHost(), held.getHolding(), nowMillis));
       }
     }
+    StateCodec.decodeLimits(digest.getLimitsList())
+        .forEach(limit -> limits.merge(limit, nowMillis));
     if (digest.getLoadsTold()) {
       applyLoads(digest, nowMillis);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -10,6 +10,8 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
+import org.sequoiahub.core.ratelimit.IssuerFollowing;
+import org.sequoiahub.core.ratelimit.RunnerLimits;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostAddress;
 import org.sequoiahub.schema.peer.HostState;
@@ -58,6 +60,8 @@
   private final Members<HostState> members;
   private final FleetTopology topology;
   private final FleetSpending spending;
+  private final RunnerLimits limits;
+  private final IssuerFollowing following;
   private final DigestExchange digests;
   private final BiConsumer<String, byte[]> sender;
   private final StateSource ownState;
@@ -100,6 +104,8 @@
       FleetLoad loads,
       Holdings holdings,
       FleetSpending spending,
+      RunnerLimits limits,
+      IssuerFollowing following,
       BiConsumer<String, byte[]> sender,
       StateSource ownState,
       BiConsumer<String, HostState> stateListener,
@@ -111,6 +117,8 @@
     this.incarnation = incarnation;
     this.members = members;
     this.spending = spending;
+    this.limits = limits;
+    this.following = following;
     this.sender = sender;
     this.ownState = ownState;
     this.stateListener = stateListener;
@@ -125,6 +133,7 @@
             loads,
             holdings,
             spending,
+            limits,
             this::datagram,
             this::ownReport,
             sender,
@@ -133,15 +142,19 @@
   }
 
   /** Returns this host's report of itself, for others to forward. */
-  private HostWord ownReport() {
+  private HostWord ownReport(long nowMillis) {
     return HostWord.newBuilder()
         .setHost(settings.host())
         .setIncarnation(incarnation)
         .setNumber(++sequence)
-        .setState(ownState.state(false, true).clearLoads())
+        .setState(ownState.state(false, true).clearLoads().setPermitIssuer(statedIssuer(nowMillis)))
         .build();
   }
 
+  private String statedIssuer(long nowMillis) {
+    return limits.isAnyInForce() ? following.state(nowMillis) : "";
+  }
+
   /** Sets the IP addresses of hosts that may know the others. */
   public void updateSeeds(List<String> ips) {
     seedIps = List.copyOf(ips);
@@ -213,6 +226,10 @@
     if (!spending.isUnused()) {
       state.setSpending(StateCodec.encodeSpending(spending.localReport(nowMillis)));
     }
+    if (!limits.isEmpty()) {
+      state.setPermitIssuer(statedIssuer(nowMillis));
+      state.addAllLimits(StateCodec.encodeLimits(limits.reports(nowMillis)));
+    }
     if (complete) {
       lastCompleteMillis = nowMillis;
       addGossip(receivers, state);
@@ -257,6 +274,7 @@
       holdingsChanged();
     }
     stateListener.accept(datagram.getHost(), state);
+    StateCodec.decodeLimits(state.getLimitsList()).forEach(limit -> limits.merge(limit, nowMillis));
     digests.applySpending(datagram.getHost(), datagram.getIncarnation(), state, nowMillis);
     boolean toDelegate = topology.isDelegate() && topology.isInOwnGroup(datagram.getHost());
     if (topology.isLarge() && !toDelegate && !state.getLeaving()) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StateCodec.java
@@ -11,11 +11,13 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.ResidentAdapter;
 import org.sequoiahub.core.quarantine.RunnerTermination;
+import org.sequoiahub.core.ratelimit.LimitReport;
 import org.sequoiahub.schema.peer.AdapterDemand;
 import org.sequoiahub.schema.peer.AdapterUse;
 import org.sequoiahub.schema.peer.HeldAdapter;
 import org.sequoiahub.schema.peer.Holding;
 import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.RunnerLimit;
 import org.sequoiahub.schema.peer.RunnerLoad;
 import org.sequoiahub.schema.peer.Spending;
 import org.sequoiahub.schema.peer.WorkspaceSpending;
@@ -103,6 +105,38 @@
         spent);
   }
 
+  /** Encodes what is known of the runners' limits. */
+  static List<RunnerLimit> encodeLimits(List<LimitReport> reports) {
+    return reports.stream()
+        .map(
+            report ->
+                RunnerLimit.newBuilder()
+                    .setRunner(report.runner())
+                    .setPerSecond(report.perSecond())
+                    .setSource(report.source())
+                    .setSequence(report.sequence())
+                    .setAgeMs(report.ageMillis())
+                    .build())
+        .toList();
+  }
+
+  /** Decodes what another host knows of the runners' limits; invalid reports are left out. */
+  static List<LimitReport> decodeLimits(List<RunnerLimit> messages) {
+    return messages.stream()
+        .filter(
+            limit ->
+                !limit.getRunner().isEmpty() && limit.getPerSecond() >= 0 && limit.getAgeMs() >= 0)
+        .map(
+            limit ->
+                new LimitReport(
+                    limit.getRunner(),
+                    limit.getPerSecond(),
+                    limit.getSource(),
+                    limit.getSequence(),
+                    limit.getAgeMs()))
+        .toList();
+  }
+
   /** Encodes a runner's holdings. */
   public static Holding encodeHolding(String runner, Holdings.Holding holding, long nowMillis) {
     Holding.Builder message =
--- a/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerRateLimits.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerRateLimits.java
@@ -12,9 +12,13 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.sequoiahub.core.placement.Rendezvous;
+import org.sequoiahub.core.ratelimit.IssuerFollowing;
 import org.sequoiahub.core.ratelimit.RunnerLimits;
+import org.sequoiahub.core.ratelimit.SenderPermits;
 import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.usersplatform.HostSettings;
 
 /**
  * Records what runners state about their limits and what this host sends them, for the other parts
@@ -27,11 +31,22 @@
   /** The time over which the calls to a limited runner are counted (ms). */
   private static final long WINDOW_MILLIS = 4_000;
 
+  /**
+   * The priority of calls of a runner's holder: after requests that can be answered in time, as an
+   * order takes as much of the limit as a request, and before those that are late.
+   */
+  private static final int HOLDER_PRIORITY = 12;
+
+  /** Added to the priority of a request that is late. */
+  private static final int LATE_PRIORITY = 16;
+
   private static final String PREFIX = "runner_limits.";
 
   private final MetricRegistry metrics;
   private final EventLog log;
   private final RunnerLimits limits;
+  private final IssuerFollowing following;
+  private final SenderPermits permits;
   private final Map<String, Deque<Long>> sentMillis = new HashMap<>();
   private final Map<String, SettableGauge<Double>> gauges = new HashMap<>();
 
@@ -43,12 +58,21 @@
   /**
    * Creates an empty record.
    *
-   * @param source identifies this process among those of all hosts
+   * @param incarnation the start time of this process (ms since the epoch)
+   * @param startedMillis when this process started (ms)
    */
-  public RunnerRateLimits(long source, MetricRegistry metrics, EventLog log) {
+  public RunnerRateLimits(
+      HostSettings settings,
+      long incarnation,
+      long startedMillis,
+      MetricRegistry metrics,
+      EventLog log) {
     this.metrics = requireNonNull(metrics, "metrics must not be null");
     this.log = requireNonNull(log, "log must not be null");
-    this.limits = new RunnerLimits(source, this::limitChanged);
+    String host = settings.host();
+    this.limits = new RunnerLimits(Rendezvous.hash(host + "/" + incarnation), this::limitChanged);
+    this.following = new IssuerFollowing(host, settings.firstStart(), startedMillis);
+    this.permits = new SenderPermits(limits, following);
   }
 
   /** Returns the limits that are known. */
@@ -56,6 +80,32 @@
     return limits;
   }
 
+  /** Returns which host this host accepts permits from. */
+  public IssuerFollowing following() {
+    return following;
+  }
+
+  /** Returns the permits of this host. */
+  public SenderPermits permits() {
+    return permits;
+  }
+
+  /**
+   * Takes a permit for a call to a runner, or requests one.
+   *
+   * @param call identifies the call
+   * @param priority lower ones get permits first
+   * @return whether the call may be sent now, as it always may to a runner without a limit
+   */
+  public boolean tryAcquire(String runner, Object call, int priority, long nowMillis) {
+    return permits.tryAcquire(runner, call, priority, nowMillis);
+  }
+
+  /** Takes a permit for a call of a runner's holder, or requests one. */
+  public boolean tryAcquireForHolder(String runner, RunnerCall call, long nowMillis) {
+    return permits.tryAcquire(runner, runner + " " + call, HOLDER_PRIORITY, nowMillis);
+  }
+
   /**
    * Returns whether a response's statement may change what is known, so that the decision thread
    * must receive it; may be called on any thread.
@@ -87,6 +137,11 @@
     }
   }
 
+  /** Returns the priority of a request for a permit. */
+  public static int permitPriority(int requestPriority, boolean inTime) {
+    return Math.min(requestPriority, HOLDER_PRIORITY - 1) + (inTime ? 0 : LATE_PRIORITY);
+  }
+
   private void logUnreadable(String runner, String reason) {
     metrics.counter(PREFIX + "unreadable").inc();
     if (unreadable.size() < RunnerLimits.MAX_RUNNERS && unreadable.add(runner)) {
@@ -158,6 +213,7 @@
       return;
     }
     limits.removeStaleEntries(knownRunners, nowMillis);
+    permits.removeStaleEntries(nowMillis);
     unreadable.retainAll(knownRunners);
     limits
         .inForce()
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/ConfigurationStatus.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/ConfigurationStatus.java
@@ -1,5 +1,10 @@
 package org.sequoiahub.node.store;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
 /**
  * The configuration that a host uses, as reported to operators.
  *
@@ -19,4 +24,27 @@
     return new ConfigurationStatus(
         version, revision, fromPeer, inForceSinceMillis, Math.max(confirmedMillis, millis));
   }
+
+  /**
+   * Registers gauges of the current status, which are read on a server thread.
+   *
+   * @param clock returns the monotonic time (ms)
+   */
+  public static void registerGauges(
+      MetricRegistry metrics, Supplier<ConfigurationStatus> current, LongSupplier clock) {
+    metrics.register("configuration.version", (Gauge<Long>) () -> current.get().version);
+    metrics.register(
+        "configuration.from_peer", (Gauge<Integer>) () -> current.get().fromPeer ? 1 : 0);
+    metrics.register(
+        "configuration.in_force_ms",
+        (Gauge<Long>) () -> elapsedMillis(current.get().inForceSinceMillis, clock));
+    metrics.register(
+        "configuration.confirmed_ms_ago",
+        (Gauge<Long>) () -> elapsedMillis(current.get().confirmedMillis, clock));
+  }
+
+  /** Returns the time since a moment (ms); -1 if the moment is negative, which stands for never. */
+  private static long elapsedMillis(long millis, LongSupplier clock) {
+    return millis < 0 ? -1 : clock.getAsLong() - millis;
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLimitTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLimitTest.java
@@ -14,7 +14,6 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiahub.usersplatform.Headers;
@@ -129,7 +128,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void runnerOfModelsIsNotSentMore() throws Exception {
     startRunners(2, "llm", "m");
     runners.get(0).stateLimit("1");
@@ -139,7 +137,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void runnerOfPlainServiceIsNotSentMore() throws Exception {
     startRunners(3, "plain", "");
     runners.get(0).stateLimit("1.0");
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -31,6 +31,8 @@
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerTermination;
 import org.sequoiahub.core.quarantine.RunnerTerminationListener;
+import org.sequoiahub.core.ratelimit.IssuerFollowing;
+import org.sequoiahub.core.ratelimit.RunnerLimits;
 import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
@@ -330,6 +332,8 @@
           new FleetLoad(),
           holdings,
           new FleetSpending(8_000),
+          new RunnerLimits(number, (runner, before, after, fromPeer, nowMillis) -> {}),
+          new IssuerFollowing("host-" + number, true, now),
           this::send,
           this::newState,
           (from, state) -> StateCodec.decodeHoldings(from, state, now).forEach(holdings::update),
@@ -358,7 +362,11 @@
               this,
               new LoadGuard(new RequestQuarantine(QuarantineSettings.DEFAULT), NO_OP_LISTENER),
               new RunnerRateLimits(
-                  number, new MetricRegistry(), new EventLog("test", "host-" + number)),
+                  settings(firstStart),
+                  now,
+                  now,
+                  new MetricRegistry(),
+                  new EventLog("test", "host-" + number)),
               heartbeats::datagram,
               this::send,
               this::deliver,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.node.peer;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.allowance.AllowanceLimiter;
@@ -23,6 +25,7 @@
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerTermination;
 import org.sequoiahub.core.retry.RetryBudgetSettings;
+import org.sequoiahub.node.ratelimit.RunnerRateLimits;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
@@ -122,13 +125,21 @@
     final RequestQuarantine quarantine = new RequestQuarantine(QuarantineSettings.DEFAULT);
     final RunnerTerminationExchange terminations;
     final Records records;
+    final RunnerRateLimits rateLimits;
+    final PermitExchange permits;
+
+    /** Called with the runners for which the host received permits. */
+    Consumer<Set<String>> permitsListener = runners -> {};
+
     long configRevision = 1_000;
 
     private Host(int number) {
       this.number = number;
       this.members = new Members<>("host-" + number, MemberSettings.DEFAULT);
-      HostSettings settings = settings(number);
+      HostSettings settings = settings(number, hosts.size() < size);
       this.topology = new FleetTopology(settings, members);
+      EventLog log = new EventLog("test", "host-" + number);
+      this.rateLimits = new RunnerRateLimits(settings, now, now, new MetricRegistry(), log);
       this.heartbeats =
           new PeerHeartbeats(
               settings,
@@ -138,12 +149,29 @@
               loads,
               holdings,
               spending,
+              rateLimits.limits(),
+              rateLimits.following(),
               (ip, datagram) -> send(number, ip, datagram),
               this::state,
               this::stateReceived,
               this::reportReceived,
               random,
-              new EventLog("test", "host-" + number));
+              log);
+      FleetHistory history = new FleetHistory(settings, now, members);
+      this.permits =
+          new PermitExchange(
+              "host-" + number,
+              now,
+              members,
+              topology,
+              rateLimits.limits(),
+              rateLimits.following(),
+              rateLimits.permits(),
+              history::sharingHostCount,
+              heartbeats::datagram,
+              (ip, datagram) -> send(number, ip, datagram),
+              heartbeats::changed,
+              runners -> permitsListener.accept(runners));
       this.terminations =
           new RunnerTerminationExchange(
               quarantine,
@@ -224,7 +252,7 @@
     return number < 6 ? 150 : 36;
   }
 
-  private HostSettings settings(int number) {
+  private HostSettings settings(int number, boolean firstStart) {
     return new HostSettings(
         "host-" + number,
         "z" + number % domains,
@@ -235,7 +263,7 @@
         4,
         5,
         List.of("ip-0", "ip-1", "ip-2"),
-        true,
+        firstStart,
         "store:1",
         8_000,
         2_000,
@@ -322,6 +350,7 @@
         host.members.removeExpired(now);
         host.allowances.assumeSilentSpending(now);
         host.records.tick(now);
+        host.permits.tick(now);
       }
     }
   }
@@ -353,6 +382,11 @@
       to.records.datagramReceived(datagram.getHost());
       if (datagram.hasDigest()) {
         to.heartbeats.receivedDigest(ip, datagram, now);
+      } else if (datagram.hasPermitRequest()) {
+        to.permits.receivedRequest(datagram.getHost(), datagram.getPermitRequest(), now);
+      } else if (datagram.hasPermitGrants()) {
+        to.permits.receivedGrants(
+            datagram.getHost(), datagram.getIncarnation(), datagram.getPermitGrants(), now);
       } else if (datagram.hasEnds()) {
         to.terminations.received(datagram.getHost(), ip, datagram.getEnds(), now);
       } else {
