--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.node.peer;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
@@ -88,6 +89,37 @@
         }
       }
     }
+
+    /** Guards against calls of the last moments of an outage that hide what changes after it. */
+    @Test
+    void changesAndLeavingRunnersAreKnownAfterCallsAtTheEndOfTheOutage() {
+      for (int outage = 3_000; outage <= 3_600; outage += 20) {
+        RecordSimulation simulation = new RecordSimulation(outage, HOSTS, DOMAINS);
+        simulation.advance(JOIN_MILLIS);
+        simulation.store.setFault(Fault.SILENT, host -> true);
+        simulation.advance(outage);
+        simulation.store.setFault(Fault.NONE, host -> false);
+        simulation.advance(3_700);
+        assertKnownEverywhere(simulation, simulation.configure(), "");
+        String leaving = simulation.replaceRunner();
+        assertKnownEverywhere(simulation, simulation.version(), leaving);
+        assertKnownEverywhere(simulation, simulation.configure(), leaving);
+      }
+    }
+
+    private void assertKnownEverywhere(
+        RecordSimulation simulation, long version, String leavingRunner) {
+      simulation.advance(RecordSimulation.BOUND_MILLIS);
+      for (PeerSimulation.Host host : simulation.peers.running()) {
+        RecordSimulation.HostRecords records = simulation.host(host.number);
+        assertThat(records.versionInForce()).isEqualTo(version);
+        assertThat(
+                records.runners.usable(simulation.now()).stream()
+                    .map(runner -> runner.id())
+                    .toList())
+            .doesNotContain(leavingRunner);
+      }
+    }
   }
 
   @Nested
