--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -195,7 +195,7 @@
             this::tickPeriodMillis,
             Runnable::run,
             this::tick,
-            this::logDefect,
+            log::defect,
             MonotonicClock.SYSTEM);
     this.spending = new FleetSpending(hostSettings.allowances().windowMillis());
     this.allowances =
@@ -354,7 +354,7 @@
             () -> advertisedAddresses,
             () -> ready && !leaving,
             () -> callerLimits,
-            () -> MetricsText.render(metrics),
+            this::operatorPage,
             request -> decisionThread.put(() -> requestArrived(request)));
   }
 
@@ -558,6 +558,13 @@
     callerServer.apply(table.limits());
   }
 
+  private String operatorPage(String path) {
+    return path.equals(StatusPage.PATH)
+        ? StatusPage.render(
+            hostSettings.host(), ready && !leaving, storeRegistry.status(), rateLimits.status())
+        : MetricsText.render(metrics);
+  }
+
   private void requestArrived(CallerExchange request) {
     callerAddresses.recordRequest(MonotonicClock.SYSTEM.nowMillis());
     requestCoordinator.handle(request);
@@ -693,15 +700,6 @@
     return changed;
   }
 
-  private void logDefect(Throwable failure) {
-    log.warning("defect", "failure", failure, "at", firstFrame(failure));
-  }
-
-  private static String firstFrame(Throwable failure) {
-    StackTraceElement[] frames = failure.getStackTrace();
-    return frames.length == 0 ? "unknown" : frames[0].toString();
-  }
-
   private final class PeerHandler implements WireServer.Handler {
     @Override
     public void onMessage(WireConnection connection, Envelope message) {
--- /dev/null
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -0,0 +1,37 @@
+package org.sequoiahub.node;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.sequoiahub.node.ratelimit.LimitStatus;
+import org.sequoiahub.node.store.ConfigurationStatus;
+
+/** Renders what {@code sequoia status} prints of a host, as JSON. */
+final class StatusPage {
+
+  /** The path of the page on the metrics port. */
+  static final String PATH = "/status";
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private StatusPage() {}
+
+  static String render(
+      String host, boolean ready, ConfigurationStatus configuration, List<LimitStatus> limits) {
+    ObjectNode page = MAPPER.createObjectNode();
+    page.put("host", host).put("ready", ready).put("configuration", configuration.version());
+    ArrayNode runners = page.putArray("runners");
+    for (LimitStatus limit : limits) {
+      runners
+          .addObject()
+          .put("runner", limit.runner())
+          .put("limit_per_s", limit.perSecond())
+          .put("age_ms", limit.ageMillis())
+          .put("from", limit.fromPeer() ? "peer" : "runner")
+          .put("sent_4s", limit.sentInWindow())
+          .put("issuer", limit.issuer());
+    }
+    return page.toString();
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -60,17 +61,17 @@
   private final int readinessPort;
   private final int addressPort;
   private final int metricsPort;
-  private final Supplier<String> metrics;
+  private final UnaryOperator<String> operatorPage;
 
   /**
    * Creates a server; {@link #start} opens its ports.
    *
-   * @param metricsPort the port that serves the metrics as text; 0 for none
+   * @param metricsPort the port that serves pages for operators; 0 for none
    * @param addressTtlMillis how long a caller may use the addresses that it received (ms)
    * @param addresses the addresses, for callers, of all hosts that accept requests
    * @param ready whether this host accepts requests
    * @param limits the present limits on callers' requests
-   * @param metrics the text of the metrics
+   * @param operatorPage returns what the metrics port serves at a path
    * @param requestHandler receives each request once its body has been read
    */
   public CallerServer(
@@ -83,7 +84,7 @@
       Supplier<List<String>> addresses,
       BooleanSupplier ready,
       Supplier<CallerLimits> limits,
-      Supplier<String> metrics,
+      UnaryOperator<String> operatorPage,
       Consumer<CallerExchange> requestHandler) {
     this.addresses = addresses;
     this.addressTtlMillis = addressTtlMillis;
@@ -93,7 +94,7 @@
     this.readinessPort = readinessPort;
     this.addressPort = addressPort;
     this.metricsPort = metricsPort;
-    this.metrics = metrics;
+    this.operatorPage = operatorPage;
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-server");
     threads.setDaemon(true);
@@ -177,7 +178,8 @@
       } else if (port == addressPort) {
         addresses(request, response, callback);
       } else if (port == metricsPort) {
-        response.write(true, ByteBuffer.wrap(metrics.get().getBytes(UTF_8)), callback);
+        String page = operatorPage.apply(request.getHttpURI().getPath());
+        response.write(true, ByteBuffer.wrap(page.getBytes(UTF_8)), callback);
       } else {
         readRequest(request, response, callback);
       }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerRateLimits.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerRateLimits.java
@@ -6,9 +6,11 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SettableGauge;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -54,6 +56,7 @@
   private final Set<String> unreadable = new HashSet<>();
 
   private volatile boolean anyKnown;
+  private volatile List<LimitStatus> published = List.of();
 
   /**
    * Creates an empty record.
@@ -207,6 +210,11 @@
     return sent.size();
   }
 
+  /** Returns the limits in force as published last; may be called on any thread. */
+  public List<LimitStatus> status() {
+    return published;
+  }
+
   /** Publishes the limits in force and removes those of runners that are gone. */
   public void runMaintenance(Set<String> knownRunners, long nowMillis) {
     if (!anyKnown) {
@@ -215,18 +223,30 @@
     limits.removeStaleEntries(knownRunners, nowMillis);
     permits.removeStaleEntries(nowMillis);
     unreadable.retainAll(knownRunners);
-    limits
-        .inForce()
-        .forEach(
-            (runner, limit) -> {
-              gauge(runner, "per_second").setValue(limit.perSecond());
-              gauge(runner, "age_ms").setValue((double) (nowMillis - limit.observedMillis()));
-              gauge(runner, "from_peer").setValue(limit.fromPeer() ? 1.0 : 0.0);
-              gauge(runner, "sent_4s").setValue((double) sentInWindow(runner, nowMillis));
-            });
+    List<LimitStatus> inForce = new ArrayList<>();
+    limits.inForce().forEach((runner, limit) -> inForce.add(status(runner, limit, nowMillis)));
+    inForce.forEach(this::publish);
+    published = List.copyOf(inForce);
     anyKnown = !limits.isEmpty();
   }
 
+  private LimitStatus status(String runner, RunnerLimits.Limit limit, long nowMillis) {
+    return new LimitStatus(
+        runner,
+        limit.perSecond(),
+        nowMillis - limit.observedMillis(),
+        limit.fromPeer(),
+        sentInWindow(runner, nowMillis),
+        following.followed());
+  }
+
+  private void publish(LimitStatus status) {
+    gauge(status.runner(), "per_second").setValue(status.perSecond());
+    gauge(status.runner(), "age_ms").setValue((double) status.ageMillis());
+    gauge(status.runner(), "from_peer").setValue(status.fromPeer() ? 1.0 : 0.0);
+    gauge(status.runner(), "sent_4s").setValue((double) status.sentInWindow());
+  }
+
   private static String gaugeName(String runner, String what) {
     return PREFIX + runner + "." + what;
   }
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/EventLog.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/EventLog.java
@@ -45,6 +45,13 @@
     }
   }
 
+  /** Writes an unexpected failure of the program and where it was raised. */
+  public void defect(Throwable failure) {
+    StackTraceElement[] frames = failure.getStackTrace();
+    String at = frames.length == 0 ? "unknown" : frames[0].toString();
+    warning("defect", "failure", failure, "at", at);
+  }
+
   private void write(Level level, String event, @Nullable Object[] pairs) {
     checkArgument(pairs.length % 2 == 0, "pairs must be key, value, ...; event was %s", event);
     StringBuilder line = new StringBuilder("event=").append(event).append(commonPairs);
