Leave a limited runner to requests that its permits serve in time while others can serve the rest

Cause: an adapter that only the limited runner holds costs 700 ms and more to load elsewhere, in the weights of the placement. A request therefore waited for a permit, was overtaken by more urgent ones, and when the permit would have come after its target it was refused, although another runner could have loaded the adapter in a quarter of a second.

Now a runner whose permit takes more than half of the time to the target is chosen only if there is no other. Test red before: GenerationPlacementTest.LimitedRunners ('limited' chosen in place of 'other').

--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -44,6 +44,8 @@
   /**
    * Returns the best of the candidates; empty if there are none.
    *
+   * <p>A runner whose rate limit may make the request late is chosen only if there is no other.
+   *
    * <p>A request that waits for an adapter stays at its runner unless another one is faster by more
    * than {@link PlacementSettings#moveThresholdMillis}, because it has to wait anew after each
    * move. If requests moved for any gain, they would alternate between two runners for seconds, and
@@ -59,10 +61,14 @@
     List<Candidate> ranked =
         Rendezvous.rankingByHash(
             generation.target(), candidates, candidate -> candidate.runner().idHash());
+    boolean anyPermitted = candidates.stream().anyMatch(c -> isPermittedInTime(c, limits));
     Choice best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (int rank = 0; rank < ranked.size(); rank++) {
       Candidate candidate = ranked.get(rank);
+      if (anyPermitted && !isPermittedInTime(candidate, limits)) {
+        continue;
+      }
       double expected = expectedMillis(candidate);
       double score = expected + riskPenalty(candidate) + loadPenalty(candidate, rank);
       score += pausePenalty(candidate, limits) + latePenalty(expected, limits);
@@ -75,6 +81,14 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns whether a runner's rate limit surely permits a request in time. The wait counts twice,
+   * as a permit may go to a more urgent request first.
+   */
+  private static boolean isPermittedInTime(Candidate candidate, StreamLimits limits) {
+    return 2 * candidate.permitWaitMillis() <= Math.max(0, limits.timeToTargetMillis());
+  }
+
   /**
    * Returns the expected time to the first token at one runner (ms).
    *
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -60,6 +60,60 @@
         .id();
   }
 
+  @Nested
+  class LimitedRunners {
+    private Candidate limited(long permitWaitMillis) {
+      return new Candidate(
+          runner("limited"),
+          3,
+          0,
+          0,
+          0,
+          0,
+          permitWaitMillis,
+          false,
+          0,
+          true,
+          true,
+          true,
+          0,
+          0,
+          false,
+          true);
+    }
+
+    private String choose(StreamLimits limits, String waitingAt, Candidate... candidates) {
+      return placement
+          .choose(generation("a"), limits, List.of(candidates), waitingAt)
+          .orElseThrow()
+          .candidate()
+          .runner()
+          .id();
+    }
+
+    /** Guards against requests that are refused for a limit while another runner could load. */
+    @Test
+    void areLeftForRunnersThatMustLoadTheAdapterFirst() {
+      StreamLimits limits = new StreamLimits(500, 5, 500);
+      Candidate other = candidate("other", false, 0, 9_000);
+      assertThat(choose(limits, "limited", limited(1_000), other)).isEqualTo("other");
+      assertThat(choose(limits, "", limited(300), other)).isEqualTo("other");
+    }
+
+    @Test
+    void serveWhatTheyPermitSoon() {
+      StreamLimits limits = new StreamLimits(500, 5, 1_000);
+      Candidate other = candidate("other", false, 0, 9_000);
+      assertThat(choose(limits, "", limited(100), other)).isEqualTo("limited");
+    }
+
+    @Test
+    void areChosenIfAllRunnersAreLimited() {
+      StreamLimits limits = new StreamLimits(500, 5, 500);
+      assertThat(choose(limits, "", limited(2_000))).isEqualTo("limited");
+    }
+  }
+
   @Nested
   class AbsentAdapters {
     /**
