Show operators what runners state about leaving and backoff, and the age of a 404's configuration

No decision changes. RunnerStates (before: RunnerRateLimits) records them, logs when a statement begins and ends, counts the calls that are sent nevertheless (runner_leaving.sent.*, runner_backoff.sent.*) and lists them on the status page. A 404 names the version that lacks the route and how long ago it was confirmed.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerCall.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/CallKind.java
@@ -1,7 +1,7 @@
-package org.sequoiahub.node.ratelimit;
+package org.sequoiahub.core.runnerstate;
 
 /** The kinds of calls to a runner, all of which count towards its limit. */
-public enum RunnerCall {
+public enum CallKind {
   /** A caller's request, sent for the first time or again. */
   REQUEST,
   /** An order of the runner's holder. */
--- /dev/null
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerSignals.java
@@ -0,0 +1,39 @@
+package org.sequoiahub.core.runnerstate;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.sequoiahub.core.ratelimit.StatedLimit;
+
+/**
+ * What the head of a runner's response states about the runner.
+ *
+ * @param leaving whether the runner leaves the fleet
+ * @param backoffMillis how long the runner wants no calls from this host (ms); 0 if it states none
+ * @param limit what it states about the rate of requests that the runner takes
+ * @param unreadable what is wrong with the statements on leaving and backoff that cannot be read,
+ *     which are ignored; for a human reader
+ */
+public record RunnerSignals(
+    boolean leaving, long backoffMillis, StatedLimit limit, List<String> unreadable) {
+
+  /** The signals of a response that states nothing. */
+  public static final RunnerSignals NONE =
+      new RunnerSignals(false, 0, new StatedLimit.None(), List.of());
+
+  /** Checks the arguments and copies the list. */
+  public RunnerSignals {
+    checkArgument(backoffMillis >= 0, "backoffMillis must not be negative, was %s", backoffMillis);
+    requireNonNull(limit, "limit must not be null");
+    unreadable = List.copyOf(unreadable);
+  }
+
+  /** Returns whether the response states nothing. */
+  public boolean isEmpty() {
+    return !leaving
+        && backoffMillis == 0
+        && limit instanceof StatedLimit.None
+        && unreadable.isEmpty();
+  }
+}
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -48,7 +48,7 @@
 import org.sequoiahub.node.peer.RecordSync;
 import org.sequoiahub.node.peer.RunnerTerminationExchange;
 import org.sequoiahub.node.peer.StateCodec;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.node.store.ConfigurationStatus;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
@@ -161,7 +161,7 @@
   private final RunnerTerminationExchange terminationExchange;
   private final QuarantineGate quarantineGate;
   private final LoadGuard loadGuard;
-  private final RunnerRateLimits rateLimits;
+  private final RunnerStates runnerStates;
   private final PermitExchange permitExchange;
   private final DemandSender demandSender;
   private final RecordSync recordSync;
@@ -185,7 +185,9 @@
     this.incarnation = System.currentTimeMillis();
     this.members = new Members<>(hostSettings.host(), MemberSettings.DEFAULT);
     this.history = new FleetHistory(hostSettings, incarnation, members);
-    this.rateLimits = new RunnerRateLimits(hostSettings, incarnation, startedMillis, metrics, log);
+    this.runnerStates =
+        new RunnerStates(
+            hostSettings, incarnation, startedMillis, this::stateChanged, metrics, log);
     this.storeHttp = UpstreamClient.start();
     this.runnerHttp = UpstreamClient.start();
     this.decisionThread =
@@ -220,7 +222,7 @@
             history::sharingHostCount,
             storeRegistry::newestVersion,
             this::reportMissingAdapter,
-            rateLimits.permits());
+            runnerStates.permits());
     this.datagrams =
         DatagramPort.open(
             network, hostSettings.ip(), hostSettings.datagramPort(), log, this::datagramReceived);
@@ -235,8 +237,8 @@
             fleetLoad,
             holdings,
             spending,
-            rateLimits.limits(),
-            rateLimits.following(),
+            runnerStates.limits(),
+            runnerStates.following(),
             datagrams::send,
             this::newState,
             this::handleState,
@@ -256,13 +258,14 @@
     this.requestCoordinator =
         new RequestCoordinator(
             fleetView,
+            storeRegistry::status,
             keys,
             allowances,
-            new UpstreamClient(runnerHttp),
+            new UpstreamClient(runnerHttp, System::currentTimeMillis),
             budget,
             quarantineGate,
             loadGuard,
-            rateLimits,
+            runnerStates,
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
@@ -275,9 +278,9 @@
             incarnation,
             members,
             fleetShape,
-            rateLimits.limits(),
-            rateLimits.following(),
-            rateLimits.permits(),
+            runnerStates.limits(),
+            runnerStates.following(),
+            runnerStates.permits(),
             history::sharingHostCount,
             heartbeats::datagram,
             datagrams::send,
@@ -299,13 +302,14 @@
             new OrderClient(
                 runnerHttp,
                 decoder,
-                (runner, limit) ->
+                (runner, signals) ->
                     decisionThread.put(
                         () ->
-                            rateLimits.replyReceived(
-                                runner.id(), limit, MonotonicClock.SYSTEM.nowMillis()))),
+                            runnerStates.replyReceived(
+                                runner.id(), signals, MonotonicClock.SYSTEM.nowMillis())),
+                System::currentTimeMillis),
             loadGuard,
-            rateLimits,
+            runnerStates,
             heartbeats::datagram,
             datagrams::send,
             decisionThread::put,
@@ -538,7 +542,7 @@
     allowances.assumeSilentSpending(nowMillis);
     requestCoordinator.publishMetrics(nowMillis);
     quarantineGate.runMaintenance(nowMillis);
-    rateLimits.runMaintenance(runnerRegistry.incarnationKeys(), nowMillis);
+    runnerStates.runMaintenance(runnerRegistry.incarnationKeys(), nowMillis);
     loadGuard.detectTerminations(runnerRegistry::hasTerminated, nowMillis);
   }
 
@@ -561,7 +565,11 @@
   private String operatorPage(String path) {
     return path.equals(StatusPage.PATH)
         ? StatusPage.render(
-            hostSettings.host(), ready && !leaving, storeRegistry.status(), rateLimits.status())
+            hostSettings.host(),
+            ready && !leaving,
+            storeRegistry.status(),
+            runnerStates.status(),
+            runnerStates.statements())
         : MetricsText.render(metrics);
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
-import org.sequoiahub.node.ratelimit.LimitStatus;
+import java.util.Locale;
+import org.sequoiahub.core.runnerstate.RunnerAvailability;
+import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
 
 /** Renders what {@code sequoia status} prints of a host, as JSON. */
@@ -18,7 +20,11 @@
   private StatusPage() {}
 
   static String render(
-      String host, boolean ready, ConfigurationStatus configuration, List<LimitStatus> limits) {
+      String host,
+      boolean ready,
+      ConfigurationStatus configuration,
+      List<LimitStatus> limits,
+      List<RunnerAvailability.Statement> statements) {
     ObjectNode page = MAPPER.createObjectNode();
     page.put("host", host).put("ready", ready).put("configuration", configuration.version());
     ArrayNode runners = page.putArray("runners");
@@ -32,6 +38,18 @@
           .put("sent_4s", limit.sentInWindow())
           .put("issuer", limit.issuer());
     }
+    for (RunnerAvailability.Statement statement : statements) {
+      ObjectNode row =
+          runners
+              .addObject()
+              .put("runner", statement.runner())
+              .put("stated", statement.reason().name().toLowerCase(Locale.ROOT))
+              .put("age_ms", statement.ageMillis())
+              .put("from", statement.fromPeer() ? "peer" : "runner");
+      if (statement.leftMillis() >= 0) {
+        row.put("left_ms", statement.leftMillis());
+      }
+    }
     return page.toString();
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Admission.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Admission.java
@@ -14,6 +14,7 @@
 import org.sequoiahub.core.routing.ServiceSpec;
 import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.store.ConfigurationStatus;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.HeaderCodec.CallerHeaders;
 
@@ -32,16 +33,25 @@
   private static final long NO_RETRY_AFTER = -1;
 
   private final Supplier<Optional<RoutingTable>> tables;
+  private final Supplier<ConfigurationStatus> configuration;
   private final AllowanceLimiter allowances;
   private final WorkspaceMetrics metrics;
   private final EventLog log;
 
+  /**
+   * Creates the admission of a host.
+   *
+   * @param tables returns the routing table in force; empty before the first one
+   * @param configuration returns the status of the configuration that contains it
+   */
   Admission(
       Supplier<Optional<RoutingTable>> tables,
+      Supplier<ConfigurationStatus> configuration,
       AllowanceLimiter allowances,
       WorkspaceMetrics metrics,
       EventLog log) {
     this.tables = requireNonNull(tables, "tables must not be null");
+    this.configuration = requireNonNull(configuration, "configuration must not be null");
     this.allowances = requireNonNull(allowances, "allowances must not be null");
     this.metrics = requireNonNull(metrics, "metrics must not be null");
     this.log = requireNonNull(log, "log must not be null");
@@ -83,7 +93,7 @@
   record Denied(int status, String why, long retryMillis) implements Result {}
 
   /** Returns whether a request may be served, without regard to the allowance of its workspace. */
-  Result admit(CallerExchange exchange, CallerHeaders headers) {
+  Result admit(CallerExchange exchange, CallerHeaders headers, long nowMillis) {
     Optional<RoutingTable> table = tables.get();
     if (table.isEmpty()) {
       return new Denied(
@@ -93,8 +103,7 @@
     }
     Optional<Route> route = table.get().find(exchange.host(), exchange.path());
     if (route.isEmpty()) {
-      return new Denied(
-          HttpStatus.NOT_FOUND_404, "no route matches the request's host and path", NO_RETRY_AFTER);
+      return routeNotFound(nowMillis);
     }
     Optional<Workspace> workspace = table.get().workspaces().findByKey(headers.key());
     if (needsKey(table.get(), route.get()) && workspace.isEmpty()) {
@@ -108,6 +117,14 @@
         table.get(), route.get(), route.get().anonymousAccess() ? null : workspace.orElse(null));
   }
 
+  private Denied routeNotFound(long nowMillis) {
+    ConfigurationStatus status = configuration.get();
+    String reason =
+        "no route matches the request's host and path in version %d, confirmed %d ms ago"
+            .formatted(status.version(), nowMillis - status.confirmedMillis());
+    return new Denied(HttpStatus.NOT_FOUND_404, reason, NO_RETRY_AFTER);
+  }
+
   /** Charges a request's cost to its workspace's allowance; empty if it may be served. */
   Optional<Denied> charge(Permitted permitted, CallerHeaders headers, long nowMillis) {
     Workspace workspace = permitted.workspace();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -12,7 +12,7 @@
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.node.upstream.Attempt;
 import org.sequoiahub.usersplatform.HeaderCodec.CallerHeaders;
 
@@ -141,7 +141,7 @@
 
   /** Returns its priority for permits of limited runners. */
   int permitPriority(long nowMillis) {
-    return RunnerRateLimits.permitPriority(priority(), nowMillis < targetMillis());
+    return RunnerStates.permitPriority(priority(), nowMillis < targetMillis());
   }
 
   /** Returns the id of the runner at which it waits; empty if it does not wait. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
@@ -30,15 +31,16 @@
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
-import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
+import org.sequoiahub.core.runnerstate.CallKind;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
-import org.sequoiahub.node.ratelimit.RunnerCall;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
+import org.sequoiahub.node.store.ConfigurationStatus;
 import org.sequoiahub.node.upstream.AttemptListener;
 import org.sequoiahub.node.upstream.Outcome;
 import org.sequoiahub.node.upstream.UpstreamClient;
@@ -103,7 +105,7 @@
   private final RetryGate retryGate;
   private final QuarantineGate quarantineGate;
   private final LoadGuard loadGuard;
-  private final RunnerRateLimits rateLimits;
+  private final RunnerStates runnerStates;
   private final GenerationPlacement generationPlacement =
       new GenerationPlacement(PlacementSettings.DEFAULT);
   private final ServicePlacement servicePlacement = new ServicePlacement(PlacementSettings.DEFAULT);
@@ -126,6 +128,7 @@
   /**
    * Creates a coordinator.
    *
+   * @param configuration returns the status of the configuration in force
    * @param keyHasher hashes callers' access keys in the same way as those of the configuration
    * @param decisionThread executes tasks on the decision thread
    * @param clock the monotonic time (ms)
@@ -133,13 +136,14 @@
    */
   public RequestCoordinator(
       FleetView fleet,
+      Supplier<ConfigurationStatus> configuration,
       KeyHasher keyHasher,
       AllowanceLimiter allowances,
       UpstreamClient upstreams,
       SharedRetryBudget budget,
       QuarantineGate quarantineGate,
       LoadGuard loadGuard,
-      RunnerRateLimits rateLimits,
+      RunnerStates runnerStates,
       Consumer<Runnable> decisionThread,
       LongSupplier clock,
       Runnable inFlightListener,
@@ -152,12 +156,13 @@
     this.fleet = fleet;
     this.selector = new CandidateSelector(fleet);
     this.keyHasher = keyHasher;
-    this.admission = new Admission(fleet::table, allowances, new WorkspaceMetrics(metrics), log);
+    this.admission =
+        new Admission(fleet::table, configuration, allowances, new WorkspaceMetrics(metrics), log);
     this.upstreams = upstreams;
     this.retryGate = new RetryGate(budget, fleet, metrics, log);
     this.quarantineGate = quarantineGate;
     this.loadGuard = loadGuard;
-    this.rateLimits = rateLimits;
+    this.runnerStates = runnerStates;
     this.decisionThread = decisionThread;
     this.clock = clock;
     this.inFlightListener = inFlightListener;
@@ -173,7 +178,7 @@
     if (shutdown != null) {
       exchange.closeConnectionAfterResponse();
     }
-    Admission.Result result = admission.admit(exchange, headers);
+    Admission.Result result = admission.admit(exchange, headers, now);
     if (result instanceof Admission.Permitted permitted) {
       accept(exchange, headers, permitted, now);
     } else if (result instanceof Admission.Denied denied) {
@@ -411,12 +416,12 @@
 
   /** Takes a permit to send a request to a runner, or requests one; true if there is no limit. */
   private boolean tryAcquire(Call call, Candidate candidate, long nowMillis) {
-    return rateLimits.tryAcquire(
+    return runnerStates.tryAcquire(
         candidate.runner().id(), call, call.permitPriority(nowMillis), nowMillis);
   }
 
   private boolean isTooLateForLimit(Call call, Candidate candidate, long nowMillis) {
-    return rateLimits
+    return runnerStates
         .permits()
         .isTooLate(
             candidate.runner().id(),
@@ -500,7 +505,7 @@
       fleet.fleetLoad().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
       call.waitingAt = null;
       call.waitsForPermit = false;
-      rateLimits.permits().withdraw(call);
+      runnerStates.permits().withdraw(call);
       waitingCount--;
       demandsChanged = true;
     }
@@ -516,7 +521,7 @@
     Call.ActiveAttempt active = new Call.ActiveAttempt(call.sends, runner, nowMillis, unreadTokens);
     call.activeAttempts.add(active);
     fleet.fleetLoad().add(runner.id(), 1, unreadTokens, 0, call.adapter());
-    rateLimits.recordSent(runner.id(), RunnerCall.REQUEST, nowMillis);
+    runnerStates.recordSent(runner.id(), CallKind.REQUEST, nowMillis);
     if (call.generation != null) {
       fleet.recordSentPrompt(runner, call.generation);
     }
@@ -573,12 +578,12 @@
     }
 
     @Override
-    public void limitStated(StatedLimit limit) {
-      if (rateLimits.isRelevant(limit)) {
+    public void signalsReceived(RunnerSignals signals) {
+      if (runnerStates.isRelevant(signals)) {
         decisionThread.accept(
             () ->
-                rateLimits.responseReceived(
-                    active.runner.id(), limit, active.startedMillis, clock.getAsLong()));
+                runnerStates.responseReceived(
+                    active.runner.id(), signals, active.startedMillis, clock.getAsLong()));
       }
     }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -32,11 +32,11 @@
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.routing.EngineSpec;
+import org.sequoiahub.core.runnerstate.CallKind;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.StateCodec;
-import org.sequoiahub.node.ratelimit.RunnerCall;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HeldBy;
@@ -129,7 +129,7 @@
   private final FleetLoad fleetLoad;
   private final RunnerOrders orders;
   private final LoadGuard loadGuard;
-  private final RunnerRateLimits rateLimits;
+  private final RunnerStates runnerStates;
   private final Supplier<PeerDatagram.Builder> datagramFactory;
   private final BiConsumer<String, byte[]> sender;
   private final Consumer<Runnable> decisionThread;
@@ -238,7 +238,7 @@
       FleetLoad fleetLoad,
       RunnerOrders orders,
       LoadGuard loadGuard,
-      RunnerRateLimits rateLimits,
+      RunnerStates runnerStates,
       Supplier<PeerDatagram.Builder> datagramFactory,
       BiConsumer<String, byte[]> sender,
       Consumer<Runnable> decisionThread,
@@ -255,7 +255,7 @@
     this.fleetLoad = fleetLoad;
     this.orders = orders;
     this.loadGuard = loadGuard;
-    this.rateLimits = rateLimits;
+    this.runnerStates = runnerStates;
     this.datagramFactory = datagramFactory;
     this.sender = sender;
     this.decisionThread = decisionThread;
@@ -596,7 +596,7 @@
     // Also requested while orders must wait: the adapters that the runner holds can serve requests.
     if (reportWanted
         && !held.reportPending
-        && rateLimits.tryAcquireForHolder(held.runner.id(), RunnerCall.REPORT, nowMillis)) {
+        && runnerStates.tryAcquireForHolder(held.runner.id(), CallKind.REPORT, nowMillis)) {
       requestReport(held, nowMillis);
     }
     sendNextOrder(held.runner.id(), nowMillis);
@@ -696,7 +696,7 @@
     held.reportPending = true;
     held.reportDueMillis = nowMillis + REPORT_PERIOD_MILLIS;
     RunnerEntry runner = held.runner;
-    rateLimits.recordSent(runner.id(), RunnerCall.REPORT, nowMillis);
+    runnerStates.recordSent(runner.id(), CallKind.REPORT, nowMillis);
     orders.fetchReport(
         runner,
         ORDER_TIMEOUT_MILLIS,
@@ -739,7 +739,7 @@
             newestVersion,
             transitElsewhere,
             nowMillis);
-    if (next.isPresent() && rateLimits.tryAcquireForHolder(runnerId, RunnerCall.ORDER, nowMillis)) {
+    if (next.isPresent() && runnerStates.tryAcquireForHolder(runnerId, CallKind.ORDER, nowMillis)) {
       sendOrder(held, residency, next.get(), transitElsewhere, nowMillis);
     }
   }
@@ -779,7 +779,7 @@
         "expect",
         sequence);
     RunnerEntry runner = held.runner;
-    rateLimits.recordSent(runner.id(), RunnerCall.ORDER, nowMillis);
+    runnerStates.recordSent(runner.id(), CallKind.ORDER, nowMillis);
     orders.sendOrder(
         runner,
         order,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/LimitStatus.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/LimitStatus.java
@@ -1,4 +1,4 @@
-package org.sequoiahub.node.ratelimit;
+package org.sequoiahub.node.runnerstate;
 
 /**
  * A runner's limit in force, as reported to operators.
--- a/sequoia-node/src/main/java/org/sequoiahub/node/ratelimit/RunnerRateLimits.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/RunnerStates.java
@@ -1,4 +1,4 @@
-package org.sequoiahub.node.ratelimit;
+package org.sequoiahub.node.runnerstate;
 
 import static java.util.Objects.requireNonNull;
 
@@ -19,16 +19,22 @@
 import org.sequoiahub.core.ratelimit.RunnerLimits;
 import org.sequoiahub.core.ratelimit.SenderPermits;
 import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.runnerstate.CallKind;
+import org.sequoiahub.core.runnerstate.RunnerAvailability;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
+import org.sequoiahub.core.runnerstate.SendDecision;
+import org.sequoiahub.core.runnerstate.StatementListener;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.HostSettings;
 
 /**
- * Records what runners state about their limits and what this host sends them, for the other parts
- * of the host and for operators.
+ * Records what runners state about themselves and what this host sends them, for the other parts of
+ * the host and for operators.
  *
- * <p>Its methods must be called on the decision thread, except {@link #isRelevant}.
+ * <p>Its methods must be called on the decision thread, except {@link #isRelevant} and the status
+ * methods.
  */
-public final class RunnerRateLimits {
+public final class RunnerStates {
 
   /** The time over which the calls to a limited runner are counted (ms). */
   private static final long WINDOW_MILLIS = 4_000;
@@ -43,31 +49,40 @@
   private static final int LATE_PRIORITY = 16;
 
   private static final String PREFIX = "runner_limits.";
+  private static final String LEAVING_PREFIX = "runner_leaving.";
+  private static final String BACKOFF_PREFIX = "runner_backoff.";
 
   private final MetricRegistry metrics;
   private final EventLog log;
   private final RunnerLimits limits;
   private final IssuerFollowing following;
   private final SenderPermits permits;
+  private final RunnerAvailability availability;
+  private final Runnable newsListener;
   private final Map<String, Deque<Long>> sentMillis = new HashMap<>();
   private final Map<String, SettableGauge<Double>> gauges = new HashMap<>();
 
-  /** The runners whose unreadable limits were logged. */
-  private final Set<String> unreadable = new HashSet<>();
+  /** The runners whose unreadable statements were logged. */
+  private final Set<String> unreadableLimits = new HashSet<>();
+
+  private final Set<String> unreadableStatements = new HashSet<>();
 
   private volatile boolean anyKnown;
   private volatile List<LimitStatus> published = List.of();
+  private volatile List<RunnerAvailability.Statement> publishedStatements = List.of();
 
   /**
    * Creates an empty record.
    *
    * @param incarnation the start time of this process (ms since the epoch)
    * @param startedMillis when this process started (ms)
+   * @param newsListener called when a response states what the other hosts should know soon
    */
-  public RunnerRateLimits(
+  public RunnerStates(
       HostSettings settings,
       long incarnation,
       long startedMillis,
+      Runnable newsListener,
       MetricRegistry metrics,
       EventLog log) {
     this.metrics = requireNonNull(metrics, "metrics must not be null");
@@ -76,6 +91,9 @@
     this.limits = new RunnerLimits(Rendezvous.hash(host + "/" + incarnation), this::limitChanged);
     this.following = new IssuerFollowing(host, settings.firstStart(), startedMillis);
     this.permits = new SenderPermits(limits, following);
+    this.availability =
+        new RunnerAvailability(settings.drainMillis(), limits, permits, new StatementLog());
+    this.newsListener = requireNonNull(newsListener, "newsListener must not be null");
   }
 
   /** Returns the limits that are known. */
@@ -93,6 +111,11 @@
     return permits;
   }
 
+  /** Returns what decides whether a call may be sent to a runner. */
+  public RunnerAvailability availability() {
+    return availability;
+  }
+
   /**
    * Takes a permit for a call to a runner, or requests one.
    *
@@ -105,7 +128,7 @@
   }
 
   /** Takes a permit for a call of a runner's holder, or requests one. */
-  public boolean tryAcquireForHolder(String runner, RunnerCall call, long nowMillis) {
+  public boolean tryAcquireForHolder(String runner, CallKind call, long nowMillis) {
     return permits.tryAcquire(runner, runner + " " + call, HOLDER_PRIORITY, nowMillis);
   }
 
@@ -113,8 +136,8 @@
    * Returns whether a response's statement may change what is known, so that the decision thread
    * must receive it; may be called on any thread.
    */
-  public boolean isRelevant(StatedLimit stated) {
-    return anyKnown || !(stated instanceof StatedLimit.None);
+  public boolean isRelevant(RunnerSignals signals) {
+    return anyKnown || !signals.isEmpty();
   }
 
   /**
@@ -123,21 +146,23 @@
    * @param requestSentMillis when the request was sent (ms)
    */
   public void responseReceived(
-      String runner, StatedLimit stated, long requestSentMillis, long nowMillis) {
-    if (stated instanceof StatedLimit.Unreadable invalid) {
-      logUnreadable(runner, invalid.reason());
+      String runner, RunnerSignals signals, long requestSentMillis, long nowMillis) {
+    if (signals.limit() instanceof StatedLimit.Unreadable invalid) {
+      logUnreadableLimit(runner, invalid.reason());
+    }
+    limits.observe(runner, signals.limit(), requestSentMillis, nowMillis);
+    signals.unreadable().forEach(reason -> logUnreadableStatement(runner, reason));
+    if (availability.observe(runner, signals, nowMillis)) {
+      newsListener.run();
     }
-    limits.observe(runner, stated, requestSentMillis, nowMillis);
   }
 
   /**
    * Applies what the head of a reply to an order or a report states; a limit does not end by a
    * reply that states none, as these need not state it.
    */
-  public void replyReceived(String runner, StatedLimit stated, long nowMillis) {
-    if (!(stated instanceof StatedLimit.None)) {
-      responseReceived(runner, stated, nowMillis, nowMillis);
-    }
+  public void replyReceived(String runner, RunnerSignals signals, long nowMillis) {
+    responseReceived(runner, signals, Long.MIN_VALUE, nowMillis);
   }
 
   /** Returns the priority of a request for a permit. */
@@ -145,9 +170,9 @@
     return Math.min(requestPriority, HOLDER_PRIORITY - 1) + (inTime ? 0 : LATE_PRIORITY);
   }
 
-  private void logUnreadable(String runner, String reason) {
+  private void logUnreadableLimit(String runner, String reason) {
     metrics.counter(PREFIX + "unreadable").inc();
-    if (unreadable.size() < RunnerLimits.MAX_RUNNERS && unreadable.add(runner)) {
+    if (unreadableLimits.size() < RunnerLimits.MAX_RUNNERS && unreadableLimits.add(runner)) {
       log.warning(
           "runner-limit-unreadable",
           "runner",
@@ -159,12 +184,29 @@
     }
   }
 
+  private void logUnreadableStatement(String runner, String reason) {
+    metrics.counter("runner_statements.unreadable").inc();
+    if (unreadableStatements.size() < RunnerAvailability.MAX_RUNNERS
+        && unreadableStatements.add(runner)) {
+      log.warning("runner-statement-unreadable", "runner", runner, "why", reason);
+    }
+  }
+
   /** Counts a call that is sent to a runner. */
-  public void recordSent(String runner, RunnerCall call, long nowMillis) {
+  public void recordSent(String runner, CallKind call, long nowMillis) {
+    String kind = "sent." + call.name().toLowerCase(Locale.ROOT);
     if (limits.isLimited(runner)) {
-      metrics.counter(PREFIX + "sent." + call.name().toLowerCase(Locale.ROOT)).inc();
+      metrics.counter(PREFIX + kind).inc();
       sentMillis.computeIfAbsent(runner, id -> new ArrayDeque<>()).add(nowMillis);
     }
+    if (availability.isAnyKnown()) {
+      SendDecision decision = availability.decide(runner, call, nowMillis);
+      if (availability.isLeaving(runner)) {
+        metrics.counter(LEAVING_PREFIX + kind).inc();
+      } else if (decision instanceof SendDecision.NotBefore) {
+        metrics.counter(BACKOFF_PREFIX + kind).inc();
+      }
+    }
   }
 
   private void limitChanged(
@@ -195,6 +237,47 @@
     }
   }
 
+  /** Logs when a statement on leaving or backoff begins and ends. */
+  private final class StatementLog implements StatementListener {
+    @Override
+    public void leavingKnown(String runner, boolean fromPeer, long ageMillis, long nowMillis) {
+      anyKnown = true;
+      log.info(
+          "runner-leaving",
+          "runner",
+          runner,
+          "change",
+          "begins",
+          "from",
+          fromPeer ? "peer" : "runner",
+          "age_ms",
+          ageMillis);
+    }
+
+    @Override
+    public void leavingForgotten(String runner, long nowMillis) {
+      log.info("runner-leaving", "runner", runner, "change", "ends");
+    }
+
+    @Override
+    public void backoffBegun(String runner, long millis, boolean extended, long nowMillis) {
+      anyKnown = true;
+      log.info(
+          "runner-backoff",
+          "runner",
+          runner,
+          "change",
+          extended ? "extended" : "begins",
+          "for_ms",
+          millis);
+    }
+
+    @Override
+    public void backoffEnded(String runner, long nowMillis) {
+      log.info("runner-backoff", "runner", runner, "change", "ends");
+    }
+  }
+
   private static String format(double perSecond) {
     return perSecond == RunnerLimits.UNLIMITED ? "none" : Double.toString(perSecond);
   }
@@ -215,19 +298,30 @@
     return published;
   }
 
-  /** Publishes the limits in force and removes those of runners that are gone. */
+  /**
+   * Returns the statements on leaving and backoff in force as published last; may be called on any
+   * thread.
+   */
+  public List<RunnerAvailability.Statement> statements() {
+    return publishedStatements;
+  }
+
+  /** Publishes the statements in force and removes those of runners that are gone. */
   public void runMaintenance(Set<String> knownRunners, long nowMillis) {
     if (!anyKnown) {
       return;
     }
     limits.removeStaleEntries(knownRunners, nowMillis);
     permits.removeStaleEntries(nowMillis);
-    unreadable.retainAll(knownRunners);
+    unreadableLimits.retainAll(knownRunners);
+    unreadableStatements.retainAll(knownRunners);
+    availability.removeStaleEntries(knownRunners, nowMillis);
+    publishedStatements = List.copyOf(availability.statements(nowMillis));
     List<LimitStatus> inForce = new ArrayList<>();
     limits.inForce().forEach((runner, limit) -> inForce.add(describe(runner, limit, nowMillis)));
     inForce.forEach(this::publish);
     published = List.copyOf(inForce);
-    anyKnown = !limits.isEmpty();
+    anyKnown = !limits.isEmpty() || availability.isAnyKnown();
   }
 
   private LimitStatus describe(String runner, RunnerLimits.Limit limit, long nowMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.HttpResponseException;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -30,6 +31,7 @@
   private final Request request;
   private final String requestId;
   private final boolean stream;
+  private final LongSupplier wallClock;
   private final AttemptListener listener;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private final AtomicBoolean ended = new AtomicBoolean();
@@ -37,11 +39,18 @@
   private volatile boolean streaming;
   private volatile boolean streamStartReported;
   private HttpFields responseHeaders = HttpFields.EMPTY;
+  private boolean notRun;
 
-  Attempt(Request request, String requestId, boolean stream, AttemptListener listener) {
+  Attempt(
+      Request request,
+      String requestId,
+      boolean stream,
+      LongSupplier wallClock,
+      AttemptListener listener) {
     this.request = request;
     this.requestId = requestId;
     this.stream = stream;
+    this.wallClock = wallClock;
     this.listener = listener;
   }
 
@@ -77,7 +86,8 @@
    */
   private void handleHeaders(Response response) {
     ResponseHeaders answer =
-        HeaderCodec.decodeResponse(response.getStatus(), response.getHeaders());
+        HeaderCodec.decodeResponse(
+            response.getStatus(), response.getHeaders(), wallClock.getAsLong());
     // A runner may send a second response to an earlier request on the same connection; the request
     // id identifies it.
     if (!answer.requestId().isEmpty() && !answer.requestId().equals(requestId)) {
@@ -85,7 +95,7 @@
       request.abort(new IOException("response has the id of another request"));
       return;
     }
-    listener.limitStated(answer.limit());
+    listener.signalsReceived(answer.signals());
     boolean successful = HttpStatus.isSuccess(response.getStatus());
     if (successful && (!answer.intact() || answer.requestId().isEmpty())) {
       finish(
@@ -94,6 +104,7 @@
       return;
     }
     responseHeaders = response.getHeaders();
+    notRun = answer.notRun();
     streaming = stream && successful;
   }
 
@@ -137,7 +148,7 @@
         listener.streamStarted(status, HeaderCodec.toCaller(responseHeaders));
       }
       finish(new Outcome.StreamCompleted());
-    } else if (HeaderCodec.decodeResponse(status, responseHeaders).notRun()) {
+    } else if (notRun) {
       finish(new Outcome.Refused(status));
     } else {
       finish(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
@@ -2,16 +2,16 @@
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
-import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 
 /** Receives the events of one attempt, on an HTTP client thread. */
 public interface AttemptListener {
 
   /**
-   * Called with what the head of a response to this request states about the rate of requests that
-   * the runner takes.
+   * Called with what the head of a response to this request states about the runner, before the
+   * other methods are called.
    */
-  void limitStated(StatedLimit limit);
+  void signalsReceived(RunnerSignals signals);
 
   /** Called with the status and headers of a successful stream, before its first content. */
   void streamStarted(int status, HttpFields headers);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -3,6 +3,7 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -41,10 +42,17 @@
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
   private final HttpClient http;
+  private final LongSupplier wallClock;
 
-  /** Creates a client that uses a started HTTP client, as returned by {@link #start}. */
-  public UpstreamClient(HttpClient http) {
+  /**
+   * Creates a client.
+   *
+   * @param http a started HTTP client, as returned by {@link #start}
+   * @param wallClock returns the time of day (ms since the epoch)
+   */
+  public UpstreamClient(HttpClient http, LongSupplier wallClock) {
     this.http = http;
+    this.wallClock = wallClock;
   }
 
   /** Returns a started HTTP client that adds no headers to a request and never repeats one. */
@@ -101,7 +109,7 @@
     if (body.length > 0 || !HttpMethod.GET.is(method)) {
       request.body(new BytesRequestContent((String) null, body));
     }
-    Attempt attempt = new Attempt(request, requestId, stream, listener);
+    Attempt attempt = new Attempt(request, requestId, stream, wallClock, listener);
     attempt.send();
     return attempt;
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -41,7 +41,7 @@
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.StateCodec;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HostState;
@@ -361,10 +361,11 @@
               new FleetLoad(),
               this,
               new LoadGuard(new RequestQuarantine(QuarantineSettings.DEFAULT), NO_OP_LISTENER),
-              new RunnerRateLimits(
+              new RunnerStates(
                   settings(firstStart),
                   now,
                   now,
+                  () -> {},
                   new MetricRegistry(),
                   new EventLog("test", "host-" + number)),
               heartbeats::datagram,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/AlternativeLimitPolicies.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AlternativeLimitPolicies.java
@@ -64,14 +64,14 @@
 
     private static double perMilli(PeerSimulation peers, PeerSimulation.Host host, String runner) {
       double limit =
-          Math.max(PermitIssuer.MIN_PER_SECOND, host.rateLimits.limits().perSecond(runner));
+          Math.max(PermitIssuer.MIN_PER_SECOND, host.runnerStates.limits().perSecond(runner));
       return limit / peers.size() / MILLIS_PER_SECOND;
     }
 
     @Override
     public long waitMillis(
         PeerSimulation peers, PeerSimulation.Host host, String runner, Object call, int priority) {
-      if (!host.rateLimits.limits().isLimited(runner)) {
+      if (!host.runnerStates.limits().isLimited(runner)) {
         return 0;
       }
       double missing = 1 - bucket(peers, host, runner)[0];
@@ -81,7 +81,7 @@
     @Override
     public boolean tryAcquire(
         PeerSimulation peers, PeerSimulation.Host host, String runner, Object call, int priority) {
-      if (!host.rateLimits.limits().isLimited(runner)) {
+      if (!host.runnerStates.limits().isLimited(runner)) {
         return true;
       }
       double[] bucket = bucket(peers, host, runner);
@@ -106,11 +106,11 @@
     @Override
     public boolean tryAcquire(
         PeerSimulation peers, PeerSimulation.Host host, String runner, Object call, int priority) {
-      if (!host.rateLimits.limits().isLimited(runner)) {
+      if (!host.runnerStates.limits().isLimited(runner)) {
         return true;
       }
       double limit =
-          Math.max(PermitIssuer.MIN_PER_SECOND, host.rateLimits.limits().perSecond(runner));
+          Math.max(PermitIssuer.MIN_PER_SECOND, host.runnerStates.limits().perSecond(runner));
       Workspace workspace =
           new Workspace(
               runner,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/FleetRateLimitTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/FleetRateLimitTest.java
@@ -145,7 +145,8 @@
       simulation.offerLoad(5_000, LOAD);
       simulation.restart(3);
       simulation.offerLoad(500, 0);
-      assertThat(simulation.host(3).rateLimits.limits().isLimited(simulation.runnerId(0))).isTrue();
+      assertThat(simulation.host(3).runnerStates.limits().isLimited(simulation.runnerId(0)))
+          .isTrue();
     }
   }
 
@@ -283,7 +284,7 @@
   }
 
   private void killIssuer(RunnerLimitSimulation simulation, int downMillis) {
-    String issuer = simulation.peers.running().get(0).rateLimits.following().followed();
+    String issuer = simulation.peers.running().get(0).runnerStates.following().followed();
     if (!issuer.isEmpty()) {
       int number = Integer.parseInt(issuer.substring("host-".length()));
       simulation.kill(number);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
@@ -25,7 +25,7 @@
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerTermination;
 import org.sequoiahub.core.retry.RetryBudgetSettings;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
@@ -125,7 +125,7 @@
     final RequestQuarantine quarantine = new RequestQuarantine(QuarantineSettings.DEFAULT);
     final RunnerTerminationExchange terminations;
     final Records records;
-    final RunnerRateLimits rateLimits;
+    final RunnerStates runnerStates;
     final PermitExchange permits;
 
     /** Called with the runners for which the host received permits. */
@@ -139,7 +139,8 @@
       HostSettings settings = settings(number, hosts.size() < size);
       this.topology = new FleetTopology(settings, members);
       EventLog log = new EventLog("test", "host-" + number);
-      this.rateLimits = new RunnerRateLimits(settings, now, now, new MetricRegistry(), log);
+      this.runnerStates =
+          new RunnerStates(settings, now, now, this::changed, new MetricRegistry(), log);
       this.heartbeats =
           new PeerHeartbeats(
               settings,
@@ -149,8 +150,8 @@
               loads,
               holdings,
               spending,
-              rateLimits.limits(),
-              rateLimits.following(),
+              runnerStates.limits(),
+              runnerStates.following(),
               (ip, datagram) -> send(number, ip, datagram),
               this::state,
               this::stateReceived,
@@ -164,9 +165,9 @@
               now,
               members,
               topology,
-              rateLimits.limits(),
-              rateLimits.following(),
-              rateLimits.permits(),
+              runnerStates.limits(),
+              runnerStates.following(),
+              runnerStates.permits(),
               history::sharingHostCount,
               heartbeats::datagram,
               (ip, datagram) -> send(number, ip, datagram),
@@ -183,6 +184,10 @@
       this.records = recordsOf.apply(this);
     }
 
+    private void changed() {
+      heartbeats.changed();
+    }
+
     private HostState.Builder state(boolean withHoldings, boolean complete) {
       HostState.Builder state =
           HostState.newBuilder()
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerLimitSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerLimitSimulation.java
@@ -13,10 +13,11 @@
 import org.sequoiahub.core.dispatch.PlacementSettings;
 import org.sequoiahub.core.dispatch.ServicePlacement;
 import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.runnerstate.CallKind;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
-import org.sequoiahub.node.ratelimit.RunnerCall;
-import org.sequoiahub.node.ratelimit.RunnerRateLimits;
+import org.sequoiahub.node.runnerstate.RunnerStates;
 
 /**
  * Simulates, in virtual time, hosts that place the requests of one service on its runners, some of
@@ -77,7 +78,7 @@
             String runner,
             Object call,
             int priority) {
-          return host.rateLimits.permits().waitMillis(runner, call, priority, 1, peers.now());
+          return host.runnerStates.permits().waitMillis(runner, call, priority, 1, peers.now());
         }
 
         @Override
@@ -87,7 +88,7 @@
             String runner,
             Object call,
             int priority) {
-          return host.rateLimits.tryAcquire(runner, call, priority, peers.now());
+          return host.runnerStates.tryAcquire(runner, call, priority, peers.now());
         }
       };
 
@@ -286,7 +287,7 @@
   }
 
   private int priority(Request request) {
-    return RunnerRateLimits.permitPriority(
+    return RunnerStates.permitPriority(
         request.priority, peers.now() < request.arrivedMillis + TARGET_MILLIS);
   }
 
@@ -323,7 +324,7 @@
     String id = chosen.runner().id();
     List<Request> queue = waiting.computeIfAbsent(host, h -> new ArrayList<>());
     boolean tooLate =
-        host.rateLimits
+        host.runnerStates
             .permits()
             .isTooLate(
                 id,
@@ -333,7 +334,7 @@
                 now);
     if (tooLate) {
       queue.remove(request);
-      host.rateLimits.permits().withdraw(request);
+      host.runnerStates.permits().withdraw(request);
       refused++;
       refusedAfterMillis += now - request.arrivedMillis;
     } else if (policy.tryAcquire(peers, host, id, request, priority(request))) {
@@ -351,8 +352,8 @@
   /** Sends a call to a runner; its response states the limit of the time at which it is written. */
   private void reach(PeerSimulation.Host host, RunnerEntry runner, @Nullable Request request) {
     long sent = peers.now();
-    host.rateLimits.recordSent(
-        runner.id(), request == null ? RunnerCall.ORDER : RunnerCall.REQUEST, sent);
+    host.runnerStates.recordSent(
+        runner.id(), request == null ? CallKind.ORDER : CallKind.REQUEST, sent);
     host.loads.add(runner.id(), 1, 0, 0, "");
     long arrives = sent + 1 + random.nextInt(MAX_TRANSIT_MILLIS);
     schedule(arrives, () -> observer.arrived(runner.id(), host.number, arrives));
@@ -364,6 +365,7 @@
       PeerSimulation.Host host, RunnerEntry runner, @Nullable Request request, long sent) {
     double perSecond = limits.getOrDefault(runner.id(), -1.0);
     StatedLimit stated = perSecond < 0 ? new StatedLimit.None() : new StatedLimit.Rate(perSecond);
+    RunnerSignals signals = new RunnerSignals(false, 0, stated, List.of());
     scheduleAt(
         host,
         peers.now() + 1 + random.nextInt(MAX_TRANSIT_MILLIS),
@@ -377,9 +379,9 @@
           }
           host.loads.add(runner.id(), -1, 0, 0, "");
           if (request == null) {
-            host.rateLimits.replyReceived(runner.id(), stated, now);
+            host.runnerStates.replyReceived(runner.id(), signals, now);
           } else {
-            host.rateLimits.responseReceived(runner.id(), stated, sent, now);
+            host.runnerStates.responseReceived(runner.id(), signals, sent, now);
             long took = now - request.arrivedMillis;
             waitedMillis += sent - request.arrivedMillis;
             if (took <= TARGET_MILLIS) {
@@ -443,7 +445,7 @@
   /** Returns how many hosts, among those that run, know a limit of a runner. */
   long hostsThatKnow(int runner) {
     return peers.running().stream()
-        .filter(host -> host.rateLimits.limits().isLimited(runnerId(runner)))
+        .filter(host -> host.runnerStates.limits().isLimited(runnerId(runner)))
         .count();
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/StandinRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/StandinRunnerTest.java
@@ -34,7 +34,7 @@
       runner.loadMillis(60_000);
       RecordDecoder decoder = new RecordDecoder(KeyHasher.withRandomSecret(new SecureRandom()));
       RunnerEntry entry = decoder.decodeRunner("i-1", runner.entry("ready").getBytes(UTF_8));
-      OrderClient client = new OrderClient(http, decoder, (from, limit) -> {});
+      OrderClient client = new OrderClient(http, decoder, (from, signals) -> {}, () -> 0);
       Order load = new Order(Order.Operation.LOAD, "m", "a1", 0);
       CompletableFuture<OrderReply> reply = new CompletableFuture<>();
       client.sendOrder(entry, load, 0, "host-1", 1, TIMEOUT_MILLIS, reply::complete);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.usersplatform.Headers;
 
 class UpstreamClientTest {
@@ -28,7 +29,7 @@
   @BeforeEach
   void start() throws Exception {
     http = UpstreamClient.start();
-    client = new UpstreamClient(http);
+    client = new UpstreamClient(http, System::currentTimeMillis);
   }
 
   @AfterEach
@@ -42,8 +43,8 @@
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
 
     @Override
-    public void limitStated(StatedLimit limit) {
-      limits.add(limit);
+    public void signalsReceived(RunnerSignals signals) {
+      limits.add(signals.limit());
     }
 
     @Override
