--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -56,6 +56,16 @@
 
   /** Starts the node of host {@code number}; its seeds are hosts 1 and 2. */
   Node startNode(int number) throws Exception {
+    return startNode(number, List.of(ip(1), ip(2)));
+  }
+
+  /** Starts host 1 as the only host of its deployment and waits until it is ready. */
+  void startOnlyNode() throws Exception {
+    startNode(1, List.of(ip(1)));
+    await("the only host to be ready", () -> isReady(1));
+  }
+
+  private Node startNode(int number, List<String> seeds) throws Exception {
     HostSettings settings =
         new HostSettings(
             "host-" + number,
@@ -66,7 +76,7 @@
             ports.get(2),
             ports.get(3),
             ports.get(4),
-            List.of(ip(1), ip(2)),
+            seeds,
             true,
             store.address(),
             SHUTDOWN_MILLIS,
