Bound the time until a confirmed configuration is in force by the sum of its delays

What callers saw: 2.2 s after a configuration was confirmed, shortly after the store had been silent for 13 s, two hosts answered 404 for a route that it had added; 2 s are allowed, and a caller does not come back after 404.

A watch and the call after it that are both lost hide a change for 2.8 to 3.2 s: nothing added up the hold, the timeouts and the pauses, and all hosts called at the same moments after an outage. A host that is behind answered 404 all the same.

While the store does not answer, a host now calls it every 300 to 500 ms, drawn anew each time, although earlier calls are pending; the first answer counts. A hold is shorter while answers are slow, a reading goes on after a lost page, and WatchTiming adds the delays up: 1,940 of 2,000 ms. A host whose configuration was not confirmed for three quarters of the bound answers 503 with Retry-After in place of 404.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -259,6 +259,7 @@
         new RequestCoordinator(
             fleetView,
             storeRegistry::status,
+            hostSettings.configurationMillis(),
             keys,
             allowances,
             new UpstreamClient(runnerHttp, System::currentTimeMillis),
@@ -481,7 +482,8 @@
         timing,
         storeRegistry,
         decisionThread::put,
-        MonotonicClock.SYSTEM::nowMillis);
+        MonotonicClock.SYSTEM::nowMillis,
+        random::nextDouble);
   }
 
   private long tickPeriodMillis() {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Admission.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Admission.java
@@ -29,11 +29,21 @@
   /** Retry-After while there is no configuration (ms); one arrives within a second or two. */
   private static final long NO_CONFIGURATION_RETRY_AFTER_MILLIS = 500;
 
+  /** Retry-After while the configuration may be outdated (ms). */
+  private static final long OUTDATED_RETRY_AFTER_MILLIS = 300;
+
+  /**
+   * Fraction of the propagation bound after which a configuration that was not confirmed may lack a
+   * route that is due.
+   */
+  private static final double OUTDATED_FRACTION = 0.75;
+
   /** The response has no Retry-After. */
   private static final long NO_RETRY_AFTER = -1;
 
   private final Supplier<Optional<RoutingTable>> tables;
   private final Supplier<ConfigurationStatus> configuration;
+  private final long outdatedMillis;
   private final AllowanceLimiter allowances;
   private final WorkspaceMetrics metrics;
   private final EventLog log;
@@ -43,15 +53,18 @@
    *
    * @param tables returns the routing table in force; empty before the first one
    * @param configuration returns the status of the configuration that contains it
+   * @param propagationMillis the time within which a configuration must be in force (ms)
    */
   Admission(
       Supplier<Optional<RoutingTable>> tables,
       Supplier<ConfigurationStatus> configuration,
+      long propagationMillis,
       AllowanceLimiter allowances,
       WorkspaceMetrics metrics,
       EventLog log) {
     this.tables = requireNonNull(tables, "tables must not be null");
     this.configuration = requireNonNull(configuration, "configuration must not be null");
+    this.outdatedMillis = (long) (propagationMillis * OUTDATED_FRACTION);
     this.allowances = requireNonNull(allowances, "allowances must not be null");
     this.metrics = requireNonNull(metrics, "metrics must not be null");
     this.log = requireNonNull(log, "log must not be null");
@@ -117,12 +130,19 @@
         table.get(), route.get(), route.get().anonymousAccess() ? null : workspace.orElse(null));
   }
 
+  /**
+   * Rejects a request without a route. A caller does not repeat a request after 404, so the status
+   * is used only if the configuration is certain to have all routes that are due.
+   */
   private Denied routeNotFound(long nowMillis) {
     ConfigurationStatus status = configuration.get();
+    long confirmedMillisAgo = nowMillis - status.confirmedMillis();
     String reason =
         "no route matches the request's host and path in version %d, confirmed %d ms ago"
-            .formatted(status.version(), nowMillis - status.confirmedMillis());
-    return new Denied(HttpStatus.NOT_FOUND_404, reason, NO_RETRY_AFTER);
+            .formatted(status.version(), confirmedMillisAgo);
+    return confirmedMillisAgo > outdatedMillis
+        ? new Denied(HttpStatus.SERVICE_UNAVAILABLE_503, reason, OUTDATED_RETRY_AFTER_MILLIS)
+        : new Denied(HttpStatus.NOT_FOUND_404, reason, NO_RETRY_AFTER);
   }
 
   /** Charges a request's cost to its workspace's allowance; empty if it may be served. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -122,6 +122,7 @@
    * Creates a coordinator.
    *
    * @param configuration returns the status of the configuration in force
+   * @param propagationMillis the time within which a configuration must be in force (ms)
    * @param keyHasher hashes callers' access keys in the same way as those of the configuration
    * @param decisionThread executes tasks on the decision thread
    * @param clock the monotonic time (ms)
@@ -130,6 +131,7 @@
   public RequestCoordinator(
       FleetView fleet,
       Supplier<ConfigurationStatus> configuration,
+      long propagationMillis,
       KeyHasher keyHasher,
       AllowanceLimiter allowances,
       UpstreamClient upstreams,
@@ -150,7 +152,13 @@
     this.selector = new CandidateSelector(fleet);
     this.keyHasher = keyHasher;
     this.admission =
-        new Admission(fleet::table, configuration, allowances, new WorkspaceMetrics(metrics), log);
+        new Admission(
+            fleet::table,
+            configuration,
+            propagationMillis,
+            allowances,
+            new WorkspaceMetrics(metrics),
+            log);
     this.upstreams = upstreams;
     this.retryGate = new RetryGate(budget, fleet, metrics, log);
     this.quarantineGate = quarantineGate;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.sequoiahub.usersplatform.StoreClient.Result;
 import org.sequoiahub.usersplatform.StoreReader;
@@ -12,11 +13,15 @@
  * Follows one prefix of the store: reads it completely, then watches it, and starts over when the
  * store has dropped the history since the last answer.
  *
+ * <p>While the store does not answer, calls are made at a fixed interval although earlier ones are
+ * still pending: a call that the store lost looks like one that it answers slowly, and must hide
+ * the store's recovery no longer than that interval. The first answer counts.
+ *
  * <p>Runs on the decision thread, to which {@code decisionExecutor} passes the answers.
  */
 public final class StoreFollower {
 
-  /** Backoff after the first failed call (ms); doubles up to the maximum. */
+  /** Backoff after the first refused call (ms); doubles up to the maximum. */
   private static final long INITIAL_BACKOFF_MILLIS = 100;
 
   private static final long MAX_BACKOFF_MILLIS = 400;
@@ -25,8 +30,8 @@
   private static final long MAX_ANSWER_TIMEOUT_MILLIS = 1_200;
 
   /**
-   * How long the store may hold the first watch after a failure (ms): it only checks that the store
-   * answers.
+   * How long the store may hold a watch that only checks whether the store answers (ms); also the
+   * shortest hold while the store is slow.
    */
   private static final long PROBE_HOLD_MILLIS = 1;
 
@@ -36,26 +41,40 @@
   private final StoreListener listener;
   private final Consumer<Runnable> decisionExecutor;
   private final LongSupplier clock;
+  private final DoubleSupplier draw;
   private long revision = -1;
   private long dueMillis;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
   private long answerTimeoutMillis;
-  private long calledMillis;
-  private boolean callInFlight;
+
+  /**
+   * Number of answers so far; a later answer to a call that was made before the last is ignored.
+   */
+  private long answeredRound;
+
+  /** Number of pending calls that were made since the last answer. */
+  private int pendingCalls;
+
   private boolean reachable = true;
   private boolean rereading;
   private List<StoredItem> readItems = new ArrayList<>();
   private long firstPageRevision;
   private String lastKey = "";
 
-  /** Creates a follower; {@link #tick} makes the calls. */
+  /**
+   * Creates a follower; {@link #tick} makes the calls.
+   *
+   * @param draw returns uniformly distributed random numbers from 0 to 1, by which the calls of
+   *     different hosts spread over time
+   */
   public StoreFollower(
       StoreReader client,
       String prefix,
       WatchTiming timing,
       StoreListener listener,
       Consumer<Runnable> decisionExecutor,
-      LongSupplier clock) {
+      LongSupplier clock,
+      DoubleSupplier draw) {
     this.client = client;
     this.prefix = prefix;
     this.timing = timing;
@@ -63,30 +82,42 @@
     this.listener = listener;
     this.decisionExecutor = decisionExecutor;
     this.clock = clock;
+    this.draw = draw;
   }
 
-  /** Makes the next call if it is due and none is in flight. */
+  /** Makes the next call if it is due; while the store answers, only one is pending at a time. */
   public void tick(long nowMillis) {
-    if (callInFlight || nowMillis < dueMillis) {
+    if (nowMillis < dueMillis || (reachable && pendingCalls > 0)) {
       return;
     }
-    callInFlight = true;
-    calledMillis = nowMillis;
-    dueMillis = nowMillis + timing.minIntervalMillis();
+    long interval =
+        reachable ? timing.minIntervalMillis() : timing.probeIntervalMillis(draw.getAsDouble());
+    dueMillis = nowMillis + interval;
+    pendingCalls++;
+    long round = answeredRound;
     if (revision < 0) {
       client.range(
-          prefix, lastKey, answerTimeoutMillis, answer -> post(() -> pageReceived(answer)));
+          prefix,
+          lastKey,
+          answerTimeoutMillis,
+          answer -> post(() -> received(answer, true, round, nowMillis)));
     } else {
-      long hold = reachable ? timing.holdMillis() : PROBE_HOLD_MILLIS;
+      long hold = reachable ? holdMillis() : PROBE_HOLD_MILLIS;
       client.watch(
           prefix,
           revision,
           hold,
           hold + answerTimeoutMillis,
-          answer -> post(() -> changesReceived(answer)));
+          answer -> post(() -> received(answer, false, round, nowMillis)));
     }
   }
 
+  /** Returns a hold that keeps the total time of a watch the same while answers are slow. */
+  private long holdMillis() {
+    long slower = answerTimeoutMillis - timing.answerTimeoutMillis();
+    return Math.max(PROBE_HOLD_MILLIS, timing.holdMillis() - slower);
+  }
+
   /** Returns whether the last completed call was answered. */
   public boolean isReachable() {
     return reachable;
@@ -96,21 +127,42 @@
     decisionExecutor.accept(work);
   }
 
-  private void pageReceived(Result answer) {
+  private void received(Result answer, boolean page, long round, long calledMillis) {
     long now = clock.getAsLong();
-    callInFlight = false;
-    if (!(answer instanceof Result.Items items)) {
-      failed(answer, now);
+    if (round != answeredRound) {
+      return;
+    }
+    pendingCalls--;
+    if (answer instanceof Result.Failed) {
+      failed(answer, calledMillis, now);
       return;
     }
-    succeeded(now);
+    answeredRound++;
+    pendingCalls = 0;
+    succeeded(calledMillis, now);
+    if (answer instanceof Result.Items items && page) {
+      pageReceived(items, now);
+    } else if (answer instanceof Result.Items items) {
+      rereading = false;
+      backoffMillis = INITIAL_BACKOFF_MILLIS;
+      revision = Math.max(revision, items.revision());
+      listener.changes(prefix, items.items(), revision, now);
+    } else {
+      revision = -1;
+      rereading = true;
+      dueMillis = now;
+      restartReading();
+    }
+  }
+
+  private void pageReceived(Result.Items items, long nowMillis) {
     if (lastKey.isEmpty()) {
       // Later pages may show later states. The watch starts at the revision of the first page and
       // repeats their changes.
       firstPageRevision = items.revision();
     }
     readItems.addAll(items.items());
-    dueMillis = now;
+    dueMillis = nowMillis;
     if (items.more() && !items.items().isEmpty()) {
       lastKey = items.items().get(items.items().size() - 1).key();
       return;
@@ -121,29 +173,9 @@
     if (rereading) {
       // If this reading is already older than the store's history, the next one would follow at
       // once.
-      dueMillis = now + nextBackoff();
-    }
-    listener.snapshot(prefix, all, revision, now);
-  }
-
-  private void changesReceived(Result answer) {
-    long now = clock.getAsLong();
-    callInFlight = false;
-    if (answer instanceof Result.Items items) {
-      succeeded(now);
-      rereading = false;
-      backoffMillis = INITIAL_BACKOFF_MILLIS;
-      revision = Math.max(revision, items.revision());
-      listener.changes(prefix, items.items(), revision, now);
-    } else if (answer instanceof Result.HistoryLost) {
-      succeeded(now);
-      revision = -1;
-      rereading = true;
-      dueMillis = now;
-      restartReading();
-    } else {
-      failed(answer, now);
+      dueMillis = nowMillis + nextBackoff();
     }
+    listener.snapshot(prefix, all, revision, nowMillis);
   }
 
   private void restartReading() {
@@ -151,23 +183,28 @@
     lastKey = "";
   }
 
-  private void succeeded(long nowMillis) {
+  private void succeeded(long calledMillis, long nowMillis) {
     answerTimeoutMillis = Math.max(timing.answerTimeoutMillis(), answerTimeoutMillis / 2);
     if (!reachable) {
       reachable = true;
+      dueMillis = nowMillis;
       listener.reachabilityChanged(prefix, true, "", nowMillis - calledMillis, nowMillis);
     }
   }
 
-  private void failed(Result answer, long nowMillis) {
-    dueMillis = nowMillis + nextBackoff();
+  private void failed(Result answer, long calledMillis, long nowMillis) {
+    boolean unanswered = nowMillis - calledMillis >= timing.answerTimeoutMillis();
+    if (!unanswered) {
+      // A refusal shows that the store is there, so the calls are made less often.
+      dueMillis = Math.max(dueMillis, nowMillis + nextBackoff());
+    }
     answerTimeoutMillis =
         Math.max(
             timing.answerTimeoutMillis(),
             Math.min(MAX_ANSWER_TIMEOUT_MILLIS, answerTimeoutMillis * 2));
-    restartReading();
     if (reachable) {
       reachable = false;
+      dueMillis = unanswered ? nowMillis : dueMillis;
       listener.reachabilityChanged(
           prefix, false, answer.toString(), nowMillis - calledMillis, nowMillis);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
@@ -6,23 +6,33 @@
  * The timing of the watches of a prefix.
  *
  * <p>A watch that the store or the network lost looks like one that is waiting, and hides every
- * change until it times out. The hold and the timeout of its answer must therefore add up to less
- * than the time within which a change must be known.
+ * change until it times out. The delays that can follow each other before a change is known must
+ * therefore add up to less than the time within which it must be known; see {@link
+ * #longestDelayMillis}.
  *
  * @param holdMillis how long the store may hold a watch
  * @param answerTimeoutMillis how long an answer may take beyond the hold before the call counts as
  *     lost
+ * @param meanProbeIntervalMillis the mean interval between calls while the store does not answer
  * @param minIntervalMillis the minimum interval between the starts of watches: each call has a
  *     cost, and the changes of one interval are returned by one call
  */
-public record WatchTiming(long holdMillis, long answerTimeoutMillis, long minIntervalMillis) {
+public record WatchTiming(
+    long holdMillis,
+    long answerTimeoutMillis,
+    long meanProbeIntervalMillis,
+    long minIntervalMillis) {
 
-  private static final int HOLD_DIVISOR = 2;
-  private static final int ANSWER_DIVISOR = 4;
+  private static final double HOLD_FRACTION = 0.4;
+  private static final double ANSWER_FRACTION = 0.25;
+  private static final double PROBE_INTERVAL_FRACTION = 0.2;
+
+  /** Probe intervals vary by up to this fraction of the mean in both directions. */
+  private static final double PROBE_INTERVAL_SPREAD = 0.25;
 
   /**
-   * Checks that the hold and the timeout are above 0 and the interval is not negative. Whether the
-   * hold and the timeout add up to less than a bound is not checked; see {@link #within}.
+   * Checks that the hold, the timeout and the probe interval are above 0 and the minimum interval
+   * is not negative. Whether they add up to less than a bound is not checked; see {@link #within}.
    */
   public WatchTiming {
     checkArgument(holdMillis > 0, "holdMillis must be above 0, was %s", holdMillis);
@@ -30,6 +40,10 @@
         answerTimeoutMillis > 0,
         "answerTimeoutMillis must be above 0, was %s",
         answerTimeoutMillis);
+    checkArgument(
+        meanProbeIntervalMillis > 0,
+        "meanProbeIntervalMillis must be above 0, was %s",
+        meanProbeIntervalMillis);
     checkArgument(
         minIntervalMillis >= 0,
         "minIntervalMillis must not be negative, was %s",
@@ -37,16 +51,43 @@
   }
 
   /**
-   * Returns a timing with which a lost watch is detected and repeated within a bound: half of it is
-   * for the hold, a quarter for the answer, and the rest for the next call and for informing other
-   * hosts.
+   * Returns a timing with which a change is known within a bound even if a watch and the first call
+   * after it are lost.
    *
    * @param boundMillis the time within which a change must be known
    */
   public static WatchTiming within(long boundMillis, long minIntervalMillis) {
     return new WatchTiming(
-        Math.max(1, boundMillis / HOLD_DIVISOR),
-        Math.max(1, boundMillis / ANSWER_DIVISOR),
+        Math.max(1, (long) (boundMillis * HOLD_FRACTION)),
+        Math.max(1, (long) (boundMillis * ANSWER_FRACTION)),
+        Math.max(1, (long) (boundMillis * PROBE_INTERVAL_FRACTION)),
         minIntervalMillis);
   }
+
+  /**
+   * Returns the interval until the next call while the store does not answer (ms).
+   *
+   * @param draw a uniformly distributed random number from 0 to 1
+   */
+  long probeIntervalMillis(double draw) {
+    return Math.round(
+        meanProbeIntervalMillis * (1 - PROBE_INTERVAL_SPREAD + 2 * PROBE_INTERVAL_SPREAD * draw));
+  }
+
+  /**
+   * Returns the longest time from a change until this host knows it if a watch and the call after
+   * it are lost (ms): the watch times out, one probe interval passes, and the next call is
+   * answered.
+   *
+   * @param tickMillis the longest time between two ticks of the follower
+   * @param answerMillis the longest time until a call that the store does not hold is answered
+   */
+  long longestDelayMillis(long tickMillis, long answerMillis) {
+    return holdMillis
+        + answerTimeoutMillis
+        + tickMillis
+        + probeIntervalMillis(1)
+        + tickMillis
+        + answerMillis;
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/NodeTest.java
@@ -96,6 +96,31 @@
       assertThat(get(1, "/other/", "q1").getStatus()).isEqualTo(404);
     }
 
+    /**
+     * Guards against a 404 for a route of a configuration that this host could not receive: a
+     * caller does not repeat its request after that.
+     */
+    @Test
+    void requestWithoutMatchingRouteMayBeRepeatedWhileTheConfigurationIsNotConfirmed()
+        throws Exception {
+      fleet.store.setDown(true);
+      LoopbackFleet.await("503 in place of 404", () -> status("/other/") == 503);
+      ContentResponse response = get(1, "/other/", "q2");
+      assertThat(response.getStatus()).isEqualTo(503);
+      assertThat(response.getHeaders().get("Retry-After")).isEqualTo("0.3");
+      assertThat(get(1, "/a/x", "q3").getStatus()).isEqualTo(200);
+      fleet.store.setDown(false);
+      LoopbackFleet.await("404 again", () -> status("/other/") == 404);
+    }
+
+    private int status(String path) {
+      try {
+        return get(1, path, "q1").getStatus();
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
+    }
+
     @Test
     void bodyOverLimitReachesNoRunner() throws Exception {
       ContentResponse response =
--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLimitTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLimitTest.java
@@ -136,6 +136,15 @@
     assertThat(succeeded).isEqualTo(REQUESTS);
   }
 
+  /** Guards against orders and readings of the report that take no permits. */
+  @Test
+  void onlyRunnerOfModelsIsNotSentMoreOrdersAndReports() throws Exception {
+    startRunners(1, "llm", "m");
+    runners.get(0).stateLimit("1");
+    sendRequests(this::modelRequest);
+    assertWithinLimit(runners.get(0));
+  }
+
   @Test
   void runnerOfPlainServiceIsNotSentMore() throws Exception {
     startRunners(3, "plain", "");
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerStatementsTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerStatementsTest.java
@@ -5,6 +5,8 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -22,6 +24,13 @@
   private static final double REQUESTS_PER_SECOND = 60;
   private static final double ORDERS_PER_SECOND = 2;
 
+  private static final Logger LOG = Logger.getLogger("org.sequoiahub");
+
+  static {
+    // Thousands of simulated hosts would log what they receive.
+    LOG.setLevel(Level.OFF);
+  }
+
   /** What happens next in a fleet, for a drawn host and runner. */
   enum Event {
     RUNNER_LEAVES,
