Load the adapters of a leaving runner elsewhere ahead of demand

Once a runner stated that it leaves, requests for the adapters that it ran moved to runners that had to load them first: 250 ms each, all at the same moment. The runner's holder now demands the adapters in use there at the runners that rank first for them, after all demands of waiting requests.

RunnerLeavingTest.adapterInUseIsLoadedAtAnotherRunnerAheadOfDemand needs it: no request reaches the other runner, and the adapter arrives while the streams run.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
@@ -141,6 +141,11 @@
     return leaving.containsKey(runner);
   }
 
+  /** Returns whether any runner stated that it leaves. */
+  public boolean isAnyLeaving() {
+    return !leaving.isEmpty();
+  }
+
   /** Returns whether any statement of any runner on leaving or backoff is kept. */
   public boolean isAnyKnown() {
     return !leaving.isEmpty() || !backoffs.isEmpty();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -216,6 +216,7 @@
             runnerRegistry,
             holdings,
             fleetLoad,
+            hostSettings.host(),
             hostSettings.failureDomain(),
             (name, now) -> name.equals(hostSettings.host()) || members.isHealthy(name, now),
             history::sharingHostCount,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -16,6 +16,8 @@
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.dispatch.PrefixCacheEstimate;
 import org.sequoiahub.core.dispatch.RunnerHealth;
+import org.sequoiahub.core.holding.AdapterRelocation;
+import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.holding.ResidentAdapter;
 import org.sequoiahub.core.routing.EngineSpec;
@@ -52,9 +54,12 @@
   /** Cache size assumed for a runner whose service has no engine specification (tokens). */
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
+  private static final List<RunnerEntry> NO_RUNNERS = List.of();
+
   private final RunnerRegistry runners;
   private final Holdings holdings;
   private final FleetLoad fleetLoad;
+  private final String host;
   private final String failureDomain;
   private final BiPredicate<String, Long> isHostAlive;
   private final LongFunction<Integer> hostCount;
@@ -82,6 +87,7 @@
   /**
    * Creates a view.
    *
+   * @param host the name of this host
    * @param isHostAlive whether a host is alive at a time
    * @param hostCount the number of hosts that share the retry budget at a time
    * @param newestVersion the newest published version of an adapter; 0 if none was published
@@ -91,6 +97,7 @@
       RunnerRegistry runners,
       Holdings holdings,
       FleetLoad fleetLoad,
+      String host,
       String failureDomain,
       BiPredicate<String, Long> isHostAlive,
       LongFunction<Integer> hostCount,
@@ -100,6 +107,7 @@
     this.runners = runners;
     this.holdings = holdings;
     this.fleetLoad = fleetLoad;
+    this.host = host;
     this.failureDomain = failureDomain;
     this.isHostAlive = isHostAlive;
     this.hostCount = hostCount;
@@ -200,6 +208,30 @@
     return decision instanceof SendDecision.Now || decision instanceof SendDecision.LastResort;
   }
 
+  /**
+   * Returns the demand for the adapters that are in use at leaving runners which this host ordered,
+   * by the id of the runner at which each is to be loaded instead.
+   */
+  Map<String, List<Demand>> relocations(long nowMillis) {
+    Map<String, List<Demand>> relocations = new HashMap<>();
+    for (RunnerEntry runner :
+        availability.isAnyLeaving() ? runners.usable(nowMillis) : NO_RUNNERS) {
+      Optional<Holdings.Holding> ordered =
+          holdings.find(runner.id()).filter(holding -> holding.host().equals(host));
+      if (ordered.isPresent() && availability.isLeaving(runner.id())) {
+        List<String> inUse =
+            ordered.get().adapters().keySet().stream()
+                .filter(target -> fleetLoad.uses(runner.id(), target, nowMillis) > 0)
+                .toList();
+        AdapterRelocation.demands(inUse, usableRunners(runner.service(), nowMillis), holdings)
+            .forEach(
+                (id, demands) ->
+                    relocations.computeIfAbsent(id, key -> new ArrayList<>()).addAll(demands));
+      }
+    }
+    return relocations;
+  }
+
   /** Returns the engine specification of a service's runners; empty for a plain service. */
   Optional<EngineSpec> engineSpec(String service) {
     return table().flatMap(t -> t.service(service)).map(s -> s.engine());
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -268,11 +268,11 @@
   }
 
   /**
-   * Returns the demand of the waiting requests, by runner id, if it must be reported now; it is
-   * then marked as reported.
+   * Returns the demand of the waiting requests, and for the adapters of leaving runners, by runner
+   * id, if it must be reported now; it is then marked as reported.
    */
   public Optional<Map<String, List<Demand>>> takeDemandsIfDue(long nowMillis) {
-    return waitingDemands.takeIfDue(calls, nowMillis);
+    return waitingDemands.takeIfDue(calls, fleet.relocations(nowMillis), nowMillis);
   }
 
   /**
@@ -667,13 +667,10 @@
   }
 
   private void onRefusal(Call call, Call.ActiveAttempt active, Outcome.Refused refused, long now) {
-    boolean askedForBackoff = !fleet.isOpen(active.runner, now);
-    boolean mayBecomeReady =
-        !call.adapter().isEmpty() && call.adapterMissingAt.add(active.runner.id());
-    if (askedForBackoff) {
-      // The runner is not chosen again before the end of its backoff, which says enough of it.
+    if (!fleet.isOpen(active.runner, now)) {
+      // The runner is not chosen again before the end of its backoff.
       log.debug("refused-with-backoff", "request", call.id(), "runner", active.runner.id());
-    } else if (mayBecomeReady) {
+    } else if (!call.adapter().isEmpty() && call.adapterMissingAt.add(active.runner.id())) {
       // The adapter was expected there: it becomes ready slightly later, or was evicted.
       fleet.recordRefusal(active.runner, call.adapter(), now);
     } else {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/WaitingDemands.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/WaitingDemands.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -20,6 +21,7 @@
 
   private int waitingCount;
   private boolean changed;
+  private boolean relocationsReported;
   private long reportedMillis;
 
   /** Records that a request begins to wait at a runner. */
@@ -38,18 +40,33 @@
     return waitingCount > 0;
   }
 
-  /** Returns the demand of waiting requests, by runner id, if it must be reported now. */
-  Optional<Map<String, List<Demand>>> takeIfDue(Collection<Call> calls, long nowMillis) {
-    boolean repeatDue = waitingCount > 0 && nowMillis - reportedMillis >= REPORT_INTERVAL_MILLIS;
-    if (!changed && !repeatDue) {
+  /**
+   * Returns the demand of waiting requests, by runner id, if it must be reported now.
+   *
+   * @param relocations the demand for adapters that no request waits for, which is added
+   */
+  Optional<Map<String, List<Demand>>> takeIfDue(
+      Collection<Call> calls, Map<String, List<Demand>> relocations, long nowMillis) {
+    boolean any = waitingCount > 0 || !relocations.isEmpty();
+    boolean repeatDue = any && nowMillis - reportedMillis >= REPORT_INTERVAL_MILLIS;
+    boolean relocationsEnded = relocations.isEmpty() && relocationsReported;
+    if (!changed && !repeatDue && !relocationsEnded) {
       return Optional.empty();
     }
     changed = false;
+    relocationsReported = !relocations.isEmpty();
     reportedMillis = nowMillis;
-    return Optional.of(demands(calls, nowMillis));
+    Map<String, List<Demand>> demands = waitingDemands(calls, nowMillis);
+    relocations.forEach(
+        (runner, list) ->
+            demands.merge(
+                runner,
+                list,
+                (waiting, added) -> Stream.concat(waiting.stream(), added.stream()).toList()));
+    return Optional.of(demands);
   }
 
-  private static Map<String, List<Demand>> demands(Collection<Call> calls, long nowMillis) {
+  private static Map<String, List<Demand>> waitingDemands(Collection<Call> calls, long nowMillis) {
     Map<String, Map<String, Demand>> byRunner = new HashMap<>();
     for (Call call : calls) {
       RunnerEntry runner = call.waitingAt;
