--- a/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
@@ -168,7 +168,7 @@
     long backoffLeft = backoffLeft(runner, nowMillis);
     return backoffLeft > 0
         ? new SendDecision.NotBefore(backoffLeft, SendDecision.Reason.BACKOFF)
-        : SendDecision.NOW;
+        : new SendDecision.Now();
   }
 
   /**
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/SendDecision.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/SendDecision.java
@@ -40,9 +40,6 @@
   /** The call must not be sent at all. */
   record Never(Reason reason) implements SendDecision {}
 
-  /** The decision on a call to a runner that states nothing. */
-  SendDecision NOW = new Now();
-
   /** Returns the expected time until the call may be sent (ms); 0 if it may be sent now. */
   default long waitMillis() {
     if (this instanceof NotBefore notBefore) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/RunnerStates.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/RunnerStates.java
@@ -67,7 +67,7 @@
 
   private final Set<String> unreadableStatements = new HashSet<>();
 
-  private volatile boolean anyKnown;
+  private volatile boolean anyLimitKnown;
   private volatile List<LimitStatus> published = List.of();
   private volatile List<RunnerAvailability.Statement> publishedStatements = List.of();
 
@@ -137,7 +137,7 @@
    * must receive it; may be called on any thread.
    */
   public boolean isRelevant(RunnerSignals signals) {
-    return anyKnown || !signals.isEmpty();
+    return anyLimitKnown || !signals.isEmpty();
   }
 
   /**
@@ -211,7 +211,7 @@
 
   private void limitChanged(
       String runner, double before, double after, boolean fromPeer, long nowMillis) {
-    anyKnown = true;
+    anyLimitKnown = true;
     boolean begins = before == RunnerLimits.UNLIMITED;
     boolean ends = after == RunnerLimits.UNLIMITED;
     log.info(
@@ -241,7 +241,6 @@
   private final class StatementLog implements StatementListener {
     @Override
     public void leavingKnown(String runner, boolean fromPeer, long ageMillis, long nowMillis) {
-      anyKnown = true;
       log.info(
           "runner-leaving",
           "runner",
@@ -261,7 +260,6 @@
 
     @Override
     public void backoffBegun(String runner, long millis, boolean extended, long nowMillis) {
-      anyKnown = true;
       log.info(
           "runner-backoff",
           "runner",
@@ -308,7 +306,7 @@
 
   /** Publishes the statements in force and removes those of runners that are gone. */
   public void runMaintenance(Set<String> knownRunners, long nowMillis) {
-    if (!anyKnown) {
+    if (!anyLimitKnown && !availability.isAnyKnown() && publishedStatements.isEmpty()) {
       return;
     }
     limits.removeStaleEntries(knownRunners, nowMillis);
@@ -321,7 +319,7 @@
     limits.inForce().forEach((runner, limit) -> inForce.add(describe(runner, limit, nowMillis)));
     inForce.forEach(this::publish);
     published = List.copyOf(inForce);
-    anyKnown = !limits.isEmpty() || availability.isAnyKnown();
+    anyLimitKnown = !limits.isEmpty();
   }
 
   private LimitStatus describe(String runner, RunnerLimits.Limit limit, long nowMillis) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -59,12 +59,6 @@
     return startNode(number, List.of(ip(1), ip(2)));
   }
 
-  /** Starts host 1 as the only host of its deployment and waits until it is ready. */
-  void startOnlyNode() throws Exception {
-    startNode(1, List.of(ip(1)));
-    await("the only host to be ready", () -> isReady(1));
-  }
-
   private Node startNode(int number, List<String> seeds) throws Exception {
     HostSettings settings =
         new HostSettings(
@@ -96,6 +90,12 @@
     return node;
   }
 
+  /** Starts host 1 as the only host of its deployment and waits until it is ready. */
+  void startOnlyNode() throws Exception {
+    startNode(1, List.of(ip(1)));
+    await("the only host to be ready", () -> isReady(1));
+  }
+
   /** Starts hosts 1 to {@code count} and waits until all are ready. */
   void startNodes(int count) throws Exception {
     for (int number = 1; number <= count; number++) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -94,6 +94,45 @@
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + Headers.DIGEST + ": s\r\n\r\nhalf";
   }
 
+  @Nested
+  class Withdrawal {
+
+    private Attempt start(ScriptedRunner runner, String id, Recorder recorder) {
+      HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
+      return client.start(runner.entry(), "GET", "/x", id, headers, new byte[0], false, recorder);
+    }
+
+    /**
+     * Guards against a request that waits for a connection and arrives when it must not any more.
+     */
+    @Test
+    void affectsOnlyRequestsThatWaitForConnection() throws Exception {
+      http.setMaxConnectionsPerDestination(1);
+      CountDownLatch arrived = new CountDownLatch(1);
+      CountDownLatch answer = new CountDownLatch(1);
+      try (ScriptedRunner runner =
+          new ScriptedRunner(
+              (number, connection, out) -> {
+                arrived.countDown();
+                answer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                ScriptedRunner.write(out, completeResponse("1", "ok"));
+              })) {
+        Recorder sent = new Recorder();
+        Recorder waiting = new Recorder();
+        Attempt first = start(runner, "1", sent);
+        assertThat(arrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        Attempt second = start(runner, "2", waiting);
+        first.withdrawIfUnsent("withdrawn");
+        second.withdrawIfUnsent("withdrawn");
+        assertThat(waiting.awaitOutcome())
+            .isEqualTo(new Outcome.NotSent("java.io.IOException: withdrawn", false));
+        answer.countDown();
+        assertThat(sent.awaitOutcome()).isInstanceOf(Outcome.Answered.class);
+        assertThat(runner.requestHeads()).hasSize(1);
+      }
+    }
+  }
+
   @Nested
   class Requests {
     @Test
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultInjector.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultInjector.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
 
 /** Injects random faults and undoes each one after a random time; faults may overlap. */
 final class FaultInjector {
@@ -12,8 +13,14 @@
   private static final int MAX_FAULT_MILLIS = 3_000;
   private static final int MAX_DELAY_MILLIS = 80;
 
+  /** One fault in this many comes with a runner that states something in its responses. */
+  private static final int STATEMENT_ONE_IN = 4;
+
+  private static final String BACKOFF_SECONDS = "0.8";
+
   private final Soak soak;
   private final Random random;
+  private final Random statementRandom;
   private final ScheduledExecutorService scheduler;
   private int count;
 
@@ -23,9 +30,17 @@
     void run() throws Exception;
   }
 
-  FaultInjector(Soak soak, Random random, ScheduledExecutorService later) {
+  /**
+   * Creates an injector.
+   *
+   * @param random draws the faults
+   * @param statementRandom draws what runners state, so that a seed draws the same other faults
+   *     with or without it
+   */
+  FaultInjector(Soak soak, Random random, Random statementRandom, ScheduledExecutorService later) {
     this.soak = soak;
     this.random = random;
+    this.statementRandom = statementRandom;
     this.scheduler = later;
   }
 
@@ -37,6 +52,9 @@
   /** Injects one random fault and schedules its end. */
   void injectNext() {
     count++;
+    if (statementRandom.nextInt(STATEMENT_ONE_IN) == 0) {
+      injectStatement();
+    }
     HostProcess host = pickRandom(soak.hosts());
     FaultProxy proxy =
         pickRandom(random.nextBoolean() ? soak.storeProxies() : soak.runnerProxies());
@@ -66,6 +84,21 @@
     }
   }
 
+  private void injectStatement() {
+    int index = statementRandom.nextInt(soak.runnerProxies().size());
+    long millis = 200 + statementRandom.nextInt(MAX_FAULT_MILLIS);
+    if (statementRandom.nextBoolean()) {
+      inject("runner leaves by its responses", () -> soak.leaveByResponses(index), 0, () -> {});
+    } else {
+      StandinRunner runner = soak.runner(index);
+      inject(
+          "backoff " + runner.id(),
+          () -> runner.refuseWithBackoff(BACKOFF_SECONDS),
+          millis,
+          () -> runner.refuseWithBackoff(""));
+    }
+  }
+
   private void injectStoreFault(long millis) {
     switch (random.nextInt(3)) {
       case 0 ->
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -157,7 +157,7 @@
     Callers callers =
         new Callers(http, hosts, ports.get(0), new Random(random.nextLong()), "s" + seed);
     scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    FaultInjector faults = new FaultInjector(this, random, scheduler);
+    FaultInjector faults = new FaultInjector(this, random, new Random(~seed), scheduler);
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
     while (System.nanoTime() < end) {
       faults.injectNext();
@@ -238,6 +238,17 @@
     return store;
   }
 
+  StandinRunner runner(int index) {
+    return runners.get(index);
+  }
+
+  /** Lets a runner leave that states it in its responses only, and replaces it. */
+  void leaveByResponses(int index) throws Exception {
+    runners.get(index).stateLeaving();
+    TimeUnit.SECONDS.sleep(2);
+    replaceRunner(index, false);
+  }
+
   /** Rewrites the configuration with the same routes under a new version. */
   void rewriteConfiguration() {
     writeConfiguration();
