Consider all runners before a leaving one is used as a last resort

A waiting request chooses among the runners that have its adapter. If none of these may get it before its target, because of backoffs or limits, a leaving runner was considered although others had room. Found by reading; no run showed it.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CandidateSelector.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CandidateSelector.java
@@ -42,10 +42,13 @@
    * @param generation the generation that is requested; null for a plain request
    */
   List<Candidate> candidates(Call call, @Nullable Generation generation, long nowMillis) {
-    List<RunnerEntry> eligible = eligibleRunners(call, generation, nowMillis);
+    List<RunnerEntry> usable = fleet.usableRunners(call.service, nowMillis);
+    List<RunnerEntry> eligible = eligibleRunners(call, generation, usable, nowMillis);
     List<Candidate> candidates = evaluate(eligible, call, generation, nowMillis);
-    long timeToTarget = Math.max(0, call.targetMillis() - nowMillis);
-    if (candidates.stream().noneMatch(c -> c.sendWaitMillis() <= timeToTarget)) {
+    if (eligible.size() < usable.size() && !mayAnyGetInTime(candidates, call, nowMillis)) {
+      candidates = evaluate(usable, call, generation, nowMillis);
+    }
+    if (!mayAnyGetInTime(candidates, call, nowMillis)) {
       List<RunnerEntry> leaving = fleet.lastResortRunners(call.service, nowMillis);
       for (Candidate candidate : evaluate(leaving, call, generation, nowMillis)) {
         // No orders are sent to a runner that leaves, so it must have the adapter.
@@ -59,6 +62,12 @@
     return candidates;
   }
 
+  /** Returns whether a request may be sent to any of the candidates before its target latency. */
+  private static boolean mayAnyGetInTime(List<Candidate> candidates, Call call, long nowMillis) {
+    long timeToTarget = Math.max(0, call.targetMillis() - nowMillis);
+    return candidates.stream().anyMatch(candidate -> candidate.sendWaitMillis() <= timeToTarget);
+  }
+
   private List<Candidate> evaluate(
       List<RunnerEntry> runners, Call call, @Nullable Generation generation, long nowMillis) {
     List<Candidate> candidates = new ArrayList<>();
@@ -82,7 +91,7 @@
   }
 
   /**
-   * Returns the runners among which a request may choose.
+   * Returns the runners among which a request chooses first.
    *
    * <p>These are all usable runners of its service. A waiting request that has not waited long, or
    * for which all runners were evaluated recently, chooses only among the one where it waits and
@@ -90,8 +99,7 @@
    * and each move begins another wait at the end of a queue.
    */
   private List<RunnerEntry> eligibleRunners(
-      Call call, @Nullable Generation generation, long nowMillis) {
-    List<RunnerEntry> usable = fleet.usableRunners(call.service, nowMillis);
+      Call call, @Nullable Generation generation, List<RunnerEntry> usable, long nowMillis) {
     RunnerEntry before = call.waitingAt;
     if (before == null || generation == null) {
       return usable;
