Test overlapping troubles: every configuration within the bound, repeats within the budget

The tests had one disruption at a time (ConfigurationBoundTest injects them one after the other, ConfigurationDelayTest at one host or at all of them), and restarts, isolation and joins without freezes for the budget.

Now frozen, restarted and cut hosts, silent and refused connections, a slow or refusing store, lost history and a storm of changes overlap: as properties at 2 to 9 hosts and, for the configuration and the budget, at 7, 77 and 300 hosts. A host counts by the stated rules: connected 3 s after its own and the store's last fault.

--- a/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryBudgetRestartTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryBudgetRestartTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -86,6 +87,44 @@
     assertThat(simulation.worstExcess()).isAtMost(0.0);
   }
 
+  /** Guards against repeats beyond the budget on days with several disruptions at once. */
+  @Property(tries = 60, seed = "20261216")
+  void budgetHoldsUnderTroublesThatOverlap(
+      @ForAll @IntRange(min = 2, max = 9) int hosts, @ForAll long seed) {
+    overlap(hosts, seed);
+  }
+
+  @Test
+  void budgetHoldsUnderTroublesThatOverlapAt77And300Hosts() {
+    overlap(77, 77);
+    overlap(300, 300);
+  }
+
+  /** In each half second for three windows some hosts are killed, started, frozen or isolated. */
+  private static void overlap(int hosts, long seed) {
+    Random random = new Random(seed);
+    RetryBudgetSimulation simulation =
+        simulation(seed, Collections.nCopies(hosts, Math.max(1, 112 / hosts)));
+    simulation.advanceTime(12_000, GREEDY);
+    for (int step = 0; step < 60; step++) {
+      for (int troubled = 0; troubled < 1 + hosts / 10; troubled++) {
+        int host = random.nextInt(hosts);
+        switch (random.nextInt(5)) {
+          case 0 -> simulation.kill(host);
+          case 1 -> simulation.freeze(host, 200 + random.nextInt(5_000));
+          case 2 -> simulation.isolate(host, random.nextBoolean());
+          default -> {
+            if (!simulation.isUp(host)) {
+              simulation.start(host);
+            }
+          }
+        }
+      }
+      simulation.advanceTime(500, GREEDY);
+    }
+    assertThat(simulation.worstExcess()).isAtMost(0.0);
+  }
+
   private static void restart(
       RetryBudgetSimulation simulation, int from, int to, double failingFraction) {
     for (int host = from; host < to; host++) {
--- a/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryBudgetSimulation.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/retry/RetryBudgetSimulation.java
@@ -48,6 +48,10 @@
     final Map<Host, Long> lastSeenMillis = new HashMap<>();
     double requestsPerSecond;
     boolean isolated;
+    long frozenUntilMillis;
+
+    /** How long the host's processes have been suspended; its monotonic clock does not count it. */
+    long suspendedMillis;
   }
 
   /**
@@ -94,7 +98,7 @@
   }
 
   private void start(int host, boolean first) {
-    hosts.get(host).budget = starter.start(first, now);
+    hosts.get(host).budget = starter.start(first, now - hosts.get(host).suspendedMillis);
     hosts.get(host).startedMillis = now;
   }
 
@@ -103,6 +107,19 @@
     hosts.get(host).isolated = isolated;
   }
 
+  /** Suspends a host for a time that its clock does not count. */
+  void freeze(int host, long millis) {
+    Host frozen = hosts.get(host);
+    long until = Math.max(frozen.frozenUntilMillis, now + millis);
+    frozen.suspendedMillis += until - Math.max(frozen.frozenUntilMillis, now);
+    frozen.frozenUntilMillis = until;
+  }
+
+  /** Returns whether a process of the host is running. */
+  boolean isUp(int host) {
+    return hosts.get(host).budget != null;
+  }
+
   /**
    * Advances the virtual time.
    *
@@ -113,7 +130,7 @@
     for (long end = now + millis; now < end; now += TICK_MILLIS) {
       for (Host host : hosts) {
         SharedRetryBudget budget = host.budget;
-        if (budget != null) {
+        if (budget != null && host.frozenUntilMillis <= now) {
           tick(host, budget, failingFraction);
         }
       }
@@ -122,17 +139,18 @@
 
   private void tick(Host host, SharedRetryBudget budget, double failingFraction) {
     int visibleHosts = visibleHosts(host);
+    long hostMillis = now - host.suspendedMillis;
     int retries = 0;
     double expected = host.requestsPerSecond * TICK_MILLIS / 1_000;
     int arrived = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
     for (int request = 0; request < arrived; request++) {
-      budget.recordRequest(SERVICE, now);
+      budget.recordRequest(SERVICE, hostMillis);
       requests.add(now);
       retries += random.nextDouble() < failingFraction ? 1 : 0;
     }
     boolean greedy = failingFraction >= 1;
     for (int retry = 0; greedy || retry < retries; retry++) {
-      if (budget.tryAcquireRetry(SERVICE, visibleHosts, now)) {
+      if (budget.tryAcquireRetry(SERVICE, visibleHosts, hostMillis)) {
         arrivals.add(now + random.nextInt(MAX_DELAY_MILLIS));
       } else if (greedy) {
         return;
@@ -146,7 +164,11 @@
   private int visibleHosts(Host host) {
     int visibleHosts = 1;
     for (Host other : hosts) {
-      boolean reachable = other.budget != null && !host.isolated && !other.isolated;
+      boolean reachable =
+          other.budget != null
+              && other.frozenUntilMillis <= now
+              && !host.isolated
+              && !other.isolated;
       if (other != host && reachable && now - host.startedMillis >= JOIN_MILLIS) {
         host.lastSeenMillis.put(other, now);
       }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -49,6 +49,23 @@
     bounds.advance(RecordBoundsChecker.SETTLED_MILLIS);
   }
 
+  /** Guards against a late configuration on days with several disruptions at once. */
+  @Property(tries = 60, seed = "20261216")
+  void holdsUnderFaultsThatOverlap(
+      @ForAll("troubles") List<RecordTrouble> troubles,
+      @ForAll("sizes") int hosts,
+      @ForAll long seed) {
+    injectTogether(troubles, hosts, seed);
+  }
+
+  private static void injectTogether(List<RecordTrouble> troubles, int hosts, long seed) {
+    RecordBoundsChecker bounds =
+        new RecordBoundsChecker(new RecordSimulation(seed, hosts, DOMAINS), seed);
+    bounds.advance(JOIN_MILLIS);
+    bounds.injectTogether(troubles);
+    bounds.advance(RecordBoundsChecker.SETTLED_MILLIS);
+  }
+
   /** Guards against a host that relies on its lost watch although others know of a change. */
   @Test
   void leavingRunnerIsKnownWhereTheStoreIsSilent() {
@@ -233,6 +250,24 @@
       injectEach(77, 3_000, List.of(Kind.values()));
     }
 
+    /** Frozen, restarted and cut hosts, lost watches and a slow store, all within seconds. */
+    @Test
+    void holdsUnderFaultsThatOverlapAt7And77And300Hosts() {
+      for (int hosts : new int[] {7, 77, 300}) {
+        injectTogether(
+            List.of(
+                new RecordTrouble(Kind.HOSTS_FREEZE, 3, 2_000, 0),
+                new RecordTrouble(Kind.HOSTS_RESTART, 2, 1_500, 400),
+                new RecordTrouble(Kind.HOSTS_CUT_ONE_WAY, 4, 4_000, 600),
+                new RecordTrouble(Kind.STORE_SLOW, 10, 1_000, 800),
+                new RecordTrouble(Kind.STORE_REFUSES, 3, 1_500, 1_000),
+                new RecordTrouble(Kind.CONNECTIONS_SILENT, 10, 200, 2_600),
+                new RecordTrouble(Kind.CHANGES_IN_STORM, 1, 4_000, 0)),
+            hosts,
+            hosts);
+      }
+    }
+
     @Test
     void holdsAt300Hosts() {
       injectEach(300, 1_500, List.of(Kind.HOSTS_CUT_ONE_WAY, Kind.STORE_SILENT));
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
@@ -3,13 +3,17 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import org.sequoiahub.node.peer.RecordTrouble.Kind;
 import org.sequoiahub.usersplatform.standin.VirtualStore.Fault;
 
 /** Injects faults into a fleet and checks at each step which records its hosts have. */
@@ -47,6 +51,7 @@
 
   private final List<Long> peerLatencies = new ArrayList<>();
 
+  private final List<OverlappingFault> active = new ArrayList<>();
   private long storeFaultyUntil = -1;
   private long changedMillis;
   private int intervalMillis = CHANGE_INTERVAL_MILLIS;
@@ -128,6 +133,125 @@
     }
   }
 
+  /**
+   * Injects faults that overlap: each begins after its own pause, counted from now.
+   *
+   * <p>While the store is faulty for any host, no bound holds for any.
+   */
+  void injectTogether(List<RecordTrouble> troubles) {
+    currentFault = troubles + " from " + simulation.now();
+    PriorityQueue<Step> steps = new PriorityQueue<>(Comparator.comparingLong(Step::atMillis));
+    for (RecordTrouble trouble : troubles) {
+      long begin = simulation.now() + trouble.pauseMillis();
+      Set<Integer> affected = drawHosts(trouble.tenths());
+      OverlappingFault fault = new OverlappingFault(trouble, affected);
+      steps.add(new Step(begin, () -> begin(fault)));
+      steps.add(new Step(begin + trouble.forMillis(), () -> end(fault)));
+    }
+    while (!steps.isEmpty()) {
+      Step next = steps.poll();
+      advance(Math.max(0, next.atMillis - simulation.now()));
+      next.action.run();
+    }
+  }
+
+  private record Step(long atMillis, Runnable action) {}
+
+  private record OverlappingFault(RecordTrouble trouble, Set<Integer> affected) {}
+
+  private void begin(OverlappingFault fault) {
+    active.add(fault);
+    Set<Integer> affected = fault.affected;
+    long until = simulation.now() + fault.trouble.forMillis();
+    switch (fault.trouble.kind()) {
+      case HOSTS_FREEZE -> {
+        for (int host : affected) {
+          simulation.peers.freeze(host, until);
+          hostFaulty(host, until);
+        }
+      }
+      case HOSTS_RESTART -> {
+        for (int host : affected) {
+          if (simulation.peers.host(host) != null) {
+            simulation.kill(host);
+            highestVersions.remove(host);
+          }
+          hostFaulty(host, until);
+        }
+      }
+      case CONNECTIONS_SILENT -> {
+        simulation.store.silenceConnections();
+        for (int host = 0; host < simulation.peers.size(); host++) {
+          hostFaulty(host, simulation.now());
+        }
+      }
+      case STORE_STALE, WATCHES_QUIET_THEN_HISTORY_DROPPED -> {
+        simulation.store.dropHistory();
+        storeFaulty(until);
+      }
+      case CHANGES_IN_STORM -> intervalMillis = STORM_INTERVAL_MILLIS;
+      default -> applyFaults();
+    }
+  }
+
+  private void end(OverlappingFault fault) {
+    active.remove(fault);
+    switch (fault.trouble.kind()) {
+      case HOSTS_RESTART -> {
+        for (int host : fault.affected) {
+          if (simulation.peers.host(host) == null) {
+            simulation.start(host);
+          }
+          hostFaulty(host, simulation.now());
+        }
+      }
+      case CHANGES_IN_STORM -> intervalMillis = CHANGE_INTERVAL_MILLIS;
+      default -> applyFaults();
+    }
+  }
+
+  private void hostFaulty(int host, long untilMillis) {
+    hostFaultyUntil.merge(host, untilMillis, Math::max);
+  }
+
+  private void storeFaulty(long untilMillis) {
+    storeFaultyUntil = Math.max(storeFaultyUntil, untilMillis);
+  }
+
+  /** Applies the faults of the store and of the links between hosts that are active now. */
+  private void applyFaults() {
+    Map<Integer, Fault> byHost = new HashMap<>();
+    for (OverlappingFault fault : active) {
+      storeFault(fault.trouble.kind())
+          .ifPresent(
+              kind -> {
+                storeFaulty(simulation.now() + fault.trouble.forMillis());
+                fault.affected.forEach(host -> byHost.put(host, kind));
+              });
+    }
+    simulation.store.setFaults(host -> byHost.getOrDefault(host, Fault.NONE));
+    simulation.cut(
+        (from, to) ->
+            affects(Kind.HOSTS_CUT_ONE_WAY, from) && !affects(Kind.HOSTS_CUT_ONE_WAY, to));
+    simulation.silenceConnections((from, to) -> affects(Kind.PEER_CONNECTIONS_SILENT, to));
+  }
+
+  private boolean affects(Kind kind, int host) {
+    return active.stream()
+        .anyMatch(fault -> fault.trouble.kind() == kind && fault.affected.contains(host));
+  }
+
+  private static Optional<Fault> storeFault(Kind kind) {
+    return switch (kind) {
+      case STORE_SILENT -> Optional.of(Fault.SILENT);
+      case STORE_REFUSES -> Optional.of(Fault.REFUSING);
+      case STORE_RESETS -> Optional.of(Fault.RESETTING);
+      case STORE_SLOW -> Optional.of(Fault.SLOW);
+      case STORE_LOSES_ANSWERS -> Optional.of(Fault.LOSING);
+      default -> Optional.empty();
+    };
+  }
+
   private Set<Integer> drawHosts(int tenths) {
     Set<Integer> affected = new HashSet<>();
     int wanted = Math.max(1, simulation.peers.size() * tenths / 10);
