Failing test: callers of a host that has lost its links to the runners

RunnerLinksLostTest cuts one of three hosts from all runners, in two ways: new connections hang (the stand-in's address is that of a port whose queue is full) or are refused. From 3 s after the cut, 30 requests of each kind go to that host with a deadline of 600 ms; two thirds at least must get 200, and no request may run twice.

The client of the runners resolves addresses through an interface, so that a test can replace the addresses that one host connects to.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -51,6 +51,7 @@
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
 import org.sequoiahub.node.store.WatchTiming;
+import org.sequoiahub.node.upstream.RunnerAddressResolver;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.Duty;
 import org.sequoiahub.runtime.duty.MonotonicClock;
@@ -176,7 +177,11 @@
   private long lastUpkeepMillis;
   private long lastHolderCheckMillis;
 
-  private Node(HostSettings hostSettings, NodeSettings nodeSettings, long startedMillis)
+  private Node(
+      HostSettings hostSettings,
+      NodeSettings nodeSettings,
+      RunnerAddressResolver runnerAddresses,
+      long startedMillis)
       throws Exception {
     this.hostSettings = hostSettings;
     this.log = new EventLog("node", hostSettings.host());
@@ -188,7 +193,7 @@
             hostSettings, incarnation, startedMillis, this::stateChanged, metrics, log);
     this.runnerRegistry = new RunnerRegistry(runnerStates.availability()::isLeaving);
     this.storeHttp = UpstreamClient.start();
-    this.runnerHttp = UpstreamClient.start();
+    this.runnerHttp = UpstreamClient.start(runnerAddresses);
     this.decisionThread =
         new Duty<>(
             "decisions",
@@ -374,7 +379,20 @@
    */
   public static Node start(NodeSettings nodeSettings, HostSettings hostSettings, long startedMillis)
       throws Exception {
-    Node node = new Node(hostSettings, nodeSettings, startedMillis);
+    return start(nodeSettings, hostSettings, RunnerAddressResolver.DIRECT, startedMillis);
+  }
+
+  /**
+   * Starts a node as {@link #start(NodeSettings, HostSettings, long)} does, which reaches the
+   * runners at the addresses of a resolver.
+   */
+  static Node start(
+      NodeSettings nodeSettings,
+      HostSettings hostSettings,
+      RunnerAddressResolver runnerAddresses,
+      long startedMillis)
+      throws Exception {
+    Node node = new Node(hostSettings, nodeSettings, runnerAddresses, startedMillis);
     node.registerGauges();
     node.decisionThread.start();
     node.callerServer.start();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -1,8 +1,10 @@
 package org.sequoiahub.node.upstream;
 
+import java.net.InetSocketAddress;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -57,6 +59,11 @@
 
   /** Returns a started HTTP client that adds no headers to a request and never repeats one. */
   public static HttpClient start() throws Exception {
+    return start(RunnerAddressResolver.DIRECT);
+  }
+
+  /** Returns a client as {@link #start()} does, which connects to the addresses of a resolver. */
+  public static HttpClient start(RunnerAddressResolver resolver) throws Exception {
     ClientConnector connector = new RunnerConnector();
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-client");
@@ -72,6 +79,9 @@
     client.setDestinationIdleTimeout(2 * IDLE_TIMEOUT_MILLIS);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
+    client.setSocketAddressResolver(
+        (host, port, context, promise) ->
+            promise.succeeded(List.of(resolver.resolve(new InetSocketAddress(host, port)))));
     client.setHttpCookieStore(new HttpCookieStore.Empty());
     client.start();
     client.getContentDecoderFactories().clear();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -1,10 +1,17 @@
 package org.sequoiahub.node;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.ContentResponse;
@@ -12,6 +19,7 @@
 import org.eclipse.jetty.client.Request;
 import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.retry.RetryBudgetSettings;
+import org.sequoiahub.node.upstream.RunnerAddressResolver;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.port.FreePorts;
@@ -36,12 +44,18 @@
 
   private static final int PORT_COUNT = 5;
 
+  /** Time after which a connect shows that a port's queue is full (ms). */
+  private static final int FILL_TIMEOUT_MILLIS = 200;
+
   final StandinStore store;
   final HttpClient caller;
   private final List<StandinRunner> runners = new CopyOnWriteArrayList<>();
   private final List<HttpClient> callers = new ArrayList<>();
   private final List<Node> nodes = new ArrayList<>();
   private final List<Integer> ports;
+  private final Map<Integer, RunnerAddressResolver> cuts = new ConcurrentHashMap<>();
+  private final List<ServerSocket> silentSockets = new ArrayList<>();
+  private final List<Socket> fillers = new ArrayList<>();
   private long configurationVersion;
 
   LoopbackFleet() throws Exception {
@@ -85,6 +99,7 @@
         Node.start(
             NodeSettings.newBuilder().setAddressTtlMs(1_000).build(),
             settings,
+            address -> cuts.getOrDefault(number, RunnerAddressResolver.DIRECT).resolve(address),
             MonotonicClock.SYSTEM.nowMillis());
     nodes.add(node);
     return node;
@@ -96,6 +111,46 @@
     await("the only host to be ready", () -> isReady(1));
   }
 
+  /** How a host's new connections to runners fail; those that are open live on. */
+  enum Cut {
+    REFUSED,
+    SILENT
+  }
+
+  /** Cuts a host's links to all runners. */
+  void cutFromRunners(int number, Cut cut) throws IOException {
+    InetSocketAddress nowhere = cut == Cut.REFUSED ? closedPort() : silentPort();
+    cuts.put(number, address -> nowhere);
+  }
+
+  /** Restores a host's links to the runners. */
+  void restoreLinks(int number) {
+    cuts.remove(number);
+  }
+
+  private static InetSocketAddress closedPort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+  }
+
+  /** Returns the address of a port whose queue of connections is full, so that connects hang. */
+  private InetSocketAddress silentPort() throws IOException {
+    ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    silentSockets.add(socket);
+    InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
+    for (boolean full = false; !full; ) {
+      Socket filler = new Socket();
+      fillers.add(filler);
+      try {
+        filler.connect(address, FILL_TIMEOUT_MILLIS);
+      } catch (SocketTimeoutException e) {
+        full = true;
+      }
+    }
+    return address;
+  }
+
   /** Starts hosts 1 to {@code count} and waits until all are ready. */
   void startNodes(int count) throws Exception {
     for (int number = 1; number <= count; number++) {
@@ -181,6 +236,21 @@
         .sum();
   }
 
+  /**
+   * Returns how often the request that ran most often ran, of those whose id starts with a prefix.
+   */
+  int maxRunCount(String idPrefix) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (StandinRunner runner : runners) {
+      runner.runs().forEach((id, count) -> counts.merge(id, count.get(), Integer::sum));
+    }
+    return counts.entrySet().stream()
+        .filter(run -> run.getKey().startsWith(idPrefix))
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   void publish(StandinRunner runner, String state) {
     store.put("servers/" + runner.id(), runner.entry(state));
   }
@@ -273,6 +343,12 @@
     for (StandinRunner runner : runners) {
       runner.close();
     }
+    for (Socket filler : fillers) {
+      filler.close();
+    }
+    for (ServerSocket socket : silentSockets) {
+      socket.close();
+    }
     try {
       store.close();
     } catch (IOException e) {
