Test hosts without links: leases given up, refusals at once, cancellation at the runner

Holders whose hosts are cut from the runners, in the stateful property of HolderPropertiesTest (no two holders of a runner within the lease, all other troubles at once) and as a test that other hosts order within 8 s. With all hosts cut, a request is refused at once with when to come back, does not run, and is served again after the cut. A caller that leaves the host that passed its request on is told to the runner.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLinksLostTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLinksLostTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
@@ -14,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
 
 /** Guards against callers of a host without links to the runners who are served far worse. */
 @Timeout(value = 180, unit = TimeUnit.SECONDS)
@@ -29,6 +33,7 @@
   /** The deadline of a request, as short as that of the users' plain services (ms). */
   private static final String DEADLINE_MILLIS = "600";
 
+  private final List<StandinRunner> runners = new ArrayList<>();
   private LoopbackFleet fleet;
 
   @BeforeEach
@@ -39,8 +44,8 @@
         LoopbackFleet.route("/safe/", "safe", "plain", false),
         LoopbackFleet.route("/unsafe/", "unsafe", "plain", false));
     for (int number = 1; number <= 3; number++) {
-      fleet.startRunner("i-llm-" + number, "llm", "m");
-      fleet.startRunner("i-plain-" + number, "plain", "");
+      runners.add(fleet.startRunner("i-llm-" + number, "llm", "m"));
+      runners.add(fleet.startRunner("i-plain-" + number, "plain", ""));
     }
     fleet.startNodes(HOSTS);
   }
@@ -88,6 +93,84 @@
         .isAtLeast(2 * statuses.size() / 3);
   }
 
+  @Nested
+  class AllHostsCut {
+    /** Guards against requests that wait for their deadline or go back and forth between hosts. */
+    @Test
+    void requestsAreRefusedAtOnceAndServedAfterwards() throws Exception {
+      for (int host = 1; host <= HOSTS; host++) {
+        fleet.cutFromRunners(host, LoopbackFleet.Cut.REFUSED);
+      }
+      LoopbackFleet.await("a refusal for want of a path", () -> refusal(1).contains("its path"));
+      LoopbackFleet.await("a refusal for want of a path", () -> refusal(2).contains("its path"));
+      LoopbackFleet.await("a refusal for want of a path", () -> refusal(3).contains("its path"));
+      assertThat(fleet.runCount("refused")).isEqualTo(0);
+      for (int host = 1; host <= HOSTS; host++) {
+        fleet.restoreLinks(host);
+      }
+      for (int host = 1; host <= HOSTS; host++) {
+        int number = host;
+        LoopbackFleet.await(
+            "a response of host " + host,
+            () -> {
+              try {
+                return status(number, "/safe/", "after-" + System.nanoTime()) == 200;
+              } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+              }
+            });
+      }
+    }
+
+    /** Returns the text of a response with 503 and a Retry-After; empty for any other response. */
+    private String refusal(int host) {
+      try {
+        ContentResponse response =
+            fleet.request(host, "/unsafe/refused", "refused-" + System.nanoTime()).send();
+        boolean refused =
+            response.getStatus() == 503 && response.getHeaders().contains("Retry-After");
+        return refused ? response.getContentAsString() : "";
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  @Nested
+  class CallerLeaves {
+    private static final int EVENTS = 600;
+    private static final int EVENT_MILLIS = 100;
+
+    /** Guards against a runner that works on for a caller who left the host that passed it on. */
+    @Test
+    void runnerIsToldThroughTheOtherHost() throws Exception {
+      runners.forEach(runner -> runner.streamEvents(EVENTS, EVENT_MILLIS));
+      fleet.cutFromRunners(CUT_HOST, LoopbackFleet.Cut.REFUSED);
+      LoopbackFleet.await(
+          "a request that is passed on",
+          () -> {
+            try {
+              return status(CUT_HOST, "/safe/", "early-" + System.nanoTime()) == 200;
+            } catch (InterruptedException e) {
+              throw new IllegalStateException(e);
+            }
+          });
+      Request request =
+          fleet
+              .request(CUT_HOST, "/s/left", "left")
+              .method(HttpMethod.POST)
+              .headers(
+                  headers -> headers.put(Headers.MODEL, "m").put(Headers.TOKEN_COUNTS, "100,20"))
+              .body(new StringRequestContent("body"));
+      request.send(result -> {});
+      LoopbackFleet.await("the run", () -> fleet.runCount("left") == 1);
+      request.abort(new IOException("the caller leaves"));
+      LoopbackFleet.await(
+          "the cancellation at the runner",
+          () -> runners.stream().anyMatch(runner -> runner.cancelledRequests().contains("left")));
+    }
+  }
+
   @Nested
   class Cut {
     private void serves(LoopbackFleet.Cut cut, String prefix) throws Exception {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
@@ -1,7 +1,10 @@
 package org.sequoiahub.node.holder;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.collect.Sets;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -14,6 +17,7 @@
 import net.jqwik.api.state.Action;
 import net.jqwik.api.state.ActionChain;
 import net.jqwik.api.state.Transformer;
+import org.junit.jupiter.api.Test;
 
 /**
  * Guards against orders sent with a lease that another host holds by then: two hosts send orders to
@@ -37,6 +41,7 @@
     for (int host = 0; host < HolderSimulation.HOSTS; host++) {
       simulation.resume(host);
       simulation.reconnect(host);
+      simulation.restoreLinksToRunners(host);
     }
     simulation.advanceTime(12_000);
     int ordersBefore = simulation.orderCount();
@@ -44,6 +49,28 @@
     assertThat(simulation.orderCount()).isGreaterThan(ordersBefore);
   }
 
+  /** Guards against runners without orders because their holder has lost its links to them. */
+  @Test
+  void hostsWithoutLinksGiveUpTheirRunners() {
+    for (long seed = 1; seed <= 20; seed++) {
+      HolderSimulation simulation = new HolderSimulation(seed, true);
+      simulation.advanceTime(6_000);
+      Set<Integer> cut = simulation.orderingHosts();
+      assertThat(cut).isNotEmpty();
+      if (cut.size() == HolderSimulation.HOSTS) {
+        cut.remove(0);
+      }
+      cut.forEach(simulation::cutFromRunners);
+      simulation.advanceTime(8_000);
+      int ordersBefore = simulation.orderCount();
+      simulation.advanceTime(4_000);
+      assertWithMessage("hosts that order, of which %s are cut off", cut)
+          .that(Sets.intersection(simulation.orderingHosts(), cut))
+          .isEmpty();
+      assertThat(simulation.orderCount()).isGreaterThan(ordersBefore);
+    }
+  }
+
   @Provide
   Arbitrary<ActionChain<HolderSimulation>> chains() {
     return ActionChain.startWith(() -> new HolderSimulation(7, true))
@@ -55,6 +82,8 @@
         .withAction(4, hostAction("resume", HolderSimulation::resume))
         .withAction(2, hostAction("disconnect", HolderSimulation::disconnect))
         .withAction(4, hostAction("reconnect", HolderSimulation::reconnect))
+        .withAction(2, hostAction("cutFromRunners", HolderSimulation::cutFromRunners))
+        .withAction(4, hostAction("restoreLinksToRunners", HolderSimulation::restoreLinksToRunners))
         .withAction(2, hostAction("kill", HolderSimulation::kill))
         .withAction(2, hostAction("shutDown", HolderSimulation::shutDown))
         .withAction(1, Action.just(Transformer.mutate("killAll", HolderSimulation::killAll)))
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -84,8 +84,8 @@
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Set<Integer> disconnected = new HashSet<>();
 
-  /** The hosts that have lost their path to the runners. */
-  final Set<Integer> unreachable = new HashSet<>();
+  /** The hosts that have lost their path to the runners, and know it. */
+  private final Set<Integer> unreachable = new HashSet<>();
 
   private long now = 1_000_000;
   private final List<Digest> digests = new ArrayList<>();
@@ -171,6 +171,28 @@
     }
   }
 
+  /** Cuts a host's links to the runners; the other hosts still reach it. */
+  void cutFromRunners(int host) {
+    unreachable.add(host);
+  }
+
+  void restoreLinksToRunners(int host) {
+    if (unreachable.remove(host)) {
+      hosts.get(host).recoveredMillis = now;
+    }
+  }
+
+  /** Returns the numbers of the hosts that order a runner now. */
+  Set<Integer> orderingHosts() {
+    Set<Integer> ordering = new HashSet<>();
+    for (Host host : hosts) {
+      if (host.service != null && !host.service.orderedRunners(now).isEmpty()) {
+        ordering.add(host.number);
+      }
+    }
+    return ordering;
+  }
+
   void kill(int host) {
     Host killed = hosts.get(host);
     killed.generation++;
@@ -477,6 +499,10 @@
       schedule(
           randomDelayMillis(),
           () -> {
+            if (unreachable.contains(number)) {
+              deliverReply(sentInGeneration, () -> listener.accept(OrderReply.UNKNOWN));
+              return;
+            }
             OrderReply reply = OrderReply.WRONG_RUNNER;
             for (Runner candidate : runners) {
               if (candidate.entry.id().equals(runner.id())) {
@@ -497,6 +523,11 @@
       schedule(
           randomDelayMillis(),
           () -> {
+            if (unreachable.contains(number)) {
+              deliverReply(
+                  sentInGeneration, () -> listener.accept(new ReportReply.Missing("no path")));
+              return;
+            }
             for (Runner candidate : runners) {
               if (candidate.entry.id().equals(runner.id())) {
                 Map<String, Integer> adapters = new HashMap<>();
