Make the refusal in RunnerBackoffTest certain rather than a matter of a draw

Its log shows why: the first of the two runners was drawn for no request, as the second one answered faster than is assumed of a runner without a response, so no backoff ever began. Which of two equal runners is tried first is drawn, and the test needs the one that refuses.

That runner is now the only one until it has refused a request; the second one then starts, and the load is sent as before. All assertions stay, and the first refusal is one more.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerBackoffTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerBackoffTest.java
@@ -68,6 +68,14 @@
     return refused.size();
   }
 
+  private static boolean isServed(SteadyLoad load) {
+    try {
+      return servedCount(load.send(1)) == 1;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static long servedCount(List<Response> responses) {
     return responses.stream().filter(response -> response.getStatus() == 200).count();
   }
@@ -75,10 +83,13 @@
   @Test
   void plainServiceUsesOtherRunners() throws Exception {
     StandinRunner resting = fleet.startRunner("i-1", "plain", "");
-    fleet.startRunner("i-2", "plain", "");
     fleet.startOnlyNode();
     resting.refuseWithBackoff(BACKOFF_SECONDS);
-    List<Response> responses = new SteadyLoad(fleet, 1, 0).send(REQUESTS);
+    SteadyLoad load = new SteadyLoad(fleet, 1, 0);
+    assertThat(servedCount(load.send(1))).isEqualTo(0);
+    fleet.startRunner("i-2", "plain", "");
+    LoopbackFleet.await("a response of the other runner", () -> isServed(load));
+    List<Response> responses = load.send(REQUESTS);
     assertBackoffsKept(resting);
     assertThat(servedCount(responses)).isEqualTo(REQUESTS);
   }
