List the registered runners only when a round of probes is due

Cause: the monitor of the path passed the list of all usable runners to RunnerPath at every tick, each 10 to 100 ms, and nearly every tick needs none. With 2,100 runners that is a list of 2,100 entries, up to 100 times a second. Found by reading the change with the size of the deployment in mind, not by a measurement. The list is now asked for after the other conditions. What is decided stays: RunnerPathTest and RunnerLinksLostTest pass as before. A connect failure no longer carries a time that nothing read.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/reach/RunnerPath.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/reach/RunnerPath.java
@@ -7,12 +7,11 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.sequoiahub.core.upstream.RunnerEntry;
 
 /**
@@ -72,8 +71,8 @@
 
   private final Random random;
 
-  /** When each runner last refused or timed out a connect, since the last successful round. */
-  private final Map<String, Long> connectFailures = new HashMap<>();
+  /** Ids of the runners to which a connect has failed since the last successful round. */
+  private final Set<String> connectFailures = new HashSet<>();
 
   /** Since when requests are pending without any response; {@link #NEVER} if none is. */
   private long silentSinceMillis = NEVER;
@@ -108,8 +107,8 @@
   }
 
   /** Records that a connect to a runner was refused or timed out. */
-  public void recordConnectFailure(String runner, long nowMillis) {
-    connectFailures.put(runner, nowMillis);
+  public void recordConnectFailure(String runner) {
+    connectFailures.add(runner);
   }
 
   /** Returns whether the path is lost. */
@@ -126,16 +125,15 @@
   /**
    * Starts a round if one is due.
    *
-   * @param runners the runners that are registered and do not leave
+   * @param runners returns the runners that are registered and do not leave; only called if a round
+   *     is due, as there may be thousands
    * @return the runners to connect to, whose results are to be passed to {@link #recordProbe};
    *     empty if no round is due
    */
-  public List<RunnerEntry> startRoundIfDue(Collection<RunnerEntry> runners, long nowMillis) {
+  public List<RunnerEntry> startRoundIfDue(
+      Supplier<? extends Collection<RunnerEntry>> runners, long nowMillis) {
     boolean inProgress =
         roundResults < roundSize && nowMillis - roundStartedMillis < ROUND_TIMEOUT_MILLIS;
-    if (inProgress || runners.isEmpty()) {
-      return List.of();
-    }
     long sinceRound = nowMillis - roundStartedMillis;
     boolean full = lost || silenceEscalated || !connectFailures.isEmpty();
     boolean silent = silentSinceMillis != NEVER && nowMillis - silentSinceMillis >= SILENCE_MILLIS;
@@ -143,10 +141,10 @@
         full
             ? sinceRound >= ROUND_INTERVAL_MILLIS
             : silent && sinceRound >= SILENCE_ROUND_INTERVAL_MILLIS;
-    if (!due) {
+    if (!due || inProgress) {
       return List.of();
     }
-    List<RunnerEntry> targets = selectTargets(runners, full ? PROBES_PER_ROUND : 1);
+    List<RunnerEntry> targets = selectTargets(runners.get(), full ? PROBES_PER_ROUND : 1);
     roundStartedMillis = nowMillis;
     roundSize = targets.size();
     roundResults = 0;
@@ -215,7 +213,7 @@
               left,
               Comparator.<RunnerEntry, Boolean>comparing(r -> !r.id().equals(lastReached))
                   .thenComparing(r -> services.contains(r.service()))
-                  .thenComparing(r -> !lost && connectFailures.containsKey(r.id()))
+                  .thenComparing(r -> !lost && connectFailures.contains(r.id()))
                   .thenComparing(r -> domains.contains(r.failureDomain())));
       left.remove(next);
       selected.add(next);
--- a/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
@@ -75,7 +75,7 @@
         if (now % 100 == 0) {
           send();
         }
-        for (RunnerEntry runner : path.startRoundIfDue(runners, now)) {
+        for (RunnerEntry runner : path.startRoundIfDue(() -> runners, now)) {
           probes++;
           boolean works = works(runner);
           at(connectMillis(works), () -> ended(path.recordProbe(runner.id(), works, now)));
@@ -104,7 +104,7 @@
       if (works(runner)) {
         at(60, path::recordResponse);
       } else if (!keepsConnections) {
-        at(connectMillis(false), () -> path.recordConnectFailure(runner.id(), now));
+        at(connectMillis(false), () -> path.recordConnectFailure(runner.id()));
       }
     }
 
@@ -227,10 +227,10 @@
     void roundWithoutResultsIsAbandoned() {
       RunnerPath path = new RunnerPath(new Random(1));
       List<RunnerEntry> runners = List.of(runner(0), runner(1), runner(2), runner(3));
-      path.recordConnectFailure("i-0", 1_000);
-      assertThat(path.startRoundIfDue(runners, 1_000)).hasSize(3);
-      assertThat(path.startRoundIfDue(runners, 2_900)).isEmpty();
-      assertThat(path.startRoundIfDue(runners, 3_100)).hasSize(3);
+      path.recordConnectFailure("i-0");
+      assertThat(path.startRoundIfDue(() -> runners, 1_000)).hasSize(3);
+      assertThat(path.startRoundIfDue(() -> runners, 2_900)).isEmpty();
+      assertThat(path.startRoundIfDue(() -> runners, 3_100)).hasSize(3);
     }
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -680,7 +680,7 @@
       fleet.health(active.runner).unreachable(now);
       if (notSent.connect() != Outcome.NotSent.Connect.NONE) {
         runnerPath.recordConnectFailure(
-            active.runner, notSent.connect() == Outcome.NotSent.Connect.REFUSED, now);
+            active.runner, notSent.connect() == Outcome.NotSent.Connect.REFUSED);
       }
       onAttemptFailed(call, active, Ending.NOT_SENT, notSent.reason(), null, now);
     } else if (outcome instanceof Outcome.ResponseLost lost) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/reach/RunnerPathMonitor.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/reach/RunnerPathMonitor.java
@@ -97,8 +97,8 @@
    *
    * @param refused whether the connection was refused rather than timed out
    */
-  public void recordConnectFailure(RunnerEntry runner, boolean refused, long nowMillis) {
-    path.recordConnectFailure(runner.id(), nowMillis);
+  public void recordConnectFailure(RunnerEntry runner, boolean refused) {
+    path.recordConnectFailure(runner.id());
     if (refused) {
       refusals.put(runner.id(), runner);
     }
@@ -110,7 +110,7 @@
       responseReceived = false;
       path.recordResponse();
     }
-    for (RunnerEntry runner : path.startRoundIfDue(runners.apply(nowMillis), nowMillis)) {
+    for (RunnerEntry runner : path.startRoundIfDue(() -> runners.apply(nowMillis), nowMillis)) {
       metrics.counter("runner_path.probes").inc();
       prober.probe(
           runner,
