Name the case of a request that only this host's configuration admits

The condition said 'admitted' of a status, where it asks whether the other host's configuration lacks the route or the key that this host has admitted.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -617,6 +617,7 @@
     }
   }
 
+  /** Continues with a request when the attempt of another host has ended. */
   private final class ForwardedEndings implements RequestForwarding.CallEndings {
     @Override
     public void place(Call call, long nowMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
@@ -147,8 +147,9 @@
   }
 
   private void onAnswer(Call call, ForwardOutcome.Answered answered, long nowMillis) {
-    boolean admitted = LocalResponses.guaranteesNotRun(answered.status());
-    if (answered.notRun() && (!admitted || call.runs > 0)) {
+    // This host has admitted the request, so the other one's configuration is older or newer.
+    boolean notAdmitted = answered.notRun() && !LocalResponses.guaranteesNotRun(answered.status());
+    if (notAdmitted || (answered.notRun() && call.runs > 0)) {
       endings.fail(
           call,
           "the host that the request was passed on to answered " + answered.status(),
