--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -35,7 +35,7 @@
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.forward.ForwardedRequests;
-import org.sequoiahub.node.forward.RequestForwarder;
+import org.sequoiahub.node.forward.WireRequestForwarder;
 import org.sequoiahub.node.holder.HolderService;
 import org.sequoiahub.node.peer.AdvertisedUses;
 import org.sequoiahub.node.peer.CallerAddresses;
@@ -301,7 +301,7 @@
             runnerStates,
             runnerPath,
             new ReachingHostSelector(members, random),
-            new RequestForwarder(wireClients, hostSettings.peerPort()),
+            new WireRequestForwarder(wireClients, hostSettings.peerPort()),
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -59,7 +59,7 @@
                 requests.onClosed(connection);
               }
             });
-    forwarder = new RequestForwarder(clients, server.port());
+    forwarder = new WireRequestForwarder(clients, server.port());
   }
 
   @AfterEach
