Log no stack trace for a caller that leaves before its response

It is no error of ours, logging costs processor time, and callers decide how much.

Cause: a response that is aborted before its start fails the server's callback with a plain IOException, which the server takes for a fault of the handler.

Fix: the abort is a QuietException, of which the server logs one line at most.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -146,7 +147,7 @@
     }
     // Failing the callback would wait for a chunk that an unresponsive caller never reads.
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    writer.abort(new IOException(reason));
+    writer.abort(new AbortedException(reason));
     endPoint.close();
   }
 
@@ -162,4 +163,13 @@
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
   }
+
+  /** Reports an abort to the server, which logs it without a stack trace. */
+  private static final class AbortedException extends IOException implements QuietException {
+    private static final long serialVersionUID = 1;
+
+    AbortedException(String reason) {
+      super(reason);
+    }
+  }
 }
