Make the leaving runner in RunnerLeavingTest certain to be tried

Its log has 70 requests, all of them to i-2 (24, 23 and 23 by the three hosts): each host drew i-2 first, which answered faster than the 40 ms that are assumed of a runner without a response, so the leaving runner was asked by none and stated nothing.

The second runner now takes 150 ms, so that a host that begins with it tries the leaving one next. All assertions stay.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLeavingTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerLeavingTest.java
@@ -31,6 +31,7 @@
 
   private static final int LONG_STREAM_EVENTS = 150;
   private static final int EVENT_MILLIS = 100;
+  private static final int SLOW_MILLIS = 150;
 
   /** Time for which calls that are under way may arrive after the first statement (ns). */
   private static final long UNDER_WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -72,7 +73,8 @@
   @Test
   void plainServiceMovesToOtherRunners() throws Exception {
     StandinRunner leaving = fleet.startRunner("i-1", "plain", "");
-    fleet.startRunner("i-2", "plain", "");
+    // Slower than a runner without a response is assumed to be, so that the other one is tried too.
+    fleet.startRunner("i-2", "plain", "").plainMillis(SLOW_MILLIS);
     fleet.startNodes(HOSTS);
     leaving.stateLeaving();
     List<Response> responses = new SteadyLoad(fleet, HOSTS, 0).send(REQUESTS);
