--- a/sequoia-core/src/main/java/org/sequoiahub/core/reach/RunnerPath.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/reach/RunnerPath.java
@@ -22,8 +22,8 @@
  * suspicion. A round of connects to runners of different services and failure domains then decides:
  * the path is lost if all of them fail, and a runner has failed if any succeeds. A connect is used
  * because a runner that is busy or silent still accepts it. While the path is lost, rounds
- * continue, and it is restored after {@link #ROUNDS_TO_RESTORE} rounds in a row in which most
- * connects succeed, so that an unstable path does not change the decision back and forth.
+ * continue, and it is restored after {@link #ROUNDS_TO_RESTORE} rounds in a row in which any
+ * connect succeeds, so that an unstable path does not change the decision back and forth.
  *
  * <p>Not thread-safe. All times are of the same monotonic clock, in milliseconds.
  */
