Log how a stream's response was framed if only its connection's end marked its end

Now a line and a counter say that a stream ended with its connection, and where: before the first event, between events or inside one. No logic is changed.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/stream/EventSplitter.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/stream/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import org.sequoiahub.core.response.StreamPosition;
 
 /**
  * Splits a text/event-stream into complete events, independently of how the network splits it.
@@ -53,6 +54,14 @@
     lineEmpty = true;
   }
 
+  /** Returns where the received part of the stream ends. */
+  public StreamPosition position() {
+    if (pending.size() > 0) {
+      return StreamPosition.INSIDE_EVENT;
+    }
+    return completeEvents == 0 ? StreamPosition.BEFORE_FIRST_EVENT : StreamPosition.BETWEEN_EVENTS;
+  }
+
   /** Returns the id of the last complete event; empty if there was none. */
   public String lastEventId() {
     return lastEventId;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -31,6 +31,7 @@
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
+import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
@@ -668,7 +669,8 @@
     }
     call.mayHaveRun |= !(outcome instanceof Outcome.Refused || outcome instanceof Outcome.NotSent);
     long now = clock.getAsLong();
-    if (outcome instanceof Outcome.StreamCompleted) {
+    if (outcome instanceof Outcome.StreamCompleted completed) {
+      logEndByConnection(call, active, completed.framing());
       fleet.health(active.runner).succeeded(now - active.startedMillis, now);
       call.relay.complete();
       recordSuccess(call, now);
@@ -695,6 +697,21 @@
     }
   }
 
+  /** Logs the end of a stream that only the end of its connection marked. */
+  private void logEndByConnection(Call call, Call.ActiveAttempt active, Framing framing) {
+    if (framing == Framing.CONNECTION_END) {
+      metrics.counter("streams.ended_by_connection").inc();
+      log.info(
+          "stream-ended-by-connection",
+          "request",
+          call.id(),
+          "runner",
+          active.runner.id(),
+          "position",
+          call.relay.position());
+    }
+  }
+
   private void onResponse(
       Call call, Call.ActiveAttempt active, Outcome.Answered answered, long now) {
     call.runs++;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.BufferUtil;
+import org.sequoiahub.core.response.StreamPosition;
 import org.sequoiahub.core.stream.EventSplitter;
 import org.sequoiahub.node.caller.CallerExchange;
 
@@ -59,6 +60,11 @@
     exchange.complete();
   }
 
+  /** Returns where the received part of the stream ends. */
+  synchronized StreamPosition position() {
+    return events.position();
+  }
+
   synchronized String lastEventId() {
     return events.lastEventId();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -14,6 +14,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.BufferUtil;
+import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.runtime.http.HttpFraming;
 import org.sequoiahub.usersplatform.HeaderCodec;
 import org.sequoiahub.usersplatform.HeaderCodec.ResponseHeaders;
 
@@ -157,7 +159,7 @@
       if (!streamStartReported) {
         listener.streamStarted(status, HeaderCodec.toCaller(responseHeaders));
       }
-      finish(new Outcome.StreamCompleted());
+      finish(new Outcome.StreamCompleted(framing(result.getResponse())));
     } else if (notRun) {
       finish(new Outcome.Refused(status));
     } else {
@@ -167,6 +169,10 @@
     }
   }
 
+  private Framing framing(Response response) {
+    return HttpFraming.of(request.getMethod(), response.getStatus(), responseHeaders);
+  }
+
   private static Outcome.NotSent.Connect connect(Throwable failure) {
     if (failure instanceof ConnectException) {
       return Outcome.NotSent.Connect.REFUSED;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
@@ -1,6 +1,7 @@
 package org.sequoiahub.node.upstream;
 
 import org.eclipse.jetty.http.HttpFields;
+import org.sequoiahub.core.response.Framing;
 
 /** The outcome of one attempt to send a request to a runner. */
 public sealed interface Outcome {
@@ -33,8 +34,12 @@
   /** The runner sent a complete response. */
   record Answered(int status, HttpFields headers, byte[] body) implements Outcome {}
 
-  /** A stream ended properly; its content was passed to the listener. */
-  record StreamCompleted() implements Outcome {}
+  /**
+   * A stream ended without an error; its content was passed to the listener.
+   *
+   * @param framing what marked its end
+   */
+  record StreamCompleted(Framing framing) implements Outcome {}
 
   /**
    * The request may have run, but its response was lost or is incomplete.
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/package-info.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/package-info.java
@@ -1,4 +1,4 @@
-/** Incremental writing of HTTP responses. */
+/** Framing and incremental writing of HTTP responses. */
 @NullMarked
 package org.sequoiahub.runtime.http;
 
