--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -0,0 +1,216 @@
+package org.sequoiahub.node;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
+import org.sequoiahub.usersplatform.standin.StandinRunner.Cut;
+
+/** Guards against streams that a runner broke off and that callers receive as complete ones. */
+@Tag("known-red")
+@Timeout(value = 180, unit = TimeUnit.SECONDS)
+class TruncatedStreamTest {
+
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+  private static final int EVENTS = 5;
+
+  private LoopbackFleet fleet;
+  private StandinRunner first;
+  private StandinRunner second;
+
+  @BeforeEach
+  void open() throws Exception {
+    fleet = new LoopbackFleet();
+    fleet.configure(
+        LoopbackFleet.route("/once/", "streaming", "llm", false),
+        LoopbackFleet.route("/resumable/", "streaming", "llm", true));
+    first = fleet.startRunner("i-1", "llm", "m");
+    second = fleet.startRunner("i-2", "llm", "m");
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    fleet.close();
+  }
+
+  /**
+   * What a caller received until the connection ended or the response was complete.
+   *
+   * @param text the bytes of the response, with its head and framing
+   * @param closed whether the host closed the connection in order
+   */
+  private record Received(String text, boolean closed) {
+
+    boolean isCompleteByChunks() {
+      return text.endsWith("\r\n0\r\n\r\n");
+    }
+
+    int lastEvent() {
+      int at = text.lastIndexOf("data: words ");
+      return at < 0 ? 0 : text.charAt(at + "data: words ".length()) - '0';
+    }
+  }
+
+  /** Sends a request on a connection that the host is to close after the response. */
+  private Received send(int host, String path, String id, String version) throws IOException {
+    try (Socket socket = new Socket(LoopbackFleet.ip(host), fleet.callerPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      OutputStream out = socket.getOutputStream();
+      String head =
+          String.join(
+              "\r\n",
+              "POST " + path + "x " + version,
+              "Host: h.example",
+              Headers.REQUEST_ID + ": " + id,
+              Headers.DEADLINE + ": 15000",
+              Headers.MODEL + ": m",
+              Headers.TOKEN_COUNTS + ": 100,20",
+              "Content-Length: 1",
+              "Connection: close",
+              "",
+              "x");
+      out.write(head.getBytes(UTF_8));
+      out.flush();
+      ByteArrayOutputStream received = new ByteArrayOutputStream();
+      boolean closed = true;
+      try {
+        InputStream in = socket.getInputStream();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+          received.write(next);
+        }
+      } catch (IOException e) {
+        closed = false;
+      }
+      return new Received(received.toString(UTF_8), closed);
+    }
+  }
+
+  private void cutAllAfter(int events, Cut cut) {
+    for (StandinRunner runner : new StandinRunner[] {first, second}) {
+      runner.sendStreamsUnframed();
+      runner.cutStreamsAfter(events, cut);
+    }
+  }
+
+  @Nested
+  class ServedHere {
+
+    @BeforeEach
+    void start() throws Exception {
+      fleet.startOnlyNode();
+    }
+
+    @Test
+    void wholeStreamWithoutFramingIsComplete() throws Exception {
+      cutAllAfter(EVENTS, Cut.NONE);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.isCompleteByChunks()).isTrue();
+      assertThat(received.lastEvent()).isEqualTo(EVENTS);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = Cut.class,
+        names = {"CLOSE_INSIDE_EVENT", "RESET_INSIDE_EVENT", "RESET_BETWEEN_EVENTS"})
+    void callerOfStreamThatCannotBeResumedSeesThatItWasBrokenOff(Cut cut) throws Exception {
+      cutAllAfter(2, cut);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.text()).startsWith("HTTP/1.1 200");
+      assertThat(received.isCompleteByChunks()).isFalse();
+      assertThat(received.lastEvent()).isEqualTo(2);
+      assertThat(fleet.runCount("q1")).isEqualTo(1);
+    }
+
+    /** Guards against an abort that a caller without chunks takes for the end of the response. */
+    @ParameterizedTest
+    @EnumSource(
+        value = Cut.class,
+        names = {"CLOSE_INSIDE_EVENT", "RESET_BETWEEN_EVENTS"})
+    void callerWithoutChunksSeesThatItWasBrokenOff(Cut cut) throws Exception {
+      cutAllAfter(2, cut);
+      Received received = send(1, "/once/", "q1", "HTTP/1.0");
+      assertWithMessage("closed in order").that(received.closed()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2})
+    void resumableStreamGoesOnAtAnotherRunner(int events) throws Exception {
+      cutAllAfter(EVENTS, Cut.NONE);
+      first.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT);
+      second.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT);
+      Thread watcher =
+          new Thread(
+              () -> {
+                try {
+                  LoopbackFleet.await("the first run", () -> fleet.runCount("q1") == 1);
+                  (first.runs().isEmpty() ? first : second).cutStreamsAfter(EVENTS, Cut.NONE);
+                } catch (InterruptedException e) {
+                  Thread.currentThread().interrupt();
+                }
+              });
+      watcher.start();
+      Received received = send(1, "/resumable/", "q1", "HTTP/1.1");
+      watcher.join();
+      assertThat(fleet.runCount("q1")).isEqualTo(2);
+      assertThat(received.isCompleteByChunks()).isTrue();
+      assertThat(received.lastEvent()).isEqualTo(EVENTS);
+    }
+
+    @Test
+    void streamWithoutAnyEventIsNotComplete() throws Exception {
+      cutAllAfter(0, Cut.CLOSE_BETWEEN_EVENTS);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.text()).startsWith("HTTP/1.1 502");
+    }
+  }
+
+  @Nested
+  class PassedOnByAnotherHost {
+
+    @BeforeEach
+    void start() throws Exception {
+      fleet.startNodes(3);
+      fleet.cutFromRunners(1, LoopbackFleet.Cut.REFUSED);
+      int[] probes = {0};
+      LoopbackFleet.await(
+          "requests to be passed on",
+          () -> {
+            try {
+              return send(1, "/once/", "probe-" + probes[0]++, "HTTP/1.1").lastEvent() == EVENTS;
+            } catch (IOException e) {
+              return false;
+            }
+          });
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = Cut.class,
+        names = {"CLOSE_INSIDE_EVENT", "RESET_INSIDE_EVENT", "RESET_BETWEEN_EVENTS"})
+    void callerSeesThatTheStreamWasBrokenOff(Cut cut) throws Exception {
+      cutAllAfter(2, cut);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.text()).startsWith("HTTP/1.1 200");
+      assertThat(received.isCompleteByChunks()).isFalse();
+      assertThat(received.lastEvent()).isEqualTo(2);
+      assertThat(fleet.runCount("q1")).isEqualTo(1);
+    }
+  }
+}
