--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -27,7 +27,7 @@
   /** Relays only chunks of attempt {@code number} from now on. */
   synchronized void expectAttempt(int number) {
     currentAttempt = number;
-    events.dropPartial();
+    events.beginRun();
   }
 
   /** Starts the response; it keeps the head of the first attempt if later ones follow. */
