Reset the connection of a caller without chunks when its response is broken off

A caller that speaks HTTP/1.0 takes the end of its connection for the end of the response. An abort closed the connection in order, so that a broken stream looked complete. Now such a connection is reset, before the server's own closing.

What a host that is killed leaves to such a caller is not changed: its sockets may end in order.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerEndPoint.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerEndPoint.java
@@ -1,6 +1,8 @@
 package org.sequoiahub.node.caller;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -23,6 +25,8 @@
  */
 public final class CallerEndPoint extends SocketChannelEndPoint {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   /** Capacity of the buffer for bytes that a check reads. */
   private static final int PREFETCH_BYTES = 2_048;
 
@@ -53,6 +57,16 @@
     return disconnected;
   }
 
+  /** Closes the connection with a reset, so that no part of a response looks complete. */
+  void closeWithReset() {
+    try {
+      getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException e) {
+      LOGGER.atFine().withCause(e).log("the caller's connection is already closed");
+    }
+    close();
+  }
+
   @Override
   public synchronized int fill(ByteBuffer buffer) throws IOException {
     if (prefetched.position() == 0) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
@@ -26,6 +26,9 @@
   private boolean ended;
   private boolean closeConnection;
 
+  /** Whether an orderly end of the connection would mark the end of the response. */
+  private volatile boolean endsWithConnection;
+
   /** Creates an exchange for a request whose body has been read. */
   public HttpCallerExchange(Request request, Response response, Callback callback, byte[] body) {
     this.request = request;
@@ -112,6 +115,8 @@
       // If the process were then killed during a stream, the truncated response would look
       // complete.
       response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, CHUNKED);
+    } else {
+      endsWithConnection = true;
     }
   }
 
@@ -147,6 +152,10 @@
     }
     // Failing the callback would wait for a chunk that an unresponsive caller never reads.
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    if (endsWithConnection && endPoint instanceof CallerEndPoint caller) {
+      // The server would close the connection in order once the callback fails.
+      caller.closeWithReset();
+    }
     writer.abort(new AbortedException(reason));
     endPoint.close();
   }
