Stop relaying a passed-on response at a missing piece, and test that it is lost

Now each piece must have the next sequence number; nothing after a gap is relayed.

RequestForwardingWireTest.streamWithMissingPieceIsLost: with 1 and 3 of 3 pieces the former code relayed the third one; with 2 stated it reported a complete stream.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/WireRequestForwarder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/WireRequestForwarder.java
@@ -68,6 +68,7 @@
     private @Nullable ResponseHead head;
     private ByteString content = ByteString.EMPTY;
     private long chunks;
+    private boolean chunkMissing;
 
     ResponseReader(WireClient client, ForwardListener listener) {
       this.client = client;
@@ -85,6 +86,10 @@
         }
       } else if (message.hasChunk()) {
         chunks++;
+        chunkMissing |= message.getChunk().getSequence() != chunks;
+        if (chunkMissing) {
+          return;
+        }
         if (head != null && head.getWhole()) {
           content = message.getChunk().getData();
         } else {
@@ -94,7 +99,9 @@
         client.endCall(message.getCall());
         listener.ended(
             outcome(
-                message.getOutcome().getComplete() && message.getOutcome().getChunks() == chunks,
+                message.getOutcome().getComplete()
+                    && !chunkMissing
+                    && message.getOutcome().getChunks() == chunks,
                 message.getOutcome().getVerdict()));
       }
     }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -10,14 +11,21 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.eclipse.jetty.http.HttpFields;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.schema.wire.Chunk;
 import org.sequoiahub.schema.wire.Envelope;
+import org.sequoiahub.schema.wire.Outcome;
+import org.sequoiahub.schema.wire.RunVerdict;
 import org.sequoiahub.usersplatform.Headers;
 import org.sequoiahub.wire.WireClients;
 import org.sequoiahub.wire.WireConnection;
@@ -39,6 +47,9 @@
   private WireServer server;
   private RequestForwarder forwarder;
 
+  /** Answers requests in place of the other host; null for its own code. */
+  private volatile @Nullable BiConsumer<WireConnection, Long> script;
+
   @BeforeEach
   void open() throws Exception {
     ForwardedRequests requests = new ForwardedRequests(received::add);
@@ -51,7 +62,11 @@
             new WireServer.Handler() {
               @Override
               public void onMessage(WireConnection connection, Envelope message) {
-                requests.onMessage(connection, message);
+                if (script != null && message.hasForwarded()) {
+                  script.accept(connection, message.getCall());
+                } else {
+                  requests.onMessage(connection, message);
+                }
               }
 
               @Override
@@ -225,6 +240,32 @@
       assertThat(recorder.events).isEqualTo(expected);
     }
 
+    /** Guards against a response with a piece missing that is framed as complete. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void streamWithMissingPieceIsLost(int chunks) throws Exception {
+      script =
+          (connection, call) -> {
+            connection.send(
+                call,
+                Envelope.newBuilder().setHead(HeaderFields.head(200, runnerHeaders(), false)));
+            for (int number : new int[] {1, 3}) {
+              Chunk.Builder chunk =
+                  Chunk.newBuilder()
+                      .setSequence(number)
+                      .setData(ByteString.copyFromUtf8("e" + number));
+              connection.send(call, Envelope.newBuilder().setChunk(chunk));
+            }
+            Outcome.Builder outcome =
+                Outcome.newBuilder().setComplete(true).setVerdict(RunVerdict.RAN).setChunks(chunks);
+            connection.send(call, Envelope.newBuilder().setOutcome(outcome));
+          };
+      forward(0, "");
+      assertThat(recorder.awaitOutcome())
+          .isEqualTo(new ForwardOutcome.Lost("the other host ended the response early", true));
+      assertThat(recorder.events).containsExactly("200 yes", "e1").inOrder();
+    }
+
     @Test
     void abortedStreamIsLost() throws Exception {
       forward(0, "");
