End a stream that was broken off inside an event as a lost response

Cause: a response with neither length nor chunks ends with its connection. A crashed runner's sockets may close in order, the HTTP client then reports no failure, and StreamRelay.complete wrote the rest of the unfinished event and the last chunk. Resets were not lost (ResponseEndTest).

Now ResponseCompleteness alone decides, from the framing, the end of the connection and the position in the stream; attempts and requests that were passed on ask it. A stream that ends inside an event, or with its connection before the first event, is a lost response: it is resumed where it may be, and broken off for its caller otherwise, and counts at the runner's health and at the quarantine as a broken connection, once. A body that ends with its connection is complete only if the sender closed it. The response starts with the first complete event, so that a stream that is broken off before can still be answered with 502 or by another runner.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -31,6 +31,7 @@
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
+import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
@@ -614,7 +615,18 @@
 
     @Override
     public void ended(Outcome outcome) {
-      decisionThread.accept(() -> RequestCoordinator.this.onAttemptEnded(call, active, outcome));
+      Outcome verified = verify(outcome);
+      decisionThread.accept(() -> RequestCoordinator.this.onAttemptEnded(call, active, verified));
+    }
+
+    /** Returns a stream that was truncated as a lost response, and other outcomes unchanged. */
+    private Outcome verify(Outcome outcome) {
+      return outcome instanceof Outcome.StreamCompleted completed
+              && call.relay.completeness(active.number, completed.framing())
+                  instanceof Completeness.Truncated truncated
+          ? new Outcome.ResponseLost(
+              truncated.reason(), completed.framing() == Framing.CONNECTION_END)
+          : outcome;
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
@@ -9,6 +9,8 @@
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.node.forward.ForwardListener;
 import org.sequoiahub.node.forward.ForwardOutcome;
 import org.sequoiahub.node.forward.HostSelector;
@@ -215,7 +217,17 @@
 
     @Override
     public void ended(ForwardOutcome outcome) {
-      decisionThread.accept(() -> onEnded(call, attempt, outcome));
+      ForwardOutcome verified = verify(outcome);
+      decisionThread.accept(() -> onEnded(call, attempt, verified));
+    }
+
+    /** Returns a stream that was truncated as a lost response, and other outcomes unchanged. */
+    private ForwardOutcome verify(ForwardOutcome outcome) {
+      return outcome instanceof ForwardOutcome.StreamCompleted
+              && call.relay.completeness(attempt.number, Framing.CHUNKS)
+                  instanceof Completeness.Truncated truncated
+          ? new ForwardOutcome.Lost(truncated.reason(), true)
+          : outcome;
     }
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -3,6 +3,10 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.BufferUtil;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.core.response.ResponseCompleteness;
 import org.sequoiahub.core.response.StreamPosition;
 import org.sequoiahub.core.stream.EventSplitter;
 import org.sequoiahub.node.caller.CallerExchange;
@@ -10,6 +14,9 @@
 /**
  * Relays the complete events of a stream to its caller, across all attempts.
  *
+ * <p>The response starts with the first complete event: a stream that is broken off before can
+ * still be answered with an error.
+ *
  * <p>Thread-safe: chunks arrive on HTTP client threads, while the current attempt changes on the
  * decision thread. Chunks of an attempt that is no longer current are dropped.
  */
@@ -20,6 +27,11 @@
   private int currentAttempt;
   private long lastChunkMillis;
 
+  /** The head of the current attempt's response; null before it and once a head was sent. */
+  private @Nullable Head head;
+
+  private record Head(int status, HttpFields headers) {}
+
   StreamRelay(CallerExchange exchange) {
     this.exchange = exchange;
   }
@@ -27,13 +39,17 @@
   /** Relays only chunks of attempt {@code number} from now on. */
   synchronized void expectAttempt(int number) {
     currentAttempt = number;
+    head = null;
     events.beginRun();
   }
 
-  /** Starts the response; it keeps the head of the first attempt if later ones follow. */
+  /**
+   * Receives the head of an attempt's response. The caller gets the head of the attempt that brings
+   * the first event.
+   */
   synchronized void start(int number, int status, HttpFields headers) {
     if (number == currentAttempt) {
-      exchange.start(status, headers);
+      head = new Head(status, headers);
     }
   }
 
@@ -46,20 +62,35 @@
     boolean noneBefore = events.completeEvents() == 0;
     byte[] complete = events.accept(BufferUtil.toArray(chunk));
     if (complete.length > 0) {
-      exchange.writeChunk(ByteBuffer.wrap(complete));
+      write(complete);
     }
     return noneBefore && events.completeEvents() > 0;
   }
 
-  /** Relays what is left of the last chunk and completes the response. */
+  /** Returns whether the stream of an attempt is complete, once its response has ended. */
+  synchronized Completeness completeness(int number, Framing framing) {
+    return number == currentAttempt
+        ? ResponseCompleteness.ofStream(framing, events.position())
+        : Completeness.COMPLETE;
+  }
+
+  /** Relays the comments that follow the last event and completes the response. */
   synchronized void complete() {
-    byte[] rest = events.drainRemainder();
-    if (rest.length > 0) {
-      exchange.writeChunk(ByteBuffer.wrap(rest));
-    }
+    write(events.drainRemainder());
     exchange.complete();
   }
 
+  private void write(byte[] bytes) {
+    Head unsent = head;
+    if (unsent != null) {
+      head = null;
+      exchange.start(unsent.status, unsent.headers);
+    }
+    if (bytes.length > 0) {
+      exchange.writeChunk(ByteBuffer.wrap(bytes));
+    }
+  }
+
   /** Returns where the received part of the stream ends. */
   synchronized StreamPosition position() {
     return events.position();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -14,8 +14,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.BufferUtil;
-import org.sequoiahub.core.response.Framing;
-import org.sequoiahub.runtime.http.HttpFraming;
+import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.runtime.http.ReceivedResponse;
 import org.sequoiahub.usersplatform.HeaderCodec;
 import org.sequoiahub.usersplatform.HeaderCodec.ResponseHeaders;
 
@@ -154,12 +154,17 @@
               : new Outcome.NotSent(reason, connect(failure)));
       return;
     }
-    int status = result.getResponse().getStatus();
+    Response response = result.getResponse();
+    if (ReceivedResponse.completeness(response) instanceof Completeness.Truncated truncated) {
+      finish(new Outcome.ResponseLost(truncated.reason(), true));
+      return;
+    }
+    int status = response.getStatus();
     if (streaming) {
       if (!streamStartReported) {
         listener.streamStarted(status, HeaderCodec.toCaller(responseHeaders));
       }
-      finish(new Outcome.StreamCompleted(framing(result.getResponse())));
+      finish(new Outcome.StreamCompleted(ReceivedResponse.framing(response)));
     } else if (notRun) {
       finish(new Outcome.Refused(status));
     } else {
@@ -169,10 +174,6 @@
     }
   }
 
-  private Framing framing(Response response) {
-    return HttpFraming.of(request.getMethod(), response.getStatus(), responseHeaders);
-  }
-
   private static Outcome.NotSent.Connect connect(Throwable failure) {
     if (failure instanceof ConnectException) {
       return Outcome.NotSent.Connect.REFUSED;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -1,9 +1,6 @@
 package org.sequoiahub.node.upstream;
 
 import java.net.InetSocketAddress;
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -15,11 +12,10 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.runtime.http.ResetReportingConnector;
 
 /** Sends requests to runners over HTTP. */
 public final class UpstreamClient {
@@ -64,7 +60,7 @@
 
   /** Returns a client as {@link #start()} does, which connects to the addresses of a resolver. */
   public static HttpClient start(RunnerAddressResolver resolver) throws Exception {
-    ClientConnector connector = new RunnerConnector();
+    ClientConnector connector = new ResetReportingConnector();
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-client");
     threads.setDaemon(true);
@@ -136,13 +132,4 @@
       // Skips the loading of providers and certificates.
     }
   }
-
-  /** Creates connections that report a connection reset as a failure. */
-  private static final class RunnerConnector extends ClientConnector {
-    @Override
-    protected EndPoint newEndPoint(
-        SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-      return new RunnerEndPoint((SocketChannel) channel, selector, key, getScheduler());
-    }
-  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,7 +23,6 @@
 import org.sequoiahub.usersplatform.standin.StandinRunner.Cut;
 
 /** Guards against streams that a runner broke off and that callers receive as complete ones. */
-@Tag("known-red")
 @Timeout(value = 180, unit = TimeUnit.SECONDS)
 class TruncatedStreamTest {
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/RunnerEndPoint.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingEndPoint.java
@@ -1,4 +1,4 @@
-package org.sequoiahub.node.upstream;
+package org.sequoiahub.runtime.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,24 +8,34 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.sequoiahub.core.response.ConnectionEnd;
 
 /**
- * A connection to a runner that reports a connection reset as a failure.
+ * A client's connection that reports a connection reset as a failure, and knows how its input
+ * ended.
  *
  * <p>Jetty treats a failed read as the end of the input. A response without a length ends when its
- * connection is closed; if the runner crashed while sending it, the reset would make the incomplete
- * response look complete, and the caller would receive it as a successful response.
+ * connection is closed; if its sender crashed while sending it, the reset would make the truncated
+ * response look complete.
  */
-final class RunnerEndPoint extends SocketChannelEndPoint {
+final class ResetReportingEndPoint extends SocketChannelEndPoint {
 
-  RunnerEndPoint(
+  private volatile ConnectionEnd inputEnd = ConnectionEnd.NONE;
+
+  ResetReportingEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
     super(channel, selector, key, scheduler);
   }
 
+  /** Returns how the input ended. */
+  ConnectionEnd inputEnd() {
+    return inputEnd;
+  }
+
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     if (isInputShutdown()) {
+      recordEnd(ConnectionEnd.ABANDONED);
       return -1;
     }
     int position = BufferUtil.flipToFill(buffer);
@@ -33,6 +43,7 @@
     try {
       filled = getChannel().read(buffer);
     } catch (IOException e) {
+      recordEnd(ConnectionEnd.RESET);
       shutdownInput();
       throw e;
     } finally {
@@ -41,8 +52,16 @@
     if (filled > 0) {
       notIdle();
     } else if (filled < 0) {
+      recordEnd(ConnectionEnd.CLOSED);
       shutdownInput();
     }
     return filled;
   }
+
+  /** Records the first end of the input; later reads find it closed. */
+  private void recordEnd(ConnectionEnd end) {
+    if (inputEnd == ConnectionEnd.NONE) {
+      inputEnd = end;
+    }
+  }
 }
