Report a reset response of a plain service as lost in the product's own processes

Only sequoia-node's client reported resets; the client of the watcher and the dispatcher did not, so a service's truncated response went on as a complete one. Both use the same connector now, and ServiceClient asks ReceivedResponse whether a response is complete. Engines' streams have an end marker of their own and were not affected.

ServiceClientTest.resetResponseIsLost failed before ("200 half").

--- a/sequoia-platform/src/main/java/org/sequoiahub/platform/HttpClients.java
+++ b/sequoia-platform/src/main/java/org/sequoiahub/platform/HttpClients.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahub.runtime.http.ResetReportingConnector;
 
 /** Creates the HTTP client that all clients of a process share. */
 public final class HttpClients {
@@ -17,7 +18,7 @@
 
   /** Creates and starts a client. */
   public static HttpClient start() throws Exception {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ResetReportingConnector();
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-client");
     threads.setDaemon(true);
--- a/sequoia-platform/src/main/java/org/sequoiahub/platform/ServiceClient.java
+++ b/sequoia-platform/src/main/java/org/sequoiahub/platform/ServiceClient.java
@@ -9,6 +9,8 @@
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.runtime.http.ReceivedResponse;
 
 /** Forwards calls to the upstreams of plain services, without retries. */
 public final class ServiceClient {
@@ -66,6 +68,11 @@
                 listener.onFailure(sendBegun.get(), String.valueOf(failure));
                 return;
               }
+              if (ReceivedResponse.completeness(response)
+                  instanceof Completeness.Truncated truncated) {
+                listener.onFailure(true, truncated.reason());
+                return;
+              }
               Map<String, String> forwarded = new HashMap<>();
               response
                   .getHeaders()
