--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -81,7 +84,11 @@
     client.setHttpCookieStore(new HttpCookieStore.Empty());
     client.start();
     client.getContentDecoderFactories().clear();
+    // Only the handlers that skip informational responses remain.
     client.getProtocolHandlers().clear();
+    client.getProtocolHandlers().put(new ContinueProtocolHandler());
+    client.getProtocolHandlers().put(new ProcessingProtocolHandler());
+    client.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
     return client;
   }
 
