--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -169,6 +169,16 @@
     return runner;
   }
 
+  /** Starts a runner whose software has a version. */
+  StandinRunner startRunner(String id, String service, String model, String version)
+      throws Exception {
+    StandinRunner runner = new StandinRunner(id, service, model, 4);
+    runner.version(version);
+    runners.add(runner);
+    publish(runner, "ready");
+    return runner;
+  }
+
   /**
    * Starts a runner that terminates when it runs a request whose body contains {@code text}. Its
    * entry is then removed and another runner of the same behavior is started in its place.
