Break a stream off whose next attempt is answered with an error

A stream that had begun and was resumed at a runner that answered with an error, or at another host that answered with one, was never ended: the response to the error was ignored as a second one, the request was forgotten, and the caller waited for its own timeout. Now an answer to a response that has begun aborts it.

TruncatedStreamTest.callerSeesThatTheStreamCannotGoOn: both cases waited 20 s before. resumableStreamGoesOnAtAnotherRunner counted runs in a thread beside the request and could miss the first one; the runners share the number of cuts now, checks as before.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -54,7 +54,7 @@
   /** Requests that the connection is closed after this response. */
   void closeConnectionAfterResponse();
 
-  /** Sends a complete response. */
+  /** Sends a complete response, or aborts one that was started and has not ended. */
   void respond(int status, HttpFields headers, byte[] content);
 
   /** Sends a complete response with a line of text for a human reader. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
@@ -92,13 +92,21 @@
 
   @Override
   public void respond(int status, HttpFields headers, byte[] content) {
+    boolean begun;
     synchronized (this) {
-      if (started || ended) {
+      if (ended) {
         return;
       }
-      started = true;
-      ended = true;
-      writeHead(status, headers);
+      begun = started;
+      if (!begun) {
+        started = true;
+        ended = true;
+        writeHead(status, headers);
+      }
+    }
+    if (begun) {
+      abort("the response that has begun ends with status " + status);
+      return;
     }
     response.write(true, ByteBuffer.wrap(content), callback);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
@@ -105,7 +105,8 @@
 
   @Override
   public synchronized void respond(int status, HttpFields fields, byte[] content) {
-    if (started || ended) {
+    if (started) {
+      abort("the response that has begun ends with status " + status);
       return;
     }
     started = true;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -9,7 +9,9 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -53,8 +55,9 @@
    *
    * @param text the bytes of the response, with its head and framing
    * @param closed whether the host closed the connection in order
+   * @param ended whether the host ended the connection at all
    */
-  private record Received(String text, boolean closed) {
+  private record Received(String text, boolean closed, boolean ended) {
 
     boolean isCompleteByChunks() {
       return text.endsWith("\r\n0\r\n\r\n");
@@ -88,15 +91,19 @@
       out.flush();
       ByteArrayOutputStream received = new ByteArrayOutputStream();
       boolean closed = true;
+      boolean ended = true;
       try {
         InputStream in = socket.getInputStream();
         for (int next = in.read(); next >= 0; next = in.read()) {
           received.write(next);
         }
+      } catch (SocketTimeoutException e) {
+        closed = false;
+        ended = false;
       } catch (IOException e) {
         closed = false;
       }
-      return new Received(received.toString(UTF_8), closed);
+      return new Received(received.toString(UTF_8), closed, ended);
     }
   }
 
@@ -150,27 +157,30 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 2})
     void resumableStreamGoesOnAtAnotherRunner(int events) throws Exception {
-      cutAllAfter(EVENTS, Cut.NONE);
-      first.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT);
-      second.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT);
-      Thread watcher =
-          new Thread(
-              () -> {
-                try {
-                  LoopbackFleet.await("the first run", () -> fleet.runCount("q1") == 1);
-                  (first.runs().isEmpty() ? first : second).cutStreamsAfter(EVENTS, Cut.NONE);
-                } catch (InterruptedException e) {
-                  Thread.currentThread().interrupt();
-                }
-              });
-      watcher.start();
+      AtomicInteger cuts = new AtomicInteger(1);
+      first.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT, cuts);
+      second.cutStreamsAfter(events, Cut.CLOSE_INSIDE_EVENT, cuts);
       Received received = send(1, "/resumable/", "q1", "HTTP/1.1");
-      watcher.join();
       assertThat(fleet.runCount("q1")).isEqualTo(2);
       assertThat(received.isCompleteByChunks()).isTrue();
       assertThat(received.lastEvent()).isEqualTo(EVENTS);
     }
 
+    /** Guards against a caller that waits for the rest of a stream that nobody sends any more. */
+    @ParameterizedTest
+    @ValueSource(ints = {404, 500})
+    void callerSeesThatTheStreamCannotGoOn(int status) throws Exception {
+      AtomicInteger cuts = new AtomicInteger(1);
+      for (StandinRunner runner : new StandinRunner[] {first, second}) {
+        runner.cutStreamsAfter(2, Cut.RESET_INSIDE_EVENT, cuts);
+        runner.failModelRequestsAfterCuts(status);
+      }
+      Received received = send(1, "/resumable/", "q1", "HTTP/1.1");
+      assertThat(received.lastEvent()).isEqualTo(2);
+      assertThat(received.isCompleteByChunks()).isFalse();
+      assertWithMessage("broken off").that(received.ended()).isTrue();
+    }
+
     @Test
     void streamWithoutAnyEventIsNotComplete() throws Exception {
       cutAllAfter(0, Cut.CLOSE_BETWEEN_EVENTS);
