--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
@@ -21,6 +21,7 @@
 import net.jqwik.api.lifecycle.BeforeContainer;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.standin.StandinConfiguration;
 
 /** Guards against callers that get a complete framing of less than the runner's body. */
 class TruncatedResponsePropertiesTest {
@@ -56,10 +57,7 @@
         LoopbackFleet.route("/stream/", "streaming", "raw", false));
     opened.store.put(
         "servers/i-1",
-        "{\"service\":\"raw\",\"address\":\"127.0.0.1:"
-            + socket.getLocalPort()
-            + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-            + "\"coldRemainingMs\":0,\"sequence\":0}");
+        StandinConfiguration.runnerEntry("raw", "127.0.0.1:" + socket.getLocalPort()));
     opened.startOnlyNode();
   }
 
