Let streams go on only at the software version that began them

Cause: no host knew the version of a runner. The entry's field was read and dropped, so a host resumed a broken stream at any runner of the service, and a caller's next attempt, which names the attempt that brought the first event, went to any runner of any host.

Now an entry has a SoftwareVersion, and a request that continues a stream admits only runners of the version that began it: within one response (StreamRelay knows which attempt brought the first event), over passed-on requests (the version travels both ways), and over the caller's attempts at any host. ResumePolicy refuses a stream of unknown origin at once, as not run and without Retry-After, unless this host has seen a single version for as long as such a stream can last, without a gap. A route's service is drawn from the stream's id, so that all attempts reach the same one.

ResumePolicyTest: gaps, ids that come back, lost history, stale runners.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/placement/Rendezvous.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/placement/Rendezvous.java
@@ -88,6 +88,11 @@
     return chosen;
   }
 
+  /** Returns a number from 0 to 1 that is the same for {@code text} in every process. */
+  public static double uniform(String text) {
+    return (hash(text) >>> 11) * UNIT;
+  }
+
   /** Returns a 64-bit hash of {@code text} that is the same in every process. */
   public static long hash(String text) {
     return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerEntry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerEntry.java
@@ -10,6 +10,7 @@
  * @param sequence a number that only increases within an incarnation: an entry with a lower one is
  *     an obsolete copy
  * @param service the service that the runner belongs to
+ * @param version the version of its software
  * @param address the runner's host:port, which another runner may get later
  * @param failureDomain the failure domain in which it runs
  * @param slots the number of requests that it processes concurrently
@@ -24,6 +25,7 @@
     RunnerIncarnation incarnation,
     long sequence,
     String service,
+    SoftwareVersion version,
     String address,
     String failureDomain,
     int slots,
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -37,11 +37,12 @@
   private final Map<Long, Termination> terminations = new HashMap<>();
 
   private final Predicate<String> statedLeaving;
+  private final RunnerSightings sightings;
   private long revision;
 
   /** Creates an empty registry of runners whose entries alone tell whether they leave. */
   public RunnerRegistry() {
-    this(runner -> false);
+    this(runner -> false, RunnerSightings.IGNORED);
   }
 
   /**
@@ -49,9 +50,11 @@
    *
    * @param statedLeaving whether the incarnation with a key stated elsewhere than in its entry that
    *     it leaves
+   * @param sightings notified of all entries
    */
-  public RunnerRegistry(Predicate<String> statedLeaving) {
+  public RunnerRegistry(Predicate<String> statedLeaving, RunnerSightings sightings) {
     this.statedLeaving = requireNonNull(statedLeaving, "statedLeaving must not be null");
+    this.sightings = requireNonNull(sightings, "sightings must not be null");
   }
 
   /**
@@ -81,6 +84,7 @@
     RunnerEntry entry = change.entry;
     if (entry == null) {
       if (current == null) {
+        sightings.mayHaveMissed(nowMillis);
         runners.put(change.id, new TrackedRunner(change.revision, null, nowMillis, Long.MAX_VALUE));
         return false;
       }
@@ -88,9 +92,16 @@
           change.id,
           new TrackedRunner(change.revision, current.entry, nowMillis, current.terminatesAtMillis));
       recordTermination(current.entry, nowMillis);
+      if (current.entry != null) {
+        sightings.seen(current.entry, nowMillis);
+      }
       return true;
     }
+    sightings.seen(entry, nowMillis);
     RunnerEntry previous = current == null ? null : current.entry;
+    if (previous != null) {
+      sightings.seen(previous, nowMillis);
+    }
     if (previous != null && entry.isOlderThan(previous)) {
       return false;
     }
@@ -172,6 +183,9 @@
     if (atRevision < revision) {
       return;
     }
+    if (revision > 0) {
+      sightings.mayHaveMissed(nowMillis);
+    }
     Set<String> present = new HashSet<>(unreadable);
     for (Change entry : entries) {
       present.add(entry.id);
@@ -208,6 +222,14 @@
     return usable;
   }
 
+  /** Returns the runners whose entries exist, including those that leave. */
+  public List<RunnerEntry> present() {
+    return runners.values().stream()
+        .filter(runner -> runner.vanishedMillis < 0)
+        .flatMap(runner -> Optional.ofNullable(runner.entry).stream())
+        .toList();
+  }
+
   /** Returns whether an incarnation announced that it leaves, by its entry or otherwise. */
   public boolean isLeaving(RunnerEntry runner) {
     return runner.leaving()
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -17,6 +17,7 @@
 import org.sequoiahub.core.runnerstate.SendDecision.Reason;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 
 class GenerationPlacementTest {
 
@@ -37,6 +38,7 @@
         RunnerIncarnation.of(id),
         0,
         "s",
+        SoftwareVersion.of("v1"),
         "10.0.0.1:80",
         "d",
         64,
--- a/sequoia-core/src/test/java/org/sequoiahub/core/holding/AdapterRelocationTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/holding/AdapterRelocationTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 
 class AdapterRelocationTest {
 
@@ -23,6 +24,7 @@
         RunnerIncarnation.of(id),
         0,
         "s",
+        SoftwareVersion.of("v1"),
         "10.0.0.1:80",
         "z",
         8,
--- /dev/null
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/origin/ResumePolicyTest.java
@@ -0,0 +1,205 @@
+package org.sequoiahub.core.origin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.RunnerRegistry;
+import org.sequoiahub.core.upstream.SoftwareVersion;
+
+/** Guards against streams that go on at runners of another software version. */
+class ResumePolicyTest {
+
+  private static final long TIMEOUT_MILLIS = 10_000;
+  private static final long STREAM_LIFE_MILLIS = 2 * TIMEOUT_MILLIS;
+  private static final long MAX_AGE_MILLIS = 2_000;
+  private static final SoftwareVersion V1 = SoftwareVersion.of("v1");
+  private static final SoftwareVersion V2 = SoftwareVersion.of("v1.1");
+
+  private long now = 1_000_000;
+  private long knownMillis = now;
+  private long revision;
+  private final ServiceVersions versions = new ServiceVersions(now);
+  private final RunnerRegistry registry = new RunnerRegistry(id -> false, versions);
+  private final ResumePolicy policy = new ResumePolicy(versions, () -> knownMillis, MAX_AGE_MILLIS);
+
+  private static RunnerEntry runner(String id, SoftwareVersion version) {
+    return new RunnerEntry(
+        RunnerIncarnation.of(id),
+        0,
+        "llm",
+        version,
+        "10.0.0.1:80",
+        "z",
+        8,
+        false,
+        -1,
+        0,
+        Set.of(),
+        Map.of());
+  }
+
+  private void add(String id, SoftwareVersion version) {
+    registry.apply(new RunnerRegistry.Change(id, ++revision, runner(id, version)), now);
+  }
+
+  private void remove(String id) {
+    registry.apply(new RunnerRegistry.Change(id, ++revision, null), now);
+  }
+
+  private void advance(long millis) {
+    now += millis;
+    knownMillis = now;
+  }
+
+  private ResumeDecision decide(Optional<StreamOrigin> origin) {
+    return policy.decide(origin, "llm", registry.present(), TIMEOUT_MILLIS, now);
+  }
+
+  private ResumeDecision decideUnknown() {
+    return decide(Optional.empty());
+  }
+
+  @Nested
+  class KnownOrigin {
+
+    @Test
+    void admitsItsVersionAlsoIfNoRunnerHasIt() {
+      add("i-1", V2);
+      assertThat(decide(Optional.of(new StreamOrigin("llm", V1))))
+          .isEqualTo(new ResumeDecision.OnlyAt(V1));
+    }
+
+    @Test
+    void ofAnotherServiceIsRefused() {
+      add("i-1", V1);
+      assertThat(decide(Optional.of(new StreamOrigin("other", V1))))
+          .isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+  }
+
+  @Nested
+  class UnknownOrigin {
+
+    @Test
+    void goesOnOnlyAfterOneVersionForTheLifeOfAStream() {
+      add("i-1", V1);
+      advance(STREAM_LIFE_MILLIS - 1);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+      advance(1);
+      assertThat(decideUnknown()).isEqualTo(new ResumeDecision.OnlyAt(V1));
+    }
+
+    @Test
+    void isRefusedWhileTwoVersionsServe() {
+      add("i-1", V1);
+      advance(STREAM_LIFE_MILLIS);
+      add("i-2", V2);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+
+    @Test
+    void isRefusedForTheLifeOfAStreamAfterTheLastRunnerOfAVersion() {
+      add("i-1", V1);
+      add("i-2", V2);
+      advance(STREAM_LIFE_MILLIS);
+      remove("i-2");
+      advance(STREAM_LIFE_MILLIS - 1);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+      advance(1);
+      assertThat(decideUnknown()).isEqualTo(new ResumeDecision.OnlyAt(V1));
+    }
+
+    @Test
+    void isRefusedAfterAnIdCameBackWithAnotherVersion() {
+      add("i-1", V1);
+      advance(STREAM_LIFE_MILLIS);
+      add("i-1", V2);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+      advance(STREAM_LIFE_MILLIS);
+      assertThat(decideUnknown()).isEqualTo(new ResumeDecision.OnlyAt(V2));
+    }
+
+    @Test
+    void isRefusedAfterARunnerCameAndWentUnseen() {
+      add("i-1", V1);
+      advance(STREAM_LIFE_MILLIS);
+      remove("i-never-seen");
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+
+    @Test
+    void isRefusedAfterTheHistoryOfTheStoreWasLost() {
+      add("i-1", V1);
+      registry.markCompleteTo(revision);
+      advance(STREAM_LIFE_MILLIS);
+      registry.applySnapshot(
+          List.of(new RunnerRegistry.Change("i-1", revision, runner("i-1", V1))),
+          Set.of(),
+          revision,
+          now);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+
+    @Test
+    void isRefusedWhileTheRunnersAreNotKnown() {
+      add("i-1", V1);
+      advance(STREAM_LIFE_MILLIS);
+      now += MAX_AGE_MILLIS + 1;
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+
+    @Test
+    void isRefusedWithoutAnyRunner() {
+      advance(STREAM_LIFE_MILLIS);
+      assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
+    }
+  }
+
+  @Nested
+  class Origins {
+    private final StreamOrigins origins = new StreamOrigins(2, 100);
+    private final StreamOrigin first = new StreamOrigin("llm", V1);
+
+    @Test
+    void ofDifferentWorkspacesDoNotMeet() {
+      origins.record(StreamKey.of("a", "q"), first, now);
+      assertThat(origins.find(StreamKey.of("b", "q"), now)).isEmpty();
+      assertThat(StreamKey.of("a", "bq")).isNotEqualTo(StreamKey.of("ab", "q"));
+    }
+
+    @Test
+    void thatContradictAreNone() {
+      StreamKey key = StreamKey.of("", "q");
+      origins.record(key, first, now);
+      origins.record(key, new StreamOrigin("llm", V2), now);
+      origins.record(key, first, now);
+      assertThat(origins.find(key, now)).isEmpty();
+      assertThat(origins.isKnown(key, now)).isTrue();
+    }
+
+    @Test
+    void areForgottenByAgeAndNumber() {
+      for (int number = 0; number < 3; number++) {
+        origins.record(StreamKey.of("", "q" + number), first, now + number);
+      }
+      assertThat(origins.size()).isEqualTo(2);
+      assertThat(origins.find(StreamKey.of("", "q0"), now + 3)).isEmpty();
+      assertThat(origins.find(StreamKey.of("", "q1"), now + 3)).hasValue(first);
+      assertThat(origins.find(StreamKey.of("", "q1"), now + 101)).isEmpty();
+    }
+  }
+
+  @Test
+  void versionsMustHaveANameOfLimitedLength() {
+    assertThrows(IllegalArgumentException.class, () -> SoftwareVersion.of(""));
+    assertThrows(IllegalArgumentException.class, () -> SoftwareVersion.of("v".repeat(129)));
+  }
+}
--- a/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
@@ -21,6 +21,7 @@
 import org.sequoiahub.core.reach.RunnerPath.Verdict;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 
 /** Simulates one host, its requests and its connects in virtual time. */
 class RunnerPathTest {
@@ -121,6 +122,7 @@
         new RunnerIncarnation("i-" + number, 1),
         1,
         number % 2 == 0 ? "llm" : "plain",
+        SoftwareVersion.of("v1"),
         "10.0.0." + number + ":80",
         "z" + number / 2 % 4,
         8,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -19,6 +19,8 @@
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.origin.ResumePolicy;
+import org.sequoiahub.core.origin.ServiceVersions;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
@@ -37,6 +39,8 @@
 import org.sequoiahub.node.forward.ForwardedRequests;
 import org.sequoiahub.node.forward.WireRequestForwarder;
 import org.sequoiahub.node.holder.HolderService;
+import org.sequoiahub.node.origin.OriginKeepers;
+import org.sequoiahub.node.origin.StreamOriginExchange;
 import org.sequoiahub.node.peer.AdvertisedUses;
 import org.sequoiahub.node.peer.CallerAddresses;
 import org.sequoiahub.node.peer.DatagramPort;
@@ -176,6 +180,7 @@
   private final LoadGuard loadGuard;
   private final RunnerStates runnerStates;
   private final RunnerPathMonitor runnerPath;
+  private final StreamOriginExchange originExchange;
   private final ForwardedRequests forwardedRequests;
   private final PermitExchange permitExchange;
   private final DemandSender demandSender;
@@ -206,7 +211,11 @@
     this.runnerStates =
         new RunnerStates(
             hostSettings, incarnation, startedMillis, this::stateChanged, metrics, log);
-    this.runnerRegistry = new RunnerRegistry(runnerStates.availability()::isLeaving);
+    // Before the first start of all hosts no stream has begun.
+    ServiceVersions serviceVersions =
+        new ServiceVersions(hostSettings.firstStart() ? Long.MIN_VALUE / 2 : startedMillis);
+    this.runnerRegistry =
+        new RunnerRegistry(runnerStates.availability()::isLeaving, serviceVersions);
     this.storeHttp = UpstreamClient.start();
     this.runnerHttp = UpstreamClient.start(runnerAddresses);
     this.decisionThread =
@@ -284,6 +293,9 @@
             new PathListener(),
             metrics,
             log);
+    this.originExchange =
+        new StreamOriginExchange(
+            new OriginKeepers(this::otherHosts), heartbeats::datagram, datagrams::send);
     this.wireClients = new WireClients(network, PEER_TIMEOUT_MILLIS);
     SharedRetryBudget budget =
         new SharedRetryBudget(hostSettings.retries(), startedMillis, hostSettings.firstStart());
@@ -302,6 +314,10 @@
             runnerPath,
             new ReachingHostSelector(members, random),
             new WireRequestForwarder(wireClients, hostSettings.peerPort()),
+            new ResumePolicy(
+                serviceVersions, storeRegistry::runnersKnownMillis, hostSettings.drainMillis()),
+            originExchange,
+            originExchange,
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
@@ -538,7 +554,7 @@
   }
 
   private long tickPeriodMillis() {
-    if (requestCoordinator.hasWaitingRequests()) {
+    if (requestCoordinator.hasWaitingRequests() || originExchange.isSearching()) {
       return TICK_MILLIS;
     }
     boolean idle =
@@ -571,6 +587,19 @@
     heartbeats.tick(nowMillis);
     terminationExchange.tick(nowMillis);
     permitExchange.tick(nowMillis);
+    originExchange.tick(nowMillis);
+  }
+
+  private List<OriginKeepers.Host> otherHosts(long nowMillis) {
+    return members.alive(nowMillis).stream()
+        .filter(member -> !member.host().equals(hostSettings.host()))
+        .map(
+            member ->
+                new OriginKeepers.Host(
+                    member.host(),
+                    member.ip(),
+                    member.state() == null ? "" : member.state().getFailureDomain()))
+        .toList();
   }
 
   /**
@@ -667,6 +696,13 @@
       case PERMIT_GRANTS ->
           permitExchange.receivedGrants(
               from, datagram.getIncarnation(), datagram.getPermitGrants(), now);
+      case STREAM_ORIGIN -> originExchange.received(ip, datagram.getStreamOrigin(), now);
+      case STREAM_ORIGIN_RECEIVED ->
+          originExchange.receivedAcknowledgement(ip, datagram.getStreamOriginReceived());
+      case STREAM_ORIGIN_QUERY ->
+          originExchange.receivedQuery(ip, datagram.getStreamOriginQuery(), now);
+      case STREAM_ORIGIN_ANSWER ->
+          originExchange.receivedAnswer(ip, datagram.getStreamOriginAnswer(), now);
       case ENDS -> terminationExchange.received(from, ip, datagram.getEnds(), now);
       default ->
           log.warning(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -10,6 +10,7 @@
 import org.sequoiahub.core.retry.RetryAccount;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.RequestForwarder;
@@ -71,6 +72,15 @@
   /** Names of the hosts that could not serve the request when it was passed on to them. */
   final Set<String> excludedHosts = new HashSet<>();
 
+  /** The software version of the runners that may serve it; null while any may. */
+  @Nullable SoftwareVersion requiredVersion;
+
+  /** Whether the origin of the stream that it takes up has been asked for. */
+  boolean originRequested;
+
+  /** The origin of the stream that it takes up; null until the answer is there. */
+  StreamResumption.@Nullable OriginAnswer originAnswer;
+
   /** Number of times that it was sent to a runner, including refused attempts. */
   int sends;
 
@@ -141,6 +151,16 @@
     }
   }
 
+  /** Returns whether its stream may go on at runners of a software version. */
+  boolean admits(SoftwareVersion version) {
+    return requiredVersion == null || requiredVersion.equals(version);
+  }
+
+  /** Returns whether it takes up a stream of which its caller has received events. */
+  boolean takesUpStream() {
+    return route.repeatPolicy().isStream() && !headers.lastEventId().isEmpty();
+  }
+
   /** Returns whether another host passed the request on to this one. */
   boolean isFromOtherHost() {
     return exchange.forwarding() != null;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/CandidateSelector.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/CandidateSelector.java
@@ -66,7 +66,10 @@
   boolean hasOtherRunner(Call call, RunnerEntry runner, long nowMillis) {
     return fleet.usableRunners(call.service, nowMillis).stream()
         .anyMatch(
-            other -> !other.id().equals(runner.id()) && !call.excludedRunners.contains(other.id()));
+            other ->
+                !other.id().equals(runner.id())
+                    && call.admits(other.version())
+                    && !call.excludedRunners.contains(other.id()));
   }
 
   /** Returns whether a request may be sent to any of the candidates before its target latency. */
@@ -82,7 +85,9 @@
     for (RunnerEntry runner : runners) {
       boolean alreadyRunning =
           call.activeAttempts.stream().anyMatch(r -> r.runner.id().equals(runner.id()));
-      if (!call.excludedRunners.contains(runner.id()) && !alreadyRunning) {
+      if (call.admits(runner.version())
+          && !call.excludedRunners.contains(runner.id())
+          && !alreadyRunning) {
         boolean counted = call.waitingAt != null && call.waitingAt.id().equals(runner.id());
         candidates.add(
             fleet.candidate(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -175,6 +175,11 @@
     promptMemory(runner).recordRead(generation);
   }
 
+  /** Returns all runners whose entries exist. */
+  List<RunnerEntry> presentRunners() {
+    return runners.present();
+  }
+
   /** Returns the runners of a service that may receive requests. */
   List<RunnerEntry> usableRunners(String service, long nowMillis) {
     List<RunnerEntry> usable = new ArrayList<>();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -29,6 +29,8 @@
 import org.sequoiahub.core.dispatch.Shutdown;
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
+import org.sequoiahub.core.origin.ResumePolicy;
+import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.response.Completeness;
@@ -44,6 +46,8 @@
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.HostSelector;
 import org.sequoiahub.node.forward.RequestForwarder;
+import org.sequoiahub.node.origin.OriginLookup;
+import org.sequoiahub.node.origin.OriginRecorder;
 import org.sequoiahub.node.reach.RunnerPathMonitor;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.node.store.ConfigurationStatus;
@@ -108,6 +112,7 @@
   private final RunnerStates runnerStates;
   private final RunnerPathMonitor runnerPath;
   private final RequestForwarding forwarding;
+  private final StreamResumption resumption;
   private final GenerationPlacement generationPlacement =
       new GenerationPlacement(PlacementSettings.DEFAULT);
   private final ServicePlacement servicePlacement = new ServicePlacement(PlacementSettings.DEFAULT);
@@ -150,6 +155,9 @@
       RunnerPathMonitor runnerPath,
       HostSelector hosts,
       RequestForwarder forwarder,
+      ResumePolicy resumePolicy,
+      OriginLookup originLookup,
+      OriginRecorder originRecorder,
       Consumer<Runnable> decisionThread,
       LongSupplier clock,
       Runnable inFlightListener,
@@ -179,6 +187,15 @@
     this.forwarding =
         new RequestForwarding(
             hosts, forwarder, new ForwardedEndings(), decisionThread, clock, metrics, log);
+    this.resumption =
+        new StreamResumption(
+            fleet,
+            resumePolicy,
+            originLookup,
+            originRecorder,
+            call -> place(call, clock.getAsLong()),
+            metrics,
+            log);
     this.decisionThread = decisionThread;
     this.clock = clock;
     this.inFlightListener = inFlightListener;
@@ -209,7 +226,7 @@
   private void accept(
       CallerExchange exchange, CallerHeaders headers, Admission.Permitted permitted, long now) {
     Route route = permitted.route();
-    String service = route.selectService(random.nextDouble());
+    String service = route.selectService(serviceDraw(route, headers));
     long requestedMillis =
         headers.deadlineMillis() > 0 ? headers.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
     long timeoutMillis = Math.min(requestedMillis, route.timeoutMillis());
@@ -246,11 +263,26 @@
       metrics.counter("forwarding.received").inc();
       log.info("request-taken-over", "request", call.id(), "from", forwarded.host());
     }
+    if (forwarded != null) {
+      call.requiredVersion = forwarded.streamVersion();
+    }
     calls.add(call);
     metrics.counter("requests.accepted").inc();
     place(call, now);
   }
 
+  /**
+   * Returns the draw that selects a request's service. All attempts at a stream get the same one,
+   * at all hosts, so that they reach the service at which the stream began.
+   */
+  private double serviceDraw(Route route, CallerHeaders headers) {
+    String stream =
+        headers.resumedRequestId().isEmpty() ? headers.requestId() : headers.resumedRequestId();
+    return route.repeatPolicy().isStream() && !stream.isEmpty()
+        ? Rendezvous.uniform(stream)
+        : random.nextDouble();
+  }
+
   /** Processes what is due: waiting requests, deadlines, silent runners, disconnected callers. */
   public void tick(long nowMillis) {
     boolean checkCallers = nowMillis - lastCallerCheckMillis >= CALLER_CHECK_INTERVAL_MILLIS;
@@ -326,6 +358,14 @@
       rejectRevokedKey(call, nowMillis);
       return;
     }
+    StreamResumption.Readiness readiness = resumption.prepare(call, nowMillis);
+    if (readiness instanceof StreamResumption.Readiness.Refused refused) {
+      refuseResume(call, refused.reason(), nowMillis);
+      return;
+    }
+    if (readiness instanceof StreamResumption.Readiness.Waiting) {
+      return;
+    }
     Optional<ActiveQuarantine> hold = quarantineGate.hold(call, nowMillis);
     if (hold.isPresent()) {
       quarantineGate.recordHold(call, hold.get(), nowMillis);
@@ -351,6 +391,17 @@
     finish(call, HttpStatus.UNAUTHORIZED_401, reason, nowMillis);
   }
 
+  /** Ends a request that takes up a stream which cannot go on; coming back would not help. */
+  private void refuseResume(Call call, String reason, long nowMillis) {
+    if (call.runs > 0) {
+      fail(call, reason, 0);
+      return;
+    }
+    int status = HttpStatus.SERVICE_UNAVAILABLE_503;
+    localResponses.respond(call.exchange, call.headers, status, reason, -1);
+    finish(call, status, reason, nowMillis);
+  }
+
   private void placePlain(Call call, long nowMillis) {
     List<Candidate> candidates = selector.candidates(call, null, nowMillis);
     Optional<Candidate> chosen =
@@ -562,6 +613,8 @@
         unreadTokens,
         "adapter",
         call.adapter(),
+        "version",
+        runner.version(),
         "after_ms",
         nowMillis - call.arrivedMillis);
     if (call.route.repeatPolicy().isStream()) {
@@ -602,7 +655,7 @@
 
     @Override
     public void streamStarted(int status, HttpFields headers) {
-      call.relay.start(active.number, status, headers);
+      call.relay.start(active.number, status, headers, active.runner.version());
     }
 
     @Override
@@ -654,6 +707,7 @@
   }
 
   private void onFirstEvent(Call call, Call.ActiveAttempt active) {
+    resumption.firstEventRelayed(call, clock.getAsLong());
     if (!active.firstEventReceived && call.activeAttempts.contains(active)) {
       active.firstEventReceived = true;
       fleet.fleetLoad().add(active.runner.id(), 0, -active.unreadTokens, 0, "");
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
@@ -9,8 +9,10 @@
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.forward.ForwardListener;
 import org.sequoiahub.node.forward.ForwardOutcome;
 import org.sequoiahub.node.forward.HostSelector;
@@ -115,6 +117,7 @@
             call.deadlineMillis() - nowMillis,
             call.runs,
             call.relay.lastEventId(),
+            call.requiredVersion,
             new Listener(call, attempt));
   }
 
@@ -206,8 +209,8 @@
     }
 
     @Override
-    public void streamStarted(int status, HttpFields headers) {
-      call.relay.start(attempt.number, status, headers);
+    public void streamStarted(int status, HttpFields headers, @Nullable SoftwareVersion version) {
+      call.relay.start(attempt.number, status, headers, version);
     }
 
     @Override
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.sequoiahub.node.call;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.BufferUtil;
 import org.jspecify.annotations.Nullable;
@@ -9,6 +10,7 @@
 import org.sequoiahub.core.response.ResponseCompleteness;
 import org.sequoiahub.core.response.StreamPosition;
 import org.sequoiahub.core.stream.EventSplitter;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
 
 /**
@@ -22,6 +24,9 @@
  */
 final class StreamRelay {
 
+  /** The number of no attempt; attempts are counted from 1. */
+  private static final int NO_ATTEMPT = 0;
+
   private final CallerExchange exchange;
   private final EventSplitter events = new EventSplitter();
   private int currentAttempt;
@@ -30,6 +35,12 @@
   /** The head of the current attempt's response; null before it and once a head was sent. */
   private @Nullable Head head;
 
+  /** The software version of the runner of the current attempt; null if it is not known. */
+  private @Nullable SoftwareVersion version;
+
+  /** The software version of the runner that made the first event; null before it. */
+  private @Nullable SoftwareVersion origin;
+
   private record Head(int status, HttpFields headers) {}
 
   StreamRelay(CallerExchange exchange) {
@@ -40,16 +51,26 @@
   synchronized void expectAttempt(int number) {
     currentAttempt = number;
     head = null;
+    version = null;
     events.beginRun();
   }
 
+  /** Relays nothing until another attempt is expected. */
+  synchronized void expectNone() {
+    expectAttempt(NO_ATTEMPT);
+  }
+
   /**
    * Receives the head of an attempt's response. The caller gets the head of the attempt that brings
    * the first event.
+   *
+   * @param runnerVersion the software version of the runner; null if it is not known
    */
-  synchronized void start(int number, int status, HttpFields headers) {
+  synchronized void start(
+      int number, int status, HttpFields headers, @Nullable SoftwareVersion runnerVersion) {
     if (number == currentAttempt) {
       head = new Head(status, headers);
+      version = runnerVersion;
     }
   }
 
@@ -61,10 +82,15 @@
     lastChunkMillis = nowMillis;
     boolean noneBefore = events.completeEvents() == 0;
     byte[] complete = events.accept(BufferUtil.toArray(chunk));
+    boolean first = noneBefore && events.completeEvents() > 0;
+    if (first && version != null) {
+      origin = version;
+      exchange.originatesAt(version);
+    }
     if (complete.length > 0) {
       write(complete);
     }
-    return noneBefore && events.completeEvents() > 0;
+    return first;
   }
 
   /** Returns whether the stream of an attempt is complete, once its response has ended. */
@@ -91,6 +117,11 @@
     }
   }
 
+  /** Returns the software version of the runner that made the first event, if it is known. */
+  synchronized Optional<SoftwareVersion> origin() {
+    return Optional.ofNullable(origin);
+  }
+
   /** Returns where the received part of the stream ends. */
   synchronized StreamPosition position() {
     return events.position();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 
 /**
  * One caller's request with its complete body, and its response, which is sent once.
@@ -19,8 +20,10 @@
    *
    * @param host the other host's IP address
    * @param priorRuns the number of attempts that may have run
+   * @param streamVersion the software version at which the stream must go on; null if it is a new
+   *     one
    */
-  record Forwarding(String host, int priorRuns) {}
+  record Forwarding(String host, int priorRuns, @Nullable SoftwareVersion streamVersion) {}
 
   /** Returns the request's method. */
   String method();
@@ -62,6 +65,12 @@
     respond(status, headers, (text + "\n").getBytes(UTF_8));
   }
 
+  /**
+   * States the software version of the runner that made the first event of a stream, before that
+   * event is written.
+   */
+  default void originatesAt(SoftwareVersion version) {}
+
   /** Starts a response whose content follows in chunks. */
   void start(int status, HttpFields headers);
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.schema.wire.Chunk;
 import org.sequoiahub.schema.wire.Envelope;
@@ -27,6 +28,7 @@
   private boolean started;
   private boolean ended;
   private long chunks;
+  private String streamVersion = "";
   private volatile boolean cancelled;
 
   ForwardedExchange(WireConnection connection, long call, String fromIp, ForwardedRequest request) {
@@ -90,7 +92,9 @@
 
   @Override
   public Forwarding forwarding() {
-    return new Forwarding(fromIp, request.getPriorRuns());
+    String version = request.getStreamVersion();
+    return new Forwarding(
+        fromIp, request.getPriorRuns(), version.isEmpty() ? null : SoftwareVersion.of(version));
   }
 
   @Override
@@ -125,6 +129,11 @@
         : RunVerdict.MAY_HAVE_RUN;
   }
 
+  @Override
+  public synchronized void originatesAt(SoftwareVersion version) {
+    streamVersion = version.name();
+  }
+
   @Override
   public synchronized void start(int status, HttpFields fields) {
     if (started || ended) {
@@ -169,7 +178,12 @@
   }
 
   private void sendHead(int status, HttpFields fields, boolean whole) {
-    connection.send(call, Envelope.newBuilder().setHead(HeaderFields.head(status, fields, whole)));
+    connection.send(
+        call,
+        Envelope.newBuilder()
+            .setHead(
+                HeaderFields.head(status, fields, whole).toBuilder()
+                    .setRunnerVersion(streamVersion)));
   }
 
   private void sendChunk(ByteString data) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/RequestForwarder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/RequestForwarder.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.node.forward;
 
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
 
 /** Passes callers' requests on to other hosts. */
@@ -20,6 +22,8 @@
    * @param remainingMillis how long the caller still waits (ms)
    * @param priorRuns the number of attempts before that may have run
    * @param lastEventId the last event that the caller received of them; empty if none
+   * @param streamVersion the software version at which the stream must go on; null if it is a new
+   *     one
    */
   Forwarded forward(
       CallerExchange exchange,
@@ -27,5 +31,6 @@
       long remainingMillis,
       int priorRuns,
       String lastEventId,
+      @Nullable SoftwareVersion streamVersion,
       ForwardListener listener);
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/WireRequestForwarder.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/WireRequestForwarder.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.ByteString;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.runtime.settings.Endpoint;
 import org.sequoiahub.schema.wire.Cancel;
@@ -38,6 +39,7 @@
       long remainingMillis,
       int priorRuns,
       String lastEventId,
+      @Nullable SoftwareVersion streamVersion,
       ForwardListener listener) {
     WireClient client = clients.clientOf(new Endpoint(ip, peerPort));
     ForwardedRequest request =
@@ -51,6 +53,7 @@
             .setCallerIp(exchange.callerIp())
             .setPriorRuns(priorRuns)
             .setLastEventId(lastEventId)
+            .setStreamVersion(streamVersion == null ? "" : streamVersion.name())
             .build();
     long call =
         client.call(
@@ -81,8 +84,11 @@
         ResponseHead received = message.getHead();
         head = received;
         if (!received.getWhole()) {
+          String version = received.getRunnerVersion();
           listener.streamStarted(
-              received.getStatus(), HeaderFields.decode(received.getHeadersList()));
+              received.getStatus(),
+              HeaderFields.decode(received.getHeadersList()),
+              version.isEmpty() ? null : SoftwareVersion.of(version));
         }
       } else if (message.hasChunk()) {
         chunks++;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -64,6 +64,9 @@
         }
       };
 
+  /** As of when the runners are known (ms). */
+  private long runnersKnownMillis = Long.MIN_VALUE / 2;
+
   /** A configuration that is to come into force. */
   private record PendingConfiguration(RoutingTable table, long revision, boolean fromPeer) {}
 
@@ -99,6 +102,7 @@
       entries.forEach(this::recordIfRelevant);
       runnerRegistry.applySnapshot(entries, unreadable, revision, nowMillis);
       removedRunners(items, revision).forEach(this::recordRemoval);
+      runnersKnownMillis = nowMillis;
     } else {
       items.forEach(item -> applyOperatorItem(item, false, nowMillis));
       confirmed(nowMillis, nowMillis);
@@ -154,6 +158,7 @@
         updated |= apply(entry, nowMillis);
       }
       runnerRegistry.markCompleteTo(revision);
+      runnersKnownMillis = nowMillis;
     } else {
       for (StoredItem item : items) {
         updated |= applyOperatorItem(item, false, nowMillis);
@@ -207,6 +212,7 @@
    */
   public void confirmed(long atMillis, long nowMillis) {
     status = status.confirmedAt(atMillis);
+    runnersKnownMillis = Math.max(runnersKnownMillis, atMillis);
     activatePending(nowMillis);
   }
 
@@ -243,6 +249,14 @@
         next.fromPeer ? nowMillis - status.confirmedMillis() : 0);
   }
 
+  /**
+   * Returns as of when the runners are known (ms): the last time at which the store answered, or a
+   * host on which this one relies confirmed that it has all records.
+   */
+  public long runnersKnownMillis() {
+    return runnersKnownMillis;
+  }
+
   /** Returns the newest published version of an adapter; 0 if none was published. */
   public int newestVersion(String target) {
     return newestVersions.getOrDefault(target, 0);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StreamVersionsTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StreamVersionsTest.java
@@ -16,7 +16,6 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiahub.usersplatform.Headers;
@@ -24,7 +23,6 @@
 import org.sequoiahub.usersplatform.standin.StandinRunner.Cut;
 
 /** Guards against streams that go on at a runner of another software version. */
-@Tag("known-red")
 @Timeout(value = 180, unit = TimeUnit.SECONDS)
 class StreamVersionsTest {
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
@@ -26,6 +26,7 @@
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
 import org.sequoiahub.core.routing.WeightedService;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.core.workspace.HashedKey;
 import org.sequoiahub.core.workspace.Workspaces;
 import org.sequoiahub.node.caller.CallerExchange;
@@ -83,7 +84,7 @@
       this.call =
           new Call(
               new Exchange(fromOtherHost),
-              new CallerHeaders("q", DEADLINE_MILLIS, null, "", HashedKey.NONE),
+              new CallerHeaders("q", DEADLINE_MILLIS, null, "", "", HashedKey.NONE),
               new Admission.Permitted(table, route, null),
               "s",
               new RetryAccount(budget, "s"),
@@ -114,6 +115,7 @@
         long remainingMillis,
         int priorRuns,
         String lastEventId,
+        @Nullable SoftwareVersion streamVersion,
         ForwardListener listener) {
       assertThat(remainingMillis).isAtMost(DEADLINE_MILLIS - (now - 100));
       assertWithMessage("runs that the other host is told of")
@@ -246,7 +248,7 @@
 
       @Override
       public @Nullable Forwarding forwarding() {
-        return fromOtherHost ? new Forwarding("10.0.0.1", 0) : null;
+        return fromOtherHost ? new Forwarding("10.0.0.1", 0, null) : null;
       }
 
       @Override
--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.schema.wire.Chunk;
 import org.sequoiahub.schema.wire.Envelope;
@@ -37,6 +38,7 @@
 class RequestForwardingWireTest {
 
   private static final String LOOPBACK = "127.0.0.1";
+  private static final SoftwareVersion VERSION = SoftwareVersion.of("v1.1");
   private static final long IDLE_TIMEOUT_MILLIS = 10_000;
   private static final long REMAINING_MILLIS = 700;
 
@@ -87,10 +89,15 @@
   /** Records the response. */
   private static final class Recorder implements ForwardListener {
     final List<String> events = new ArrayList<>();
+    final List<SoftwareVersion> versions = new ArrayList<>();
     final BlockingQueue<ForwardOutcome> outcomes = new ArrayBlockingQueue<>(2);
 
     @Override
-    public synchronized void streamStarted(int status, HttpFields headers) {
+    public synchronized void streamStarted(
+        int status, HttpFields headers, @Nullable SoftwareVersion version) {
+      if (version != null) {
+        versions.add(version);
+      }
       events.add(status + " " + headers.get("X-Test"));
     }
 
@@ -124,7 +131,13 @@
 
   private RequestForwarder.Forwarded forward(int priorRuns, String lastEventId) {
     return forwarder.forward(
-        request(), LOOPBACK, REMAINING_MILLIS, priorRuns, lastEventId, recorder);
+        request(),
+        LOOPBACK,
+        REMAINING_MILLIS,
+        priorRuns,
+        lastEventId,
+        lastEventId.isEmpty() ? null : VERSION,
+        recorder);
   }
 
   private CallerExchange awaitReceived() throws InterruptedException {
@@ -153,7 +166,8 @@
       assertThat(exchange.headers().getValuesList("X-Twice")).containsExactly("a", "b").inOrder();
       assertThat(exchange.headers().getValuesList(Headers.DEADLINE)).containsExactly("700");
       assertThat(exchange.headers().get(Headers.LAST_EVENT_ID)).isEqualTo("7");
-      assertThat(exchange.forwarding()).isEqualTo(new CallerExchange.Forwarding(LOOPBACK, 1));
+      assertThat(exchange.forwarding())
+          .isEqualTo(new CallerExchange.Forwarding(LOOPBACK, 1, VERSION));
     }
 
     @Test
@@ -229,6 +243,7 @@
     void arriveInOrderWithTheirEnd() throws Exception {
       forward(0, "");
       CallerExchange exchange = awaitReceived();
+      exchange.originatesAt(VERSION);
       exchange.start(200, runnerHeaders());
       List<String> expected = new ArrayList<>(List.of("200 yes"));
       for (int number = 0; number < 500; number++) {
@@ -238,6 +253,7 @@
       exchange.complete();
       assertThat(recorder.awaitOutcome()).isEqualTo(new ForwardOutcome.StreamCompleted());
       assertThat(recorder.events).isEqualTo(expected);
+      assertThat(recorder.versions).containsExactly(VERSION);
     }
 
     /** Guards against a response with a piece missing that is framed as complete. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -36,6 +36,7 @@
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.StateCodec;
@@ -267,7 +268,18 @@
     Runner(RunnerIncarnation incarnation, String address) {
       this.entry =
           new RunnerEntry(
-              incarnation, 0, "llm", address, "z", 8, false, -1, 0, Set.of("m"), Map.of());
+              incarnation,
+              0,
+              "llm",
+              SoftwareVersion.of("v1"),
+              address,
+              "z",
+              8,
+              false,
+              -1,
+              0,
+              Set.of("m"),
+              Map.of());
     }
 
     OrderReply order(Host from, Order order, long expected, String holder, long token) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerLimitSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RunnerLimitSimulation.java
@@ -19,6 +19,7 @@
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 
 /**
@@ -155,6 +156,7 @@
               RunnerIncarnation.of("i-" + number),
               0,
               "s",
+              SoftwareVersion.of("v1"),
               "10.0.0." + number + ":80",
               "z" + number % 4,
               SLOTS,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 
 /** A runner on loopback whose response to each request is written by a script. */
 final class ScriptedRunner implements AutoCloseable {
@@ -41,7 +42,18 @@
   RunnerEntry entry() {
     String address = "127.0.0.1:" + serverSocket.getLocalPort();
     return new RunnerEntry(
-        RunnerIncarnation.of("i-1"), 0, "s", address, "d", 4, false, -1, 0, Set.of(), Map.of());
+        RunnerIncarnation.of("i-1"),
+        0,
+        "s",
+        SoftwareVersion.of("v1"),
+        address,
+        "d",
+        4,
+        false,
+        -1,
+        0,
+        Set.of(),
+        Map.of());
   }
 
   /** Returns the heads of the requests received so far: request line and headers. */
