--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -193,6 +193,7 @@
   private volatile boolean ready;
   private volatile boolean leaving;
   private volatile List<String> advertisedAddresses = List.of();
+  private volatile List<RunnerEntry> presentRunners = List.of();
   private long lastHolderAndStoreTickMillis;
   private long lastUpkeepMillis;
   private long lastHolderCheckMillis;
@@ -620,6 +621,7 @@
     refreshAddresses(nowMillis);
     members.removeExpired(nowMillis);
     runnerRegistry.removeExpired(nowMillis, RUNNER_RETENTION_MILLIS);
+    presentRunners = runnerRegistry.present();
     fleetView.removeStaleEntries(nowMillis);
     requestQuarantine.historyLost(
         history.isShorterThan(
@@ -655,7 +657,8 @@
             runnerPath.isLost(),
             storeRegistry.status(),
             runnerStates.status(),
-            runnerStates.statements())
+            runnerStates.statements(),
+            presentRunners)
         : MetricsText.render(metrics);
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -5,7 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import org.sequoiahub.core.runnerstate.RunnerAvailability;
+import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
 
@@ -25,7 +28,8 @@
       boolean runnersUnreachable,
       ConfigurationStatus configuration,
       List<LimitStatus> limits,
-      List<RunnerAvailability.Statement> statements) {
+      List<RunnerAvailability.Statement> statements,
+      List<RunnerEntry> present) {
     ObjectNode page = MAPPER.createObjectNode();
     page.put("host", host)
         .put("ready", ready)
@@ -54,6 +58,25 @@
         row.put("left_ms", statement.leftMillis());
       }
     }
+    addVersions(page.putArray("versions"), present);
     return page.toString();
   }
+
+  /** Adds the number of runners of each service, by the version of their software. */
+  private static void addVersions(ArrayNode rows, List<RunnerEntry> present) {
+    Map<String, Map<String, Integer>> counts = new TreeMap<>();
+    for (RunnerEntry runner : present) {
+      counts
+          .computeIfAbsent(runner.service(), service -> new TreeMap<>())
+          .merge(runner.version().name(), 1, Integer::sum);
+    }
+    counts.forEach(
+        (service, versions) ->
+            versions.forEach(
+                (version, count) ->
+                    rows.addObject()
+                        .put("service", service)
+                        .put("version", version)
+                        .put("runners", count)));
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
@@ -5,14 +5,35 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.runnerstate.RunnerAvailability.Statement;
 import org.sequoiahub.core.runnerstate.SendDecision.Reason;
+import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerIncarnation;
+import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
 
 class StatusPageTest {
 
+  private static RunnerEntry runner(String id, String version) {
+    return new RunnerEntry(
+        RunnerIncarnation.of(id),
+        0,
+        "llm",
+        SoftwareVersion.of(version),
+        "10.0.0.1:80",
+        "z",
+        8,
+        false,
+        -1,
+        0,
+        Set.of(),
+        Map.of());
+  }
+
   @Test
   void listsWhatRunnersState() throws Exception {
     JsonNode page =
@@ -26,7 +47,8 @@
                     List.of(new LimitStatus("i-1", 0.5, 300, true, 2, "host-2")),
                     List.of(
                         new Statement("i-2", Reason.LEAVING, 40, -1, true),
-                        new Statement("i-3", Reason.BACKOFF, 50, 2_950, false))));
+                        new Statement("i-3", Reason.BACKOFF, 50, 2_950, false)),
+                    List.of(runner("i-1", "v1"), runner("i-2", "v1"), runner("i-3", "v1.1"))));
     assertThat(page.path("host").asText()).isEqualTo("host-1");
     assertThat(page.path("configuration").asLong()).isEqualTo(7);
     JsonNode runner = page.path("runners").path(0);
@@ -37,5 +59,9 @@
     assertThat(page.path("runners").path(1).toString())
         .isEqualTo("{\"runner\":\"i-2\",\"stated\":\"leaving\",\"age_ms\":40,\"from\":\"peer\"}");
     assertThat(page.path("runners").path(2).path("left_ms").asLong()).isEqualTo(2_950);
+    assertThat(page.path("versions").toString())
+        .isEqualTo(
+            "[{\"service\":\"llm\",\"version\":\"v1\",\"runners\":2},"
+                + "{\"service\":\"llm\",\"version\":\"v1.1\",\"runners\":1}]");
   }
 }
