--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -296,7 +296,7 @@
             log);
     this.originExchange =
         new StreamOriginExchange(
-            new OriginKeepers(this::otherHosts), heartbeats::datagram, datagrams::send);
+            OriginKeepers.among(members), heartbeats::datagram, datagrams::send);
     this.wireClients = new WireClients(network, PEER_TIMEOUT_MILLIS);
     SharedRetryBudget budget =
         new SharedRetryBudget(hostSettings.retries(), startedMillis, hostSettings.firstStart());
@@ -591,18 +591,6 @@
     originExchange.tick(nowMillis);
   }
 
-  private List<OriginKeepers.Host> otherHosts(long nowMillis) {
-    return members.alive(nowMillis).stream()
-        .filter(member -> !member.host().equals(hostSettings.host()))
-        .map(
-            member ->
-                new OriginKeepers.Host(
-                    member.host(),
-                    member.ip(),
-                    member.state() == null ? "" : member.state().getFailureDomain()))
-        .toList();
-  }
-
   /**
    * Returns whether this host only processes requests, as in a large fleet all but the delegates
    * do: the delegates watch the store and hold the leases of runners.
@@ -699,13 +687,8 @@
       case PERMIT_GRANTS ->
           permitExchange.receivedGrants(
               from, datagram.getIncarnation(), datagram.getPermitGrants(), now);
-      case STREAM_ORIGIN -> originExchange.received(ip, datagram.getStreamOrigin(), now);
-      case STREAM_ORIGIN_RECEIVED ->
-          originExchange.receivedAcknowledgement(ip, datagram.getStreamOriginReceived());
-      case STREAM_ORIGIN_QUERY ->
-          originExchange.receivedQuery(ip, datagram.getStreamOriginQuery(), now);
-      case STREAM_ORIGIN_ANSWER ->
-          originExchange.receivedAnswer(ip, datagram.getStreamOriginAnswer(), now);
+      case STREAM_ORIGIN, STREAM_ORIGIN_RECEIVED, STREAM_ORIGIN_QUERY, STREAM_ORIGIN_ANSWER ->
+          originExchange.received(ip, datagram, now);
       case ENDS -> terminationExchange.received(from, ip, datagram.getEnds(), now);
       default ->
           log.warning(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
-import java.nio.ByteBuffer;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -15,7 +14,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.allowance.AllowanceLimiter;
@@ -33,13 +31,11 @@
 import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.quarantine.ActiveQuarantine;
 import org.sequoiahub.core.quarantine.LoadGuard;
-import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.runnerstate.CallKind;
-import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.KeyHasher;
@@ -51,7 +47,6 @@
 import org.sequoiahub.node.reach.RunnerPathMonitor;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.node.store.ConfigurationStatus;
-import org.sequoiahub.node.upstream.AttemptListener;
 import org.sequoiahub.node.upstream.Outcome;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.log.EventLog;
@@ -70,19 +65,6 @@
   /** Interval between checks for callers that have disconnected (ms). */
   private static final long CALLER_CHECK_INTERVAL_MILLIS = 100;
 
-  /**
-   * Interval at which a request is placed again whose adapter is ready, but which waits for the
-   * prompts ahead of it to be read (ms).
-   */
-  private static final long PROMPT_WAIT_INTERVAL_MILLIS = 30;
-
-  /**
-   * Longest interval at which a request that waits for its adapter is placed again (ms). It is also
-   * placed when the adapter is due and when the holding of its runner changes; placing it more
-   * often would only give the same result.
-   */
-  private static final long ADAPTER_WAIT_INTERVAL_MILLIS = 100;
-
   /** Retry-After when no runner of the service is known (ms); entries reappear within 2 s. */
   private static final long NO_RUNNER_RETRY_AFTER_MILLIS = 500;
 
@@ -113,6 +95,7 @@
   private final RunnerPathMonitor runnerPath;
   private final RequestForwarding forwarding;
   private final StreamResumption resumption;
+  private final RelayingAttemptListener.Events attempts = new Attempts();
   private final GenerationPlacement generationPlacement =
       new GenerationPlacement(PlacementSettings.DEFAULT);
   private final ServicePlacement servicePlacement = new ServicePlacement(PlacementSettings.DEFAULT);
@@ -127,7 +110,7 @@
   private final LocalResponses localResponses;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lastCallerCheckMillis;
-  private final WaitingDemands waitingDemands = new WaitingDemands();
+  private final WaitingCalls waitingCalls;
   private @Nullable Shutdown shutdown;
 
   /**
@@ -202,6 +185,7 @@
     this.random = random;
     this.log = log;
     this.localResponses = new LocalResponses(metrics, log);
+    this.waitingCalls = new WaitingCalls(fleet, runnerStates, inFlightListener, log);
   }
 
   /** Handles a request whose body has been read completely. */
@@ -304,22 +288,15 @@
         expire(call, nowMillis);
       } else if (!call.activeAttempts.isEmpty()) {
         checkActiveAttempts(call, nowMillis);
-      } else if (call.forwarded == null && isPlacementDue(call, nowMillis)) {
+      } else if (call.forwarded == null && waitingCalls.isPlacementDue(call, nowMillis)) {
         place(call, nowMillis);
       }
     }
   }
 
-  private boolean isPlacementDue(Call call, long nowMillis) {
-    RunnerEntry runner = call.waitingAt;
-    return nowMillis >= call.nextPlacementMillis
-        || runner == null
-        || fleet.holdingRevision(runner) != call.holdingRevision;
-  }
-
   /** Returns whether any request waits for a runner, which may become ready at any moment. */
   public boolean hasWaitingRequests() {
-    return waitingDemands.isAnyWaiting();
+    return waitingCalls.isAnyWaiting();
   }
 
   /**
@@ -327,7 +304,7 @@
    * id, if it must be reported now; it is then marked as reported.
    */
   public Optional<Map<String, List<Demand>>> takeDemandsIfDue(long nowMillis) {
-    return waitingDemands.takeIfDue(calls, fleet.relocations(nowMillis), nowMillis);
+    return waitingCalls.takeDemandsIfDue(calls, nowMillis);
   }
 
   /**
@@ -371,7 +348,7 @@
       quarantineGate.recordHold(call, hold.get(), nowMillis);
       fail(call, "quarantined: runners terminated while they ran this request", 0);
     } else if (runnerPath.isLost()) {
-      stopWaiting(call);
+      waitingCalls.stopWaiting(call);
       forwarding.forward(call, nowMillis);
     } else if (call.generation == null) {
       placePlain(call, nowMillis);
@@ -420,7 +397,7 @@
     } else if (tryAcquire(call, candidate, nowMillis)) {
       startAttempt(call, candidate.runner(), 0, nowMillis);
     } else {
-      waitAt(call, candidate, nowMillis);
+      waitingCalls.waitAt(call, candidate, nowMillis);
     }
   }
 
@@ -464,7 +441,7 @@
         && tryAcquire(call, candidate, nowMillis)) {
       startAttempt(call, candidate.runner(), candidate.unreadTokens(), nowMillis);
     } else {
-      waitAt(call, candidate, nowMillis);
+      waitingCalls.waitAt(call, candidate, nowMillis);
     }
   }
 
@@ -524,61 +501,12 @@
     }
   }
 
-  private void waitAt(Call call, Candidate candidate, long nowMillis) {
-    long adapterWait = candidate.adapterWaitMillis();
-    long knownWait =
-        candidate.sendDecision().waitsForPermit()
-            ? adapterWait
-            : Math.max(adapterWait, candidate.sendWaitMillis());
-    call.nextPlacementMillis =
-        nowMillis
-            + (knownWait > 0
-                ? Math.min(ADAPTER_WAIT_INTERVAL_MILLIS, knownWait)
-                : PROMPT_WAIT_INTERVAL_MILLIS);
-    call.waitsToSend = adapterWait <= 0 && candidate.sendWaitMillis() > 0;
-    call.holdingRevision = fleet.holdingRevision(candidate.runner());
-    RunnerEntry before = call.waitingAt;
-    if (before != null && before.id().equals(candidate.runner().id())) {
-      return;
-    }
-    stopWaiting(call);
-    call.waitingAt = candidate.runner();
-    waitingDemands.recordBegin();
-    call.waitingSinceMillis = nowMillis;
-    call.waitingTokens = candidate.unreadTokens();
-    fleet.fleetLoad().add(candidate.runner().id(), 1, 0, call.waitingTokens, call.adapter());
-    log.info(
-        "request-waits",
-        "request",
-        call.id(),
-        "runner",
-        candidate.runner().id(),
-        "adapter",
-        call.adapter(),
-        "wait_ms",
-        candidate.adapterWaitMillis(),
-        "present",
-        candidate.heldOrLoading());
-    inFlightListener.run();
-  }
-
-  private void stopWaiting(Call call) {
-    RunnerEntry before = call.waitingAt;
-    if (before != null) {
-      fleet.fleetLoad().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
-      call.waitingAt = null;
-      call.waitsToSend = false;
-      runnerStates.permits().withdraw(call);
-      waitingDemands.recordEnd();
-    }
-  }
-
   private void startAttempt(Call call, RunnerEntry runner, int unreadTokens, long nowMillis) {
     if (!retryGate.chargeSend(call, nowMillis)) {
       fail(call, "the retry budget is exhausted", MIN_RETRY_AFTER_MILLIS);
       return;
     }
-    stopWaiting(call);
+    waitingCalls.stopWaiting(call);
     call.sends++;
     Call.ActiveAttempt active = new Call.ActiveAttempt(call.sends, runner, nowMillis, unreadTokens);
     call.activeAttempts.add(active);
@@ -629,57 +557,19 @@
             HeaderCodec.toRunner(call.exchange.headers(), headers),
             call.exchange.body(),
             call.route.repeatPolicy().isStream(),
-            new CallAttemptListener(call, active));
+            new RelayingAttemptListener(
+                call, active, runnerPath, runnerStates, attempts, decisionThread, clock));
   }
 
-  /** Relays chunks to the caller at once and passes all other events to the decision thread. */
-  private final class CallAttemptListener implements AttemptListener {
-    private final Call call;
-    private final Call.ActiveAttempt active;
-
-    CallAttemptListener(Call call, Call.ActiveAttempt active) {
-      this.call = call;
-      this.active = active;
-    }
-
+  private final class Attempts implements RelayingAttemptListener.Events {
     @Override
-    public void signalsReceived(RunnerSignals signals) {
-      runnerPath.responseReceived();
-      if (runnerStates.isRelevant(signals)) {
-        decisionThread.accept(
-            () ->
-                runnerStates.responseReceived(
-                    active.runner.id(), signals, active.startedMillis, clock.getAsLong()));
-      }
+    public void onFirstEvent(Call call, Call.ActiveAttempt active) {
+      RequestCoordinator.this.onFirstEvent(call, active);
     }
 
     @Override
-    public void streamStarted(int status, HttpFields headers) {
-      call.relay.start(active.number, status, headers, active.runner.version());
-    }
-
-    @Override
-    public void streamContent(ByteBuffer chunk) {
-      runnerPath.responseReceived();
-      if (call.relay.relayChunk(active.number, chunk, clock.getAsLong())) {
-        decisionThread.accept(() -> onFirstEvent(call, active));
-      }
-    }
-
-    @Override
-    public void ended(Outcome outcome) {
-      Outcome verified = verify(outcome);
-      decisionThread.accept(() -> RequestCoordinator.this.onAttemptEnded(call, active, verified));
-    }
-
-    /** Returns a stream that was truncated as a lost response, and other outcomes unchanged. */
-    private Outcome verify(Outcome outcome) {
-      return outcome instanceof Outcome.StreamCompleted completed
-              && call.relay.completeness(active.number, completed.framing())
-                  instanceof Completeness.Truncated truncated
-          ? new Outcome.ResponseLost(
-              truncated.reason(), completed.framing() == Framing.CONNECTION_END)
-          : outcome;
+    public void onEnded(Call call, Call.ActiveAttempt active, Outcome outcome) {
+      onAttemptEnded(call, active, outcome);
     }
   }
 
@@ -1025,7 +915,7 @@
     if (!call.mayHaveRun && !call.isFromOtherHost()) {
       admission.refund(call.permitted, call.headers, call.arrivedMillis);
     }
-    stopWaiting(call);
+    waitingCalls.stopWaiting(call);
     calls.remove(call);
     inFlightListener.run();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/origin/OriginKeepers.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/origin/OriginKeepers.java
@@ -5,8 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
+import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.core.origin.StreamKey;
 import org.sequoiahub.core.placement.Rendezvous;
+import org.sequoiahub.schema.peer.HostState;
 
 /**
  * Selects the hosts that keep where a stream began, by rendezvous hashing and in different failure
@@ -43,6 +46,17 @@
     this.others = requireNonNull(others, "others must not be null");
   }
 
+  /** Creates a selector among the members of the fleet that are alive. */
+  public static OriginKeepers among(Members<HostState> members) {
+    return new OriginKeepers(
+        nowMillis -> members.alive(nowMillis).stream().map(OriginKeepers::host).toList());
+  }
+
+  private static Host host(Member<HostState> member) {
+    HostState state = member.state();
+    return new Host(member.host(), member.ip(), state == null ? "" : state.getFailureDomain());
+  }
+
   /** Returns the addresses of the hosts that keep a stream. */
   List<String> keepers(StreamKey key, long nowMillis) {
     return select(key, KEEPERS, nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/origin/StreamOriginExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/origin/StreamOriginExchange.java
@@ -175,8 +175,27 @@
     return origins.size();
   }
 
+  /**
+   * Handles another host's datagram about the origin of a stream; others are ignored.
+   *
+   * @param ip the other host's address
+   */
+  public void received(String ip, PeerDatagram datagram, long nowMillis) {
+    switch (datagram.getBodyCase()) {
+      case STREAM_ORIGIN -> receivedOrigin(ip, datagram.getStreamOrigin(), nowMillis);
+      case STREAM_ORIGIN_RECEIVED ->
+          receivedAcknowledgement(ip, datagram.getStreamOriginReceived());
+      case STREAM_ORIGIN_QUERY -> receivedQuery(ip, datagram.getStreamOriginQuery(), nowMillis);
+      case STREAM_ORIGIN_ANSWER -> receivedAnswer(ip, datagram.getStreamOriginAnswer(), nowMillis);
+      default -> {
+        // The other kinds belong to other receivers.
+      }
+    }
+  }
+
   /** Remembers an origin that another host has sent, and acknowledges it. */
-  public void received(String ip, org.sequoiahub.schema.peer.StreamOrigin message, long nowMillis) {
+  private void receivedOrigin(
+      String ip, org.sequoiahub.schema.peer.StreamOrigin message, long nowMillis) {
     StreamKey key = decode(message.getKey());
     decode(message.getService(), message.getVersion())
         .ifPresent(origin -> origins.record(key, origin, nowMillis));
@@ -188,14 +207,14 @@
   }
 
   /** Records that a keeper has an origin. */
-  public void receivedAcknowledgement(String ip, StreamOriginReceived message) {
+  private void receivedAcknowledgement(String ip, StreamOriginReceived message) {
     StreamKey key = decode(message.getKey());
     unacknowledged.removeIf(
         each -> each.key.equals(key) && each.keepers.remove(ip) && each.keepers.isEmpty());
   }
 
   /** Answers another host's question. */
-  public void receivedQuery(String ip, StreamOriginQuery message, long nowMillis) {
+  private void receivedQuery(String ip, StreamOriginQuery message, long nowMillis) {
     StreamKey key = decode(message.getKey());
     StreamOriginAnswer.Builder answer = StreamOriginAnswer.newBuilder().setKey(encode(key));
     if (origins.isKnown(key, nowMillis)) {
@@ -209,7 +228,7 @@
   }
 
   /** Handles the answer to a question of this host. */
-  public void receivedAnswer(String ip, StreamOriginAnswer message, long nowMillis) {
+  private void receivedAnswer(String ip, StreamOriginAnswer message, long nowMillis) {
     StreamKey key = decode(message.getKey());
     Search search = searches.get(key);
     if (search == null || !search.unanswered.remove(ip)) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/origin/StreamOriginExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/origin/StreamOriginExchangeTest.java
@@ -122,17 +122,7 @@
         return;
       }
       String from = Integer.toString(each.from);
-      PeerDatagram datagram = each.datagram;
-      switch (datagram.getBodyCase()) {
-        case STREAM_ORIGIN -> host.exchange.received(from, datagram.getStreamOrigin(), now);
-        case STREAM_ORIGIN_RECEIVED ->
-            host.exchange.receivedAcknowledgement(from, datagram.getStreamOriginReceived());
-        case STREAM_ORIGIN_QUERY ->
-            host.exchange.receivedQuery(from, datagram.getStreamOriginQuery(), now);
-        case STREAM_ORIGIN_ANSWER ->
-            host.exchange.receivedAnswer(from, datagram.getStreamOriginAnswer(), now);
-        default -> throw new AssertionError("unexpected datagram: " + datagram);
-      }
+      host.exchange.received(from, each.datagram, now);
     }
 
     /** Returns what a host finds, and checks that it finds it within the time of a search. */
