--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/GuaranteeChecker.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/GuaranteeChecker.java
@@ -84,11 +84,16 @@
       return body.endsWith(
           request.kind().prefix() + "x?id=" + request.id() + " body of " + request.id());
     }
-    StringBuilder expected = new StringBuilder();
+    return Soak.VERSIONS.stream().anyMatch(version -> body.equals(wholeStream(version)));
+  }
+
+  /** Returns a stream whose events are all of runners of one software version. */
+  private String wholeStream(String version) {
+    StringBuilder events = new StringBuilder();
     for (int number = 1; number <= eventsPerStream; number++) {
-      expected.append("id: ").append(number).append("\ndata: words ").append(number).append("\n\n");
+      events.append(StandinRunner.event(number, version));
     }
-    return body.contentEquals(expected);
+    return events.toString();
   }
 
   private int runCount(String id) {
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -31,6 +31,10 @@
 
   private static final int PORTS_PER_HOST = 5;
   private static final int RUNNERS_OF_EACH_KIND = 3;
+
+  /** The software versions of the runners, in turn. */
+  static final List<String> VERSIONS = List.of(StandinRunner.FIRST_VERSION, "v1.1");
+
   private static final int ADAPTERS_PER_RUNNER = 4;
   private static final int EVENTS_PER_STREAM = 12;
   private static final int EVENT_INTERVAL_MILLIS = 25;
@@ -120,9 +124,10 @@
   }
 
   private StandinRunner createRunner(String service, String model) throws Exception {
+    int number = nextRunnerNumber++;
     StandinRunner runner =
-        new StandinRunner(
-            "i-" + seed + "-" + nextRunnerNumber++, service, model, ADAPTERS_PER_RUNNER);
+        new StandinRunner("i-" + seed + "-" + number, service, model, ADAPTERS_PER_RUNNER);
+    runner.version(VERSIONS.get(number % VERSIONS.size()));
     runner.streamEvents(EVENTS_PER_STREAM, EVENT_INTERVAL_MILLIS);
     runner.plainMillis(PLAIN_DURATION_MILLIS);
     allRunners.add(runner);
