Bind a stream to the version of the head that went to its caller

A comment before the first event sent the head of one attempt, and the first event could come from another: the host that had passed the request on would have been told the version of the head, and would have resumed the stream there. The origin is now set when the head goes out. Found in reading; StreamRelayTest plays both orders.

A stream whose version has no usable runner is refused with the version and the id that it resumes in the reason.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -384,11 +384,7 @@
     Optional<Candidate> chosen =
         servicePlacement.choose(candidates, call.waitingAtId(), random.nextDouble());
     if (chosen.isEmpty()) {
-      fail(
-          call,
-          "no usable runner for the service: no registered runner accepts requests, or this request"
-              + " was tried at all that do",
-          NO_RUNNER_RETRY_AFTER_MILLIS);
+      fail(call, StreamResumption.noRunnerReason(call), NO_RUNNER_RETRY_AFTER_MILLIS);
       return;
     }
     Candidate candidate = chosen.get();
@@ -407,11 +403,7 @@
     Optional<GenerationPlacement.Choice> chosen =
         generationPlacement.choose(generation, limits, candidates, call.waitingAtId());
     if (chosen.isEmpty()) {
-      fail(
-          call,
-          "no usable runner for the service: no registered runner accepts requests, or this request"
-              + " was tried at all that do",
-          NO_RUNNER_RETRY_AFTER_MILLIS);
+      fail(call, StreamResumption.noRunnerReason(call), NO_RUNNER_RETRY_AFTER_MILLIS);
       return;
     }
     GenerationPlacement.Choice choice = chosen.get();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -38,7 +38,7 @@
   /** The software version of the runner of the current attempt; null if it is not known. */
   private @Nullable SoftwareVersion version;
 
-  /** The software version of the runner that made the first event; null before it. */
+  /** The software version of the runner whose head went to the caller; null before it. */
   private @Nullable SoftwareVersion origin;
 
   private record Head(int status, HttpFields headers) {}
@@ -62,7 +62,7 @@
 
   /**
    * Receives the head of an attempt's response. The caller gets the head of the attempt that brings
-   * the first event.
+   * the first event, or a comment before it.
    *
    * @param runnerVersion the software version of the runner; null if it is not known
    */
@@ -82,15 +82,10 @@
     lastChunkMillis = nowMillis;
     boolean noneBefore = events.completeEvents() == 0;
     byte[] complete = events.accept(BufferUtil.toArray(chunk));
-    boolean first = noneBefore && events.completeEvents() > 0;
-    if (first && version != null) {
-      origin = version;
-      exchange.originatesAt(version);
-    }
     if (complete.length > 0) {
       write(complete);
     }
-    return first;
+    return noneBefore && events.completeEvents() > 0;
   }
 
   /** Returns whether the stream of an attempt is complete, once its response has ended. */
@@ -110,6 +105,10 @@
     Head unsent = head;
     if (unsent != null) {
       head = null;
+      if (origin == null && version != null) {
+        origin = version;
+        exchange.originatesAt(version);
+      }
       exchange.start(unsent.status, unsent.headers);
     }
     if (bytes.length > 0) {
@@ -117,7 +116,10 @@
     }
   }
 
-  /** Returns the software version of the runner that made the first event, if it is known. */
+  /**
+   * Returns the software version of the runner that began the stream: that of the head that went to
+   * the caller, and so of all events. Empty if nothing went to the caller, or if it is not known.
+   */
   synchronized Optional<SoftwareVersion> origin() {
     return Optional.ofNullable(origin);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
@@ -144,6 +144,18 @@
     return new Readiness.Refused(reason);
   }
 
+  /** Returns why a request that no runner can serve is refused, for a human reader. */
+  static String noRunnerReason(Call call) {
+    String reason =
+        "no usable runner for the service: no registered runner accepts requests, or this request"
+            + " was tried at all that do";
+    return call.requiredVersion == null
+        ? reason
+        : reason
+            + "; the stream %s began at software version %s"
+                .formatted(call.headers.resumedRequestId(), call.requiredVersion);
+  }
+
   /** Records where a new stream began, once its first event has gone to the caller. */
   void firstEventRelayed(Call call, long nowMillis) {
     if (call.route.repeatPolicy() == RepeatPolicy.RESUMABLE_STREAM
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -66,8 +66,7 @@
   }
 
   /**
-   * States the software version of the runner that made the first event of a stream, before that
-   * event is written.
+   * States the software version of the runner that began a stream, before the stream is started.
    */
   default void originatesAt(SoftwareVersion version) {}
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/origin/StreamOriginExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/origin/StreamOriginExchange.java
@@ -170,11 +170,6 @@
     return !searches.isEmpty();
   }
 
-  /** Returns the number of streams whose origin this host remembers. */
-  public int size() {
-    return origins.size();
-  }
-
   /**
    * Handles another host's datagram about the origin of a stream; others are ignored.
    *
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
@@ -0,0 +1,147 @@
+package org.sequoiahub.node.call;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.node.caller.CallerExchange;
+
+/** Guards against streams whose origin and head belong to different attempts. */
+class StreamRelayTest {
+
+  private static final SoftwareVersion V1 = SoftwareVersion.of("v1");
+  private static final SoftwareVersion V2 = SoftwareVersion.of("v1.1");
+
+  private final List<String> sent = new ArrayList<>();
+  private final StreamRelay relay = new StreamRelay(new RecordingExchange());
+
+  /** Records what is sent to the caller. */
+  private final class RecordingExchange implements CallerExchange {
+    private boolean started;
+
+    @Override
+    public String method() {
+      return "GET";
+    }
+
+    @Override
+    public String pathAndQuery() {
+      return "/";
+    }
+
+    @Override
+    public String path() {
+      return "/";
+    }
+
+    @Override
+    public String host() {
+      return "h.example";
+    }
+
+    @Override
+    public String callerIp() {
+      return "10.0.0.1";
+    }
+
+    @Override
+    public HttpFields headers() {
+      return HttpFields.EMPTY;
+    }
+
+    @Override
+    public byte[] body() {
+      return new byte[0];
+    }
+
+    @Override
+    public boolean isCallerDisconnected() {
+      return false;
+    }
+
+    @Override
+    public void closeConnectionAfterResponse() {}
+
+    @Override
+    public void respond(int status, HttpFields headers, byte[] content) {}
+
+    @Override
+    public void originatesAt(SoftwareVersion version) {
+      sent.add("origin " + version);
+    }
+
+    @Override
+    public void start(int status, HttpFields headers) {
+      if (!started) {
+        started = true;
+        sent.add("head " + headers.get("X"));
+      }
+    }
+
+    @Override
+    public boolean writeChunk(ByteBuffer bytes) {
+      sent.add(UTF_8.decode(bytes).toString());
+      return true;
+    }
+
+    @Override
+    public void complete() {
+      sent.add("end");
+    }
+
+    @Override
+    public void abort(String reason) {}
+
+    @Override
+    public boolean isStarted() {
+      return started;
+    }
+  }
+
+  private void attempt(int number, SoftwareVersion version, String... chunks) {
+    relay.expectAttempt(number);
+    relay.start(number, 200, HttpFields.build().add("X", "attempt-" + number), version);
+    for (String chunk : chunks) {
+      relay.relayChunk(number, ByteBuffer.wrap(chunk.getBytes(UTF_8)), 0);
+    }
+  }
+
+  @Test
+  void headAndOriginAreThoseOfTheFirstEvent() {
+    attempt(1, V1, "id: 1\nda");
+    assertThat(relay.origin()).isEmpty();
+    attempt(2, V2, "id: 1\n\n");
+    assertThat(relay.origin()).hasValue(V2);
+    assertThat(sent).containsExactly("origin v1.1", "head attempt-2", "id: 1\n\n").inOrder();
+  }
+
+  @Test
+  void commentBeforeTheFirstEventBindsTheStreamToItsVersion() {
+    attempt(1, V1, ": hello\n\n");
+    assertThat(relay.origin()).hasValue(V1);
+    assertThat(sent).containsExactly("origin v1", "head attempt-1", ": hello\n\n").inOrder();
+  }
+
+  @Test
+  void attemptThatWasGivenUpBringsNothing() {
+    attempt(1, V1);
+    relay.expectNone();
+    relay.relayChunk(1, ByteBuffer.wrap("id: 1\n\n".getBytes(UTF_8)), 0);
+    assertThat(relay.origin()).isEmpty();
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void streamInsideAnEventIsNotComplete() {
+    attempt(1, V1, "id: 1\n\n", "id: 2");
+    assertThat(relay.completeness(1, Framing.CHUNKS).isComplete()).isFalse();
+    relay.relayChunk(1, ByteBuffer.wrap("\n\n".getBytes(UTF_8)), 0);
+    assertThat(relay.completeness(1, Framing.CONNECTION_END).isComplete()).isTrue();
+  }
+}
