--- a/sequoia-core/src/test/java/org/sequoiahub/core/origin/ResumePolicyTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/origin/ResumePolicyTest.java
@@ -89,7 +89,7 @@
   class UnknownOrigin {
 
     @Test
-    void goesOnOnlyAfterOneVersionForTheLifeOfAStream() {
+    void goesOnOnlyAfterOneVersionForTheLifeOfStreams() {
       add("i-1", V1);
       advance(STREAM_LIFE_MILLIS - 1);
       assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
@@ -106,7 +106,7 @@
     }
 
     @Test
-    void isRefusedForTheLifeOfAStreamAfterTheLastRunnerOfAVersion() {
+    void isRefusedForTheLifeOfStreamsAfterTheLastRunnerOfOneVersion() {
       add("i-1", V1);
       add("i-2", V2);
       advance(STREAM_LIFE_MILLIS);
@@ -128,7 +128,7 @@
     }
 
     @Test
-    void isRefusedAfterARunnerCameAndWentUnseen() {
+    void isRefusedAfterRunnerCameAndWentUnseen() {
       add("i-1", V1);
       advance(STREAM_LIFE_MILLIS);
       remove("i-never-seen");
@@ -198,7 +198,7 @@
   }
 
   @Test
-  void versionsMustHaveANameOfLimitedLength() {
+  void versionsMustHaveNamesOfLimitedLength() {
     assertThrows(IllegalArgumentException.class, () -> SoftwareVersion.of(""));
     assertThrows(IllegalArgumentException.class, () -> SoftwareVersion.of("v".repeat(129)));
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/origin/StreamOriginExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/origin/StreamOriginExchangeTest.java
@@ -209,7 +209,7 @@
   /** A stream costs the keepers' copies and their acknowledgements, whatever the fleet's size. */
   @ParameterizedTest
   @ValueSource(ints = {7, 77, 300})
-  void costOfAStreamIsIndependentOfTheFleet(int size) {
+  void costOfOneStreamIsIndependentOfTheFleet(int size) {
     Fleet fleet = new Fleet(size, size);
     for (int number = 0; number < 200; number++) {
       fleet.hosts.get(number % size).exchange.record(key(number), origin(number), fleet.now);
