Share the stubs that the tests of truncated responses and versions wrote again

Three exchanges of a caller, three recorders of an attempt, three callers over raw sockets and a second scripted runner did the same: StubExchange, AttemptRecorder, RawCaller and ScriptedRunner serve all now, and the fuzzed test takes a runner's entry from StandinRunner in place of a second rendering. All assertions are kept; the one on callers without chunks names the reset in place of "not closed in order".

--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -163,10 +163,7 @@
   }
 
   StandinRunner startRunner(String id, String service, String model) throws Exception {
-    StandinRunner runner = new StandinRunner(id, service, model, 4);
-    runners.add(runner);
-    publish(runner, "ready");
-    return runner;
+    return startRunner(id, service, model, StandinRunner.FIRST_VERSION);
   }
 
   /** Starts a runner whose software has a version. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StreamVersionsTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StreamVersionsTest.java
@@ -2,12 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
@@ -29,7 +25,6 @@
   private static final int HOSTS = 3;
   private static final int EVENTS = 5;
   private static final int ROUNDS = 12;
-  private static final int READ_TIMEOUT_MILLIS = 20_000;
   private static final Pattern EVENT = Pattern.compile("data: words (\\d)(?: of (\\S+))?");
 
   private LoopbackFleet fleet;
@@ -86,32 +81,20 @@
   }
 
   private Received send(int host, String id, String... headers) throws IOException {
-    try (Socket socket = new Socket(LoopbackFleet.ip(host), fleet.callerPort())) {
-      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-      StringBuilder head = new StringBuilder("POST /s/x HTTP/1.1\r\nHost: h.example\r\n");
-      head.append(Headers.REQUEST_ID).append(": ").append(id).append("\r\n");
-      head.append(Headers.DEADLINE).append(": 15000\r\n");
-      head.append(Headers.MODEL).append(": m\r\n");
-      head.append(Headers.TOKEN_COUNTS).append(": 100,20\r\n");
-      for (String header : headers) {
-        head.append(header).append("\r\n");
-      }
-      head.append("Content-Length: 1\r\nConnection: close\r\n\r\nx");
-      socket.getOutputStream().write(head.toString().getBytes(UTF_8));
-      ByteArrayOutputStream received = new ByteArrayOutputStream();
-      InputStream in = socket.getInputStream();
-      try {
-        for (int next = in.read(); next >= 0; next = in.read()) {
-          received.write(next);
-        }
-      } catch (IOException e) {
-        // The host has reset the connection; what came before counts.
-      }
-      return Received.of(received.toString(UTF_8));
+    StringBuilder head = new StringBuilder("POST /s/x HTTP/1.1\r\nHost: h.example\r\n");
+    head.append(Headers.REQUEST_ID).append(": ").append(id).append("\r\n");
+    head.append(Headers.DEADLINE).append(": 15000\r\n");
+    head.append(Headers.MODEL).append(": m\r\n");
+    head.append(Headers.TOKEN_COUNTS).append(": 100,20\r\n");
+    for (String header : headers) {
+      head.append(header).append("\r\n");
     }
+    head.append("Content-Length: 1\r\nConnection: close\r\n\r\nx");
+    return Received.of(
+        RawCaller.send(LoopbackFleet.ip(host), fleet.callerPort(), head.toString()).text());
   }
 
-  /** Begins a stream that all runners break off, and takes it up at another host. */
+  /** Takes a stream up that was broken off. */
   private Received takeUp(int host, String id, Received begun) throws IOException {
     return send(host, id + "-2", "Last-Event-Id: " + begun.lastEvent(), "Resumes: " + id);
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
@@ -1,16 +1,9 @@
 package org.sequoiahub.node;
 
 import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.Objects.requireNonNull;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -20,17 +13,17 @@
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.lifecycle.BeforeContainer;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahub.node.upstream.ScriptedRunner;
 import org.sequoiahub.usersplatform.Headers;
-import org.sequoiahub.usersplatform.standin.StandinConfiguration;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
 
 /** Guards against callers that get a complete framing of less than the runner's body. */
 class TruncatedResponsePropertiesTest {
 
-  private static final int READ_TIMEOUT_MILLIS = 20_000;
   private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
 
   private static @Nullable LoopbackFleet fleet;
-  private static @Nullable ServerSocket runner;
+  private static @Nullable ScriptedRunner runner;
   private static int number;
   private static volatile Response planned = new Response("", false);
 
@@ -47,17 +40,23 @@
   static void open() throws Exception {
     LoopbackFleet opened = new LoopbackFleet();
     fleet = opened;
-    ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    runner = socket;
-    Thread thread = new Thread(() -> serve(socket), "truncating-runner");
-    thread.setDaemon(true);
-    thread.start();
+    ScriptedRunner scripted =
+        new ScriptedRunner(
+            (request, connection, out) -> {
+              Response response = planned;
+              ScriptedRunner.write(out, response.text);
+              if (response.reset) {
+                ScriptedRunner.reset(connection);
+              } else {
+                connection.close();
+              }
+            });
+    runner = scripted;
     opened.configure(
         LoopbackFleet.route("/plain/", "unsafe", "raw", false),
         LoopbackFleet.route("/stream/", "streaming", "raw", false));
-    opened.store.put(
-        "servers/i-1",
-        StandinConfiguration.runnerEntry("raw", "127.0.0.1:" + socket.getLocalPort()));
+    StandinRunner described = opened.startRunner("i-1", "raw", "");
+    opened.store.put("servers/i-1", described.entry("ready", scripted.entry().address()));
     opened.startOnlyNode();
   }
 
@@ -71,51 +70,18 @@
     }
   }
 
-  private static void serve(ServerSocket socket) {
-    while (!socket.isClosed()) {
-      try (Socket connection = socket.accept()) {
-        InputStream in = connection.getInputStream();
-        StringBuilder head = new StringBuilder();
-        for (int next = in.read(); next >= 0 && head.indexOf("\r\n\r\n") < 0; ) {
-          head.append((char) next);
-          next = head.indexOf("\r\n\r\n") < 0 ? in.read() : -1;
-        }
-        Response response = planned;
-        connection.getOutputStream().write(response.text.getBytes(ISO_8859_1));
-        connection.getOutputStream().flush();
-        if (response.reset) {
-          connection.setSoLinger(true, 0);
-        }
-      } catch (IOException e) {
-        // A connect without a request, or the end of the test; callers show what was received.
-      }
-    }
-  }
-
   private static String send(String path) throws IOException {
-    LoopbackFleet hosts = requireNonNull(fleet);
-    try (Socket socket = new Socket(LoopbackFleet.ip(1), hosts.callerPort())) {
-      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-      String head =
-          "GET "
-              + path
-              + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
-              + Headers.REQUEST_ID
-              + ": r\r\n"
-              + Headers.DEADLINE
-              + ": 15000\r\n\r\n";
-      socket.getOutputStream().write(head.getBytes(UTF_8));
-      ByteArrayOutputStream received = new ByteArrayOutputStream();
-      InputStream in = socket.getInputStream();
-      try {
-        for (int next = in.read(); next >= 0; next = in.read()) {
-          received.write(next);
-        }
-      } catch (IOException e) {
-        return "reset";
-      }
-      return received.toString(ISO_8859_1);
-    }
+    String request =
+        "GET "
+            + path
+            + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+            + Headers.REQUEST_ID
+            + ": r\r\n"
+            + Headers.DEADLINE
+            + ": 15000\r\n\r\n";
+    RawCaller.Received received =
+        RawCaller.send(LoopbackFleet.ip(1), requireNonNull(fleet).callerPort(), request);
+    return received.end() == RawCaller.End.CLOSED ? received.text() : "reset";
   }
 
   /** Returns the body of a complete successful response; null for any other one. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -2,14 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -28,7 +22,6 @@
 @Timeout(value = 180, unit = TimeUnit.SECONDS)
 class TruncatedStreamTest {
 
-  private static final int READ_TIMEOUT_MILLIS = 20_000;
   private static final int EVENTS = 5;
 
   private LoopbackFleet fleet;
@@ -51,13 +44,12 @@
   }
 
   /**
-   * What a caller received until the connection ended or the response was complete.
+   * What a caller received.
    *
    * @param text the bytes of the response, with its head and framing
-   * @param closed whether the host closed the connection in order
-   * @param ended whether the host ended the connection at all
+   * @param end how its connection ended
    */
-  private record Received(String text, boolean closed, boolean ended) {
+  private record Received(String text, RawCaller.End end) {
 
     boolean isCompleteByChunks() {
       return text.endsWith("\r\n0\r\n\r\n");
@@ -71,40 +63,22 @@
 
   /** Sends a request on a connection that the host is to close after the response. */
   private Received send(int host, String path, String id, String version) throws IOException {
-    try (Socket socket = new Socket(LoopbackFleet.ip(host), fleet.callerPort())) {
-      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-      OutputStream out = socket.getOutputStream();
-      String head =
-          String.join(
-              "\r\n",
-              "POST " + path + "x " + version,
-              "Host: h.example",
-              Headers.REQUEST_ID + ": " + id,
-              Headers.DEADLINE + ": 15000",
-              Headers.MODEL + ": m",
-              Headers.TOKEN_COUNTS + ": 100,20",
-              "Content-Length: 1",
-              "Connection: close",
-              "",
-              "x");
-      out.write(head.getBytes(UTF_8));
-      out.flush();
-      ByteArrayOutputStream received = new ByteArrayOutputStream();
-      boolean closed = true;
-      boolean ended = true;
-      try {
-        InputStream in = socket.getInputStream();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-          received.write(next);
-        }
-      } catch (SocketTimeoutException e) {
-        closed = false;
-        ended = false;
-      } catch (IOException e) {
-        closed = false;
-      }
-      return new Received(received.toString(UTF_8), closed, ended);
-    }
+    String request =
+        String.join(
+            "\r\n",
+            "POST " + path + "x " + version,
+            "Host: h.example",
+            Headers.REQUEST_ID + ": " + id,
+            Headers.DEADLINE + ": 15000",
+            Headers.MODEL + ": m",
+            Headers.TOKEN_COUNTS + ": 100,20",
+            "Content-Length: 1",
+            "Connection: close",
+            "",
+            "x");
+    RawCaller.Received received =
+        RawCaller.send(LoopbackFleet.ip(host), fleet.callerPort(), request);
+    return new Received(received.text(), received.end());
   }
 
   private void cutAllAfter(int events, Cut cut) {
@@ -151,7 +125,7 @@
     void callerWithoutChunksSeesThatItWasBrokenOff(Cut cut) throws Exception {
       cutAllAfter(2, cut);
       Received received = send(1, "/once/", "q1", "HTTP/1.0");
-      assertWithMessage("closed in order").that(received.closed()).isFalse();
+      assertWithMessage("end").that(received.end()).isEqualTo(RawCaller.End.RESET);
     }
 
     @ParameterizedTest
@@ -178,7 +152,7 @@
       Received received = send(1, "/resumable/", "q1", "HTTP/1.1");
       assertThat(received.lastEvent()).isEqualTo(2);
       assertThat(received.isCompleteByChunks()).isFalse();
-      assertWithMessage("broken off").that(received.ended()).isTrue();
+      assertWithMessage("end").that(received.end()).isNotEqualTo(RawCaller.End.NONE);
     }
 
     @Test
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
@@ -4,7 +4,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.codahale.metrics.MetricRegistry;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +29,7 @@
 import org.sequoiahub.core.workspace.HashedKey;
 import org.sequoiahub.core.workspace.Workspaces;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.caller.StubExchange;
 import org.sequoiahub.node.forward.ForwardListener;
 import org.sequoiahub.node.forward.ForwardOutcome;
 import org.sequoiahub.node.forward.HostSelector;
@@ -204,84 +204,23 @@
       }
     }
 
-    private final class Exchange implements CallerExchange {
+    private final class Exchange extends StubExchange {
       private final boolean fromOtherHost;
 
       Exchange(boolean fromOtherHost) {
+        super("POST", "/p/q", HttpFields.EMPTY, new byte[0]);
         this.fromOtherHost = fromOtherHost;
       }
 
-      @Override
-      public String method() {
-        return "POST";
-      }
-
-      @Override
-      public String pathAndQuery() {
-        return "/p/q";
-      }
-
-      @Override
-      public String path() {
-        return "/p/q";
-      }
-
-      @Override
-      public String host() {
-        return "h.example";
-      }
-
-      @Override
-      public String callerIp() {
-        return "10.9.9.9";
-      }
-
-      @Override
-      public HttpFields headers() {
-        return HttpFields.EMPTY;
-      }
-
-      @Override
-      public byte[] body() {
-        return new byte[0];
-      }
-
       @Override
       public @Nullable Forwarding forwarding() {
         return fromOtherHost ? new Forwarding("10.0.0.1", 0, null) : null;
       }
 
-      @Override
-      public boolean isCallerDisconnected() {
-        return false;
-      }
-
-      @Override
-      public void closeConnectionAfterResponse() {}
-
       @Override
       public void respond(int status, HttpFields headers, byte[] content) {
         answeredStatus = status;
       }
-
-      @Override
-      public void start(int status, HttpFields headers) {}
-
-      @Override
-      public boolean writeChunk(ByteBuffer bytes) {
-        return true;
-      }
-
-      @Override
-      public void complete() {}
-
-      @Override
-      public void abort(String reason) {}
-
-      @Override
-      public boolean isStarted() {
-        return false;
-      }
     }
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.upstream.SoftwareVersion;
-import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.caller.StubExchange;
 
 /** Guards against streams whose origin and head belong to different attempts. */
 class StreamRelayTest {
@@ -22,55 +22,9 @@
   private final StreamRelay relay = new StreamRelay(new RecordingExchange());
 
   /** Records what is sent to the caller. */
-  private final class RecordingExchange implements CallerExchange {
+  private final class RecordingExchange extends StubExchange {
     private boolean started;
 
-    @Override
-    public String method() {
-      return "GET";
-    }
-
-    @Override
-    public String pathAndQuery() {
-      return "/";
-    }
-
-    @Override
-    public String path() {
-      return "/";
-    }
-
-    @Override
-    public String host() {
-      return "h.example";
-    }
-
-    @Override
-    public String callerIp() {
-      return "10.0.0.1";
-    }
-
-    @Override
-    public HttpFields headers() {
-      return HttpFields.EMPTY;
-    }
-
-    @Override
-    public byte[] body() {
-      return new byte[0];
-    }
-
-    @Override
-    public boolean isCallerDisconnected() {
-      return false;
-    }
-
-    @Override
-    public void closeConnectionAfterResponse() {}
-
-    @Override
-    public void respond(int status, HttpFields headers, byte[] content) {}
-
     @Override
     public void originatesAt(SoftwareVersion version) {
       sent.add("origin " + version);
@@ -95,9 +49,6 @@
       sent.add("end");
     }
 
-    @Override
-    public void abort(String reason) {}
-
     @Override
     public boolean isStarted() {
       return started;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.caller.CallerExchange;
+import org.sequoiahub.node.caller.StubExchange;
 import org.sequoiahub.schema.wire.Chunk;
 import org.sequoiahub.schema.wire.Envelope;
 import org.sequoiahub.schema.wire.Outcome;
@@ -126,7 +127,7 @@
             .add(Headers.DEADLINE, "5000")
             .add("X-Twice", "a")
             .add("X-Twice", "b");
-    return new StubExchange("POST", "/p/q?r=1", "h.example", headers, new byte[] {0, 1, -1});
+    return new StubExchange("POST", "/p/q?r=1", headers, new byte[] {0, 1, -1});
   }
 
   private RequestForwarder.Forwarded forward(int priorRuns, String lastEventId) {
--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/AttemptRecorder.java
@@ -0,0 +1,58 @@
+package org.sequoiahub.node.upstream;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.util.BufferUtil;
+import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
+
+/** Records the events of one attempt. */
+final class AttemptRecorder implements AttemptListener {
+
+  private static final long TIMEOUT_SECONDS = 20;
+
+  private final BlockingQueue<StatedLimit> limits = new LinkedBlockingQueue<>();
+  private final StringBuffer content = new StringBuffer();
+  private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+
+  /** Returns the limits that the responses stated. */
+  BlockingQueue<StatedLimit> limits() {
+    return limits;
+  }
+
+  /** Returns the content of the stream that was received so far. */
+  String content() {
+    return content.toString();
+  }
+
+  @Override
+  public void signalsReceived(RunnerSignals signals) {
+    limits.add(signals.limit());
+  }
+
+  @Override
+  public void streamStarted(int status, HttpFields headers) {}
+
+  @Override
+  public void streamContent(ByteBuffer buffer) {
+    content.append(new String(BufferUtil.toArray(buffer), UTF_8));
+  }
+
+  @Override
+  public void ended(Outcome outcome) {
+    outcomes.add(outcome);
+  }
+
+  /** Waits for the end of the attempt. */
+  Outcome awaitOutcome() throws InterruptedException {
+    Outcome outcome = outcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertWithMessage("outcome").that(outcome).isNotNull();
+    return outcome;
+  }
+}
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseEndTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseEndTest.java
@@ -1,29 +1,22 @@
 package org.sequoiahub.node.upstream;
 
 import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.nio.ByteBuffer;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.io.IOException;
+import java.net.Socket;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.util.BufferUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.usersplatform.Headers;
 
 /** Guards against responses that end early and are taken for complete ones. */
 class ResponseEndTest {
 
-  private static final long TIMEOUT_SECONDS = 20;
   private static final String EVENT = "id: 1\ndata: a\n\n";
 
   private HttpClient http;
@@ -47,7 +40,7 @@
     RESET_LATER,
     HALF_CLOSE_THEN_RESET;
 
-    void apply(java.net.Socket connection) throws java.io.IOException, InterruptedException {
+    void apply(Socket connection) throws IOException, InterruptedException {
       switch (this) {
         case CLOSE -> connection.close();
         case RESET -> ScriptedRunner.reset(connection);
@@ -65,30 +58,8 @@
     }
   }
 
-  /** What the listener of an attempt received. */
-  private record Received(String content, Outcome outcome) {}
-
-  private Received receive(String response, End end, boolean stream) throws Exception {
-    StringBuffer content = new StringBuffer();
-    BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-    AttemptListener listener =
-        new AttemptListener() {
-          @Override
-          public void signalsReceived(RunnerSignals signals) {}
-
-          @Override
-          public void streamStarted(int status, HttpFields headers) {}
-
-          @Override
-          public void streamContent(ByteBuffer buffer) {
-            content.append(new String(BufferUtil.toArray(buffer), UTF_8));
-          }
-
-          @Override
-          public void ended(Outcome outcome) {
-            outcomes.add(outcome);
-          }
-        };
+  private Outcome receive(String response, End end, boolean stream) throws Exception {
+    AttemptRecorder recorder = new AttemptRecorder();
     try (ScriptedRunner runner =
         new ScriptedRunner(
             (number, connection, out) -> {
@@ -96,10 +67,8 @@
               end.apply(connection);
             })) {
       HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-      client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], stream, listener);
-      Outcome outcome = outcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-      assertWithMessage("outcome").that(outcome).isNotNull();
-      return new Received(content.toString(), outcome);
+      client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], stream, recorder);
+      return recorder.awaitOutcome();
     }
   }
 
@@ -113,28 +82,25 @@
     @ParameterizedTest
     @EnumSource(names = {"RESET", "RESET_LATER"})
     void resetPlainResponseIsLost(End end) throws Exception {
-      assertThat(receive(head("") + "half", end, false).outcome)
-          .isInstanceOf(Outcome.ResponseLost.class);
+      assertThat(receive(head("") + "half", end, false)).isInstanceOf(Outcome.ResponseLost.class);
     }
 
     @ParameterizedTest
     @EnumSource(names = {"RESET", "RESET_LATER"})
     void resetStreamIsLost(End end) throws Exception {
-      assertThat(receive(head("") + EVENT, end, true).outcome)
-          .isInstanceOf(Outcome.ResponseLost.class);
+      assertThat(receive(head("") + EVENT, end, true)).isInstanceOf(Outcome.ResponseLost.class);
     }
 
     @ParameterizedTest
     @EnumSource(names = {"RESET", "RESET_LATER"})
     void resetBeforeTheBodyIsLost(End end) throws Exception {
-      assertThat(receive(head(""), end, true).outcome).isInstanceOf(Outcome.ResponseLost.class);
+      assertThat(receive(head(""), end, true)).isInstanceOf(Outcome.ResponseLost.class);
     }
 
     @ParameterizedTest
     @EnumSource(names = {"CLOSE", "HALF_CLOSE_THEN_RESET"})
     void closeEndsResponse(End end) throws Exception {
-      assertThat(receive(head("") + "whole", end, false).outcome)
-          .isInstanceOf(Outcome.Answered.class);
+      assertThat(receive(head("") + "whole", end, false)).isInstanceOf(Outcome.Answered.class);
     }
   }
 
@@ -143,14 +109,14 @@
     @ParameterizedTest
     @EnumSource
     void shortBodyIsLost(End end) throws Exception {
-      assertThat(receive(head("Content-Length: 9\r\n") + "half", end, false).outcome)
+      assertThat(receive(head("Content-Length: 9\r\n") + "half", end, false))
           .isInstanceOf(Outcome.ResponseLost.class);
     }
 
     @ParameterizedTest
     @EnumSource
     void wholeBodyIsComplete(End end) throws Exception {
-      assertThat(receive(head("Content-Length: 5\r\n") + "whole", end, false).outcome)
+      assertThat(receive(head("Content-Length: 5\r\n") + "whole", end, false))
           .isInstanceOf(Outcome.Answered.class);
     }
   }
@@ -162,13 +128,13 @@
     @ParameterizedTest
     @EnumSource
     void missingLastChunkIsLost(End end) throws Exception {
-      assertThat(receive(head(CHUNKED) + "4\r\nhalf\r\n", end, false).outcome)
+      assertThat(receive(head(CHUNKED) + "4\r\nhalf\r\n", end, false))
           .isInstanceOf(Outcome.ResponseLost.class);
     }
 
     @Test
     void lastChunkWithoutItsLastLineEndIsComplete() throws Exception {
-      assertThat(receive(head(CHUNKED) + "5\r\nwhole\r\n0\r\n", End.CLOSE, false).outcome)
+      assertThat(receive(head(CHUNKED) + "5\r\nwhole\r\n0\r\n", End.CLOSE, false))
           .isInstanceOf(Outcome.Answered.class);
     }
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseHeadTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseHeadTest.java
@@ -3,10 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.nio.ByteBuffer;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
@@ -14,14 +10,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.usersplatform.Headers;
 
 /** Guards against responses whose heads contradict themselves and that count as complete. */
 class ResponseHeadTest {
 
-  private static final long TIMEOUT_SECONDS = 20;
-
   private HttpClient http;
   private UpstreamClient client;
 
@@ -37,23 +30,7 @@
   }
 
   private Outcome receive(String method, String response) throws Exception {
-    BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-    AttemptListener listener =
-        new AttemptListener() {
-          @Override
-          public void signalsReceived(RunnerSignals signals) {}
-
-          @Override
-          public void streamStarted(int status, HttpFields headers) {}
-
-          @Override
-          public void streamContent(ByteBuffer content) {}
-
-          @Override
-          public void ended(Outcome outcome) {
-            outcomes.add(outcome);
-          }
-        };
+    AttemptRecorder recorder = new AttemptRecorder();
     try (ScriptedRunner runner =
         new ScriptedRunner(
             (number, connection, out) -> {
@@ -61,10 +38,8 @@
               connection.close();
             })) {
       HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-      client.start(runner.entry(), method, "/x", "1", headers, new byte[0], false, listener);
-      Outcome outcome = outcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-      assertWithMessage("outcome").that(outcome).isNotNull();
-      return outcome;
+      client.start(runner.entry(), method, "/x", "1", headers, new byte[0], false, recorder);
+      return recorder.awaitOutcome();
     }
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
@@ -17,7 +17,7 @@
 import org.sequoiahub.core.upstream.SoftwareVersion;
 
 /** A runner on loopback whose response to each request is written by a script. */
-final class ScriptedRunner implements AutoCloseable {
+public final class ScriptedRunner implements AutoCloseable {
 
   private final ServerSocket serverSocket;
   private final List<String> requestHeads = new CopyOnWriteArrayList<>();
@@ -25,13 +25,14 @@
 
   /** Responds to one request on an open connection. */
   @FunctionalInterface
-  interface Script {
+  public interface Script {
     /** Writes the response; {@code number} counts the runner's requests from 1. */
     void respond(int number, Socket connection, OutputStream out)
         throws IOException, InterruptedException;
   }
 
-  ScriptedRunner(Script script) throws IOException {
+  /** Opens a port and responds to each request by a script. */
+  public ScriptedRunner(Script script) throws IOException {
     this.script = script;
     this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Thread acceptor = new Thread(this::accept, "scripted-runner");
@@ -39,7 +40,8 @@
     acceptor.start();
   }
 
-  RunnerEntry entry() {
+  /** Returns the runner's entry. */
+  public RunnerEntry entry() {
     String address = "127.0.0.1:" + serverSocket.getLocalPort();
     return new RunnerEntry(
         RunnerIncarnation.of("i-1"),
@@ -61,13 +63,14 @@
     return List.copyOf(requestHeads);
   }
 
-  static void write(OutputStream out, String text) throws IOException {
+  /** Writes a part of a response. */
+  public static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(UTF_8));
     out.flush();
   }
 
   /** Closes a connection with a reset. */
-  static void reset(Socket connection) throws IOException {
+  public static void reset(Socket connection) throws IOException {
     connection.setSoLinger(true, 0);
     connection.close();
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -3,20 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.nio.ByteBuffer;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.util.BufferUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.ratelimit.StatedLimit;
-import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.usersplatform.Headers;
 
 class UpstreamClientTest {
@@ -37,37 +32,7 @@
     http.stop();
   }
 
-  private static final class Recorder implements AttemptListener {
-    final BlockingQueue<StatedLimit> limits = new LinkedBlockingQueue<>();
-    private final StringBuffer content = new StringBuffer();
-    private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-
-    @Override
-    public void signalsReceived(RunnerSignals signals) {
-      limits.add(signals.limit());
-    }
-
-    @Override
-    public void streamStarted(int status, HttpFields headers) {}
-
-    @Override
-    public void streamContent(ByteBuffer buffer) {
-      content.append(new String(BufferUtil.toArray(buffer), UTF_8));
-    }
-
-    @Override
-    public void ended(Outcome outcome) {
-      outcomes.add(outcome);
-    }
-
-    Outcome awaitOutcome() throws InterruptedException {
-      Outcome outcome = outcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-      assertThat(outcome).isNotNull();
-      return outcome;
-    }
-  }
-
-  private Outcome send(ScriptedRunner runner, String id, boolean stream, Recorder recorder)
+  private Outcome send(ScriptedRunner runner, String id, boolean stream, AttemptRecorder recorder)
       throws InterruptedException {
     HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
     String path = "/a//b/%2F?x=1";
@@ -76,7 +41,7 @@
   }
 
   private Outcome sendPlain(ScriptedRunner runner, String id) throws InterruptedException {
-    return send(runner, id, false, new Recorder());
+    return send(runner, id, false, new AttemptRecorder());
   }
 
   private static String completeResponse(String id, String body) {
@@ -97,7 +62,7 @@
   @Nested
   class Withdrawal {
 
-    private Attempt start(ScriptedRunner runner, String id, Recorder recorder) {
+    private Attempt start(ScriptedRunner runner, String id, AttemptRecorder recorder) {
       HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
       return client.start(runner.entry(), "GET", "/x", id, headers, new byte[0], false, recorder);
     }
@@ -117,8 +82,8 @@
                 answer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
                 ScriptedRunner.write(out, completeResponse("1", "ok"));
               })) {
-        Recorder sent = new Recorder();
-        Recorder waiting = new Recorder();
+        AttemptRecorder sent = new AttemptRecorder();
+        AttemptRecorder waiting = new AttemptRecorder();
         Attempt first = start(runner, "1", sent);
         assertThat(arrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
         Attempt second = start(runner, "2", waiting);
@@ -298,10 +263,10 @@
                 ScriptedRunner.write(out, head + "9\r\nid: 1\n\n\n\n\r\n");
                 ScriptedRunner.write(out, "0\r\n\r\n");
               })) {
-        Recorder recorder = new Recorder();
+        AttemptRecorder recorder = new AttemptRecorder();
         Outcome outcome = send(runner, "1", true, recorder);
         assertThat(outcome).isInstanceOf(Outcome.StreamCompleted.class);
-        assertThat(recorder.content.toString()).isEqualTo("id: 1\n\n\n\n");
+        assertThat(recorder.content()).isEqualTo("id: 1\n\n\n\n");
       }
     }
 
@@ -317,7 +282,7 @@
                 ScriptedRunner.write(out, head + "7\r\nid: 1\n\n\r\n");
                 connection.close();
               })) {
-        assertThat(send(runner, "1", true, new Recorder()))
+        assertThat(send(runner, "1", true, new AttemptRecorder()))
             .isInstanceOf(Outcome.ResponseLost.class);
       }
     }
@@ -325,8 +290,8 @@
 
   @Nested
   class StatedLimits {
-    private Recorder receive(String head, boolean stream) throws Exception {
-      Recorder recorder = new Recorder();
+    private AttemptRecorder receive(String head, boolean stream) throws Exception {
+      AttemptRecorder recorder = new AttemptRecorder();
       try (ScriptedRunner runner =
           new ScriptedRunner((number, connection, out) -> ScriptedRunner.write(out, head))) {
         send(runner, "1", stream, recorder);
@@ -344,13 +309,13 @@
 
     @Test
     void areReadFromRefusals() throws Exception {
-      assertThat(receive(refusal("0.5"), true).limits).containsExactly(new StatedLimit.Rate(0.5));
+      assertThat(receive(refusal("0.5"), true).limits()).containsExactly(new StatedLimit.Rate(0.5));
     }
 
     @Test
     void areReadBeforeTheStreamEnds() throws Exception {
       CountDownLatch end = new CountDownLatch(1);
-      Recorder recorder = new Recorder();
+      AttemptRecorder recorder = new AttemptRecorder();
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (number, connection, out) -> {
@@ -363,7 +328,7 @@
               })) {
         HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
         client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], true, recorder);
-        assertThat(recorder.limits.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+        assertThat(recorder.limits().poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
             .isEqualTo(new StatedLimit.Rate(2));
         end.countDown();
       }
@@ -372,13 +337,13 @@
     /** Guards against a response that is lost because its limit is unreadable. */
     @Test
     void ofEightKilobytesLoseNoResponse() throws Exception {
-      Recorder recorder = new Recorder();
+      AttemptRecorder recorder = new AttemptRecorder();
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (number, connection, out) -> ScriptedRunner.write(out, refusal("9".repeat(8_192))))) {
         assertThat(send(runner, "1", true, recorder)).isEqualTo(new Outcome.Refused(503));
       }
-      assertThat(recorder.limits.poll()).isInstanceOf(StatedLimit.Unreadable.class);
+      assertThat(recorder.limits().poll()).isInstanceOf(StatedLimit.Unreadable.class);
     }
   }
 }
