Move the connections of other hosts out of Node

PeerConnections is the same code in the package of what hosts exchange. No behaviour changes; RunnerLinksLostTest and StreamVersionsTest, which pass requests on between hosts, are green.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -47,6 +47,7 @@
 import org.sequoiahub.node.peer.DemandSender;
 import org.sequoiahub.node.peer.FleetHistory;
 import org.sequoiahub.node.peer.FleetTopology;
+import org.sequoiahub.node.peer.PeerConnections;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.PermitExchange;
 import org.sequoiahub.node.peer.PulledRecords;
@@ -73,7 +74,6 @@
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.schema.settings.NodeSettings;
-import org.sequoiahub.schema.wire.Envelope;
 import org.sequoiahub.usersplatform.HostSettings;
 import org.sequoiahub.usersplatform.OrderClient;
 import org.sequoiahub.usersplatform.RecordDecoder;
@@ -81,7 +81,6 @@
 import org.sequoiahub.usersplatform.StoreKeys;
 import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.wire.WireClients;
-import org.sequoiahub.wire.WireConnection;
 import org.sequoiahub.wire.WireServer;
 import org.sequoiahub.wire.WireThreads;
 
@@ -181,7 +180,6 @@
   private final RunnerStates runnerStates;
   private final RunnerPathMonitor runnerPath;
   private final StreamOriginExchange originExchange;
-  private final ForwardedRequests forwardedRequests;
   private final PermitExchange permitExchange;
   private final DemandSender demandSender;
   private final RecordSync recordSync;
@@ -393,16 +391,18 @@
                 this::recordsReceived),
             this::stateChanged,
             log);
-    this.forwardedRequests =
-        new ForwardedRequests(
-            request -> decisionThread.put(() -> requestCoordinator.handle(request)));
     this.wireServer =
         WireServer.open(
             network,
             hostSettings.ip(),
             hostSettings.peerPort(),
             PEER_TIMEOUT_MILLIS,
-            new PeerHandler());
+            new PeerConnections(
+                new ForwardedRequests(
+                    request -> decisionThread.put(() -> requestCoordinator.handle(request))),
+                storeRegistry,
+                decisionThread::put,
+                MonotonicClock.SYSTEM::nowMillis));
     this.callerServer =
         new CallerServer(
             hostSettings.ip(),
@@ -780,28 +780,4 @@
       runnerRegistry.recordTermination(runner, nowMillis);
     }
   }
-
-  private final class PeerHandler implements WireServer.Handler {
-    @Override
-    public void onMessage(WireConnection connection, Envelope message) {
-      forwardedRequests.onMessage(connection, message);
-      if (message.hasStorePull()) {
-        decisionThread.put(
-            () ->
-                connection.send(
-                    message.getCall(),
-                    Envelope.newBuilder()
-                        .setStoreRecords(
-                            RecordExchange.answerPull(
-                                message.getStorePull(),
-                                storeRegistry,
-                                MonotonicClock.SYSTEM.nowMillis()))));
-      }
-    }
-
-    @Override
-    public void onClosed(WireConnection connection) {
-      forwardedRequests.onClosed(connection);
-    }
-  }
 }
