Look up a remembered stream in one place, and read its key with a buffer

isKnown and find of StreamOrigins spelled out the same lookup and expiry, and StreamKey listed eight bytes one by one. The keys and the answers are the same: ResumePolicyTest and StreamOriginExchangeTest are green, unchanged.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/origin/StreamKey.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/origin/StreamKey.java
@@ -2,7 +2,7 @@
 
 import com.google.common.hash.HashCode;
 import com.google.common.hash.Hashing;
-import com.google.common.primitives.Longs;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -28,11 +28,8 @@
             .putString(workspace, StandardCharsets.UTF_8)
             .putString(requestId, StandardCharsets.UTF_8)
             .hash();
-    byte[] bytes = hash.asBytes();
-    return new StreamKey(
-        Longs.fromByteArray(bytes),
-        Longs.fromBytes(
-            bytes[8], bytes[9], bytes[10], bytes[11], bytes[12], bytes[13], bytes[14], bytes[15]));
+    ByteBuffer bytes = ByteBuffer.wrap(hash.asBytes());
+    return new StreamKey(bytes.getLong(), bytes.getLong());
   }
 
   /** Returns a text that is unique to the key, for rendezvous hashing. */
--- a/sequoia-core/src/main/java/org/sequoiahub/core/origin/StreamOrigins.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/origin/StreamOrigins.java
@@ -53,16 +53,17 @@
 
   /** Returns whether a stream is remembered, also if it has two origins. */
   public boolean isKnown(StreamKey key, long nowMillis) {
-    Recorded known = recorded.get(key);
-    return known != null && nowMillis - known.atMillis < retentionMillis;
+    return remembered(key, nowMillis).isPresent();
   }
 
   /** Returns where a stream began; empty if that is not known, or ambiguous. */
   public Optional<StreamOrigin> find(StreamKey key, long nowMillis) {
-    Recorded known = recorded.get(key);
-    return known != null && nowMillis - known.atMillis < retentionMillis
-        ? known.origin
-        : Optional.empty();
+    return remembered(key, nowMillis).flatMap(Recorded::origin);
+  }
+
+  private Optional<Recorded> remembered(StreamKey key, long nowMillis) {
+    return Optional.ofNullable(recorded.get(key))
+        .filter(known -> nowMillis - known.atMillis < retentionMillis);
   }
 
   /** Returns the number of streams that are remembered. */
