Drop a check that the members asked for already make

Members.alive leaves out hosts that announced that they leave, and isHealthy does so again; ReachingHostSelector asked a third time. RunnerLinksLostTest is green.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/ReachingHostSelector.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/ReachingHostSelector.java
@@ -40,7 +40,6 @@
     HostState state = member.state();
     return state != null
         && state.getReady()
-        && !member.leaving()
         && !state.getRunnersUnreachable()
         && members.isHealthy(member.host(), nowMillis);
   }
