Log each response that the host ends before it is complete

All closes of a caller's connection in the call package now go through EarlyEndings, which logs `response-ended-early` with cause, inputs with their ages and the time left, and counts by cause; `stream-silent` says how long. No decision changes.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -111,6 +111,7 @@
   private final Histogram totalMillis;
   private final EventLog log;
   private final LocalResponses localResponses;
+  private final EarlyEndings earlyEndings;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lastCallerCheckMillis;
   private final WaitingCalls waitingCalls;
@@ -187,6 +188,7 @@
     this.random = random;
     this.log = log;
     this.localResponses = new LocalResponses(metrics, log);
+    this.earlyEndings = new EarlyEndings(configuration, metrics, log);
     this.waitingCalls = new WaitingCalls(fleet, runnerStates, inFlightListener, log);
   }
 
@@ -283,8 +285,9 @@
         log.info("caller-gone", "request", call.id());
         call.activeAttempts.forEach(
             active -> quarantineGate.recordUnanswered(call, active, nowMillis));
-        cancelAttempts(call, "the caller has disconnected");
-        call.exchange.abort("the caller has disconnected");
+        String reason = "the caller has disconnected";
+        cancelAttempts(call, reason);
+        earlyEndings.end(call, EarlyEndings.Cause.CALLER_DISCONNECTED, reason, nowMillis);
         remove(call);
       } else if (nowMillis >= call.deadlineMillis()) {
         expire(call, nowMillis);
@@ -362,7 +365,7 @@
   private void rejectRevokedKey(Call call, long nowMillis) {
     String reason = "the access key has been revoked";
     if (call.exchange.isStarted()) {
-      call.exchange.abort(reason);
+      earlyEndings.end(call, EarlyEndings.Cause.KEY_REVOKED, reason, nowMillis);
     } else {
       localResponses.respond(call.exchange, call.headers, HttpStatus.UNAUTHORIZED_401, reason, -1);
     }
@@ -762,7 +765,7 @@
     OptionalLong quarantinedUntil = quarantineGate.quarantinedUntilMillis(call, now);
     boolean started = call.exchange.isStarted();
     if (started) {
-      call.exchange.abort(reason);
+      earlyEndings.end(call, EarlyEndings.Cause.ATTEMPTS_FAILED, reason, now);
     } else if (call.runs > 0) {
       // The caller may retry at once, unless the request is quarantined.
       long retryAfter = quarantinedUntil.isPresent() ? quarantinedUntil.getAsLong() - now : -1;
@@ -784,7 +787,7 @@
     call.activeAttempts.forEach(active -> quarantineGate.recordUnanswered(call, active, nowMillis));
     cancelAttempts(call, "deadline exceeded");
     if (call.exchange.isStarted()) {
-      call.exchange.abort("deadline exceeded");
+      earlyEndings.end(call, EarlyEndings.Cause.DEADLINE, "deadline exceeded", nowMillis);
     } else if (mayHaveReachedRunner || call.runs > 0) {
       localResponses.respond(
           call.exchange, call.headers, HttpStatus.GATEWAY_TIMEOUT_504, "deadline exceeded", -1);
@@ -818,7 +821,7 @@
         && call.runs + 1 < call.route.maxAttempts()) {
       call.retryAccount.recordRunnerReached();
       if (retryGate.mayResume(call, nowMillis)) {
-        resumeElsewhere(call, newest, nowMillis);
+        resumeElsewhere(call, newest, silentMillis, nowMillis);
       }
     }
   }
@@ -841,8 +844,20 @@
     }
   }
 
-  private void resumeElsewhere(Call call, Call.ActiveAttempt silent, long nowMillis) {
-    log.info("stream-silent", "request", call.id(), "runner", silent.runner.id());
+  private void resumeElsewhere(
+      Call call, Call.ActiveAttempt silent, long silentMillis, long nowMillis) {
+    log.info(
+        "stream-silent",
+        "request",
+        call.id(),
+        "runner",
+        silent.runner.id(),
+        "silent_ms",
+        silentMillis,
+        "events",
+        call.relay.wholeEvents(),
+        "left_ms",
+        call.deadlineMillis() - nowMillis);
     fleet.health(silent.runner).failed(nowMillis);
     call.excludedRunners.add(silent.runner.id());
     quarantineGate.recordUnanswered(call, silent, nowMillis);
