--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/EarlyEndings.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/EarlyEndings.java
@@ -37,8 +37,7 @@
    *
    * @param configuration returns the status of the configuration in force
    */
-  EarlyEndings(
-      Supplier<ConfigurationStatus> configuration, MetricRegistry metrics, EventLog log) {
+  EarlyEndings(Supplier<ConfigurationStatus> configuration, MetricRegistry metrics, EventLog log) {
     this.configuration = requireNonNull(configuration, "configuration must not be null");
     this.metrics = requireNonNull(metrics, "metrics must not be null");
     this.log = requireNonNull(log, "log must not be null");
