Resume a stream that has begun until its next event is due, not its first

Cause: placement compared the expected first token with the deadline of the request's first event, counted from its arrival. Fix: the time in which the caller gives up counts from the last part of the stream that went to it.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -197,9 +197,10 @@
     return exchange.forwarding() != null;
   }
 
-  /** Returns when the caller gives up if it has received no event by then (ms). */
-  long firstEventDeadlineMillis() {
-    return Math.min(deadlineMillis, arrivedMillis + route.patienceMillis());
+  /** Returns when the caller gives up if it has received no further event by then (ms). */
+  long nextEventDeadlineMillis() {
+    long waitsSince = Math.max(arrivedMillis, relay.lastChunkMillis());
+    return Math.min(deadlineMillis, waitsSince + route.patienceMillis());
   }
 
   long deadlineMillis() {
