Move the sending of attempts out of RequestCoordinator

It had grown by the second attempts at silent streams. AttemptSender builds what a runner is told and starts the attempt; whether a request may be sent beside its active attempts is asked in one place. No behavior changes.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.dispatch.RetryRule;
 import org.sequoiahub.core.dispatch.SilenceTimer;
 import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.retry.RetryAccount;
@@ -192,6 +193,11 @@
     return route.repeatPolicy().isStream() && !headers.lastEventId().isEmpty();
   }
 
+  /** Returns whether the request may be sent to a runner beside its active attempts. */
+  boolean mayAddAttempt() {
+    return runs + activeAttempts.size() < route.maxAttempts() && sends < RetryRule.MAX_SENDS;
+  }
+
   /** Returns whether another host passed the request on to this one. */
   boolean isFromOtherHost() {
     return exchange.forwarding() != null;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -217,6 +217,11 @@
     recordTerminations(call, active, nowMillis, confirmed, nowMillis);
   }
 
+  /** Records that all active attempts of a request are abandoned without a response. */
+  void recordUnanswered(Call call, long nowMillis) {
+    call.activeAttempts.forEach(active -> recordUnanswered(call, active, nowMillis));
+  }
+
   /** Records that an attempt was abandoned without a response; its runner may be silent. */
   void recordUnanswered(Call call, Call.ActiveAttempt active, long nowMillis) {
     boolean sent = active.attempt != null && active.attempt.mayHaveReachedRunner();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -52,7 +52,6 @@
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.HeaderCodec;
 import org.sequoiahub.usersplatform.HeaderCodec.CallerHeaders;
-import org.sequoiahub.usersplatform.HeaderCodec.RunnerHeaders;
 
 /**
  * Coordinates each request from its arrival to the last byte of its response: admission, choice of
@@ -84,7 +83,7 @@
   private final CandidateSelector selector;
   private final KeyHasher keyHasher;
   private final Admission admission;
-  private final UpstreamClient upstreams;
+  private final AttemptSender sender;
   private final RetryGate retryGate;
   private final QuarantineGate quarantineGate;
   private final RunnerStates runnerStates;
@@ -159,7 +158,14 @@
             allowances,
             new WorkspaceMetrics(metrics),
             log);
-    this.upstreams = upstreams;
+    this.sender =
+        new AttemptSender(
+            fleet,
+            upstreams,
+            (call, active) ->
+                new RelayingAttemptListener(
+                    call, active, runnerPath, runnerStates, attempts, decisionThread, clock),
+            log);
     this.retryGate = new RetryGate(budget, fleet, metrics, log);
     this.quarantineGate = quarantineGate;
     this.runnerStates = runnerStates;
@@ -255,8 +261,6 @@
       call.runs = forwarded.priorRuns();
       metrics.counter("forwarding.received").inc();
       log.info("request-taken-over", "request", call.id(), "from", forwarded.host());
-    }
-    if (forwarded != null) {
       call.requiredVersion = forwarded.streamVersion();
     }
     calls.add(call);
@@ -288,8 +292,7 @@
       }
       if (checkCallers && call.exchange.isCallerDisconnected()) {
         log.info("caller-gone", "request", call.id());
-        call.activeAttempts.forEach(
-            active -> quarantineGate.recordUnanswered(call, active, nowMillis));
+        quarantineGate.recordUnanswered(call, nowMillis);
         String reason = "the caller has disconnected";
         cancelAttempts(call, reason);
         earlyEndings.end(call, EarlyEndings.Cause.CALLER_DISCONNECTED, reason, nowMillis);
@@ -507,7 +510,6 @@
     call.sends++;
     Call.ActiveAttempt active =
         new Call.ActiveAttempt(call.sends, runner, nowMillis, firstTokenMillis, unreadTokens);
-    String lastEvent = expectAttempt(call, active);
     call.activeAttempts.add(active);
     fleet.fleetLoad().add(runner.id(), 1, unreadTokens, 0, call.adapter());
     runnerStates.recordSent(runner.id(), CallKind.REQUEST, nowMillis);
@@ -517,54 +519,7 @@
       fleet.recordSentPrompt(runner, call.generation);
     }
     inFlightListener.run();
-    RunnerHeaders headers =
-        new RunnerHeaders(
-            runner.instance(),
-            call.deadlineMillis() - nowMillis,
-            call.generation == null ? -1 : call.priority(),
-            fleet.newestVersion(call.adapter()),
-            lastEvent.isEmpty() ? call.headers.lastEventId() : lastEvent,
-            call.workspaceName(),
-            call.permitted.table().workspaces().areConfigured());
-    log.info(
-        "request-sent",
-        "request",
-        call.id(),
-        "runner",
-        runner.id(),
-        "send",
-        call.sends,
-        "left_ms",
-        call.deadlineMillis() - nowMillis,
-        "unread",
-        unreadTokens,
-        "adapter",
-        call.adapter(),
-        "version",
-        runner.version(),
-        "after_ms",
-        nowMillis - call.arrivedMillis);
-    active.attempt =
-        upstreams.start(
-            runner,
-            call.exchange.method(),
-            call.exchange.pathAndQuery(),
-            call.id(),
-            HeaderCodec.toRunner(call.exchange.headers(), headers),
-            call.exchange.body(),
-            call.route.repeatPolicy().isStream(),
-            new RelayingAttemptListener(
-                call, active, runnerPath, runnerStates, attempts, decisionThread, clock));
-  }
-
-  /** Prepares the relay for an attempt; returns the id of the event after which it goes on. */
-  private static String expectAttempt(Call call, Call.ActiveAttempt active) {
-    if (!call.route.repeatPolicy().isStream()) {
-      return "";
-    }
-    return call.activeAttempts.isEmpty()
-        ? call.relay.expectAttempt(active.number)
-        : call.relay.expectStandby(active.number);
+    active.attempt = sender.send(call, active, nowMillis);
   }
 
   private final class Attempts implements RelayingAttemptListener.Events {
@@ -803,7 +758,7 @@
         call.activeAttempts.stream()
                 .anyMatch(r -> r.attempt != null && r.attempt.mayHaveReachedRunner())
             || call.forwarded != null;
-    call.activeAttempts.forEach(active -> quarantineGate.recordUnanswered(call, active, nowMillis));
+    quarantineGate.recordUnanswered(call, nowMillis);
     cancelAttempts(call, "deadline exceeded");
     if (call.exchange.isStarted()) {
       earlyEndings.end(call, EarlyEndings.Cause.DEADLINE, "deadline exceeded", nowMillis);
@@ -835,17 +790,12 @@
     long hedgeDelayMillis = (long) (call.route.targetLatencyMillis() * HEDGE_DELAY_FRACTION);
     if (call.activeAttempts.size() == 1
         && nowMillis - call.activeAttempts.get(0).startedMillis >= hedgeDelayMillis
-        && mayAddAttempt(call)
+        && call.mayAddAttempt()
         && !quarantineGate.isSuspect(call, nowMillis)) {
       hedge(call, nowMillis);
     }
   }
 
-  private boolean mayAddAttempt(Call call) {
-    return call.runs + call.activeAttempts.size() < call.route.maxAttempts()
-        && call.sends < RetryRule.MAX_SENDS;
-  }
-
   private void hedge(Call call, long nowMillis) {
     Optional<Candidate> second =
         servicePlacement.choose(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
@@ -8,7 +8,6 @@
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.dispatch.Candidate;
 import org.sequoiahub.core.dispatch.GenerationPlacement;
-import org.sequoiahub.core.dispatch.RetryRule;
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.runtime.log.EventLog;
@@ -149,12 +148,9 @@
   /** Sends a request to a second runner that is ready for it, or waits at one. */
   private void seek(Call call, long nowMillis) {
     Generation generation = call.generation;
-    boolean mayRunAgain =
-        call.runs + call.activeAttempts.size() < call.route.maxAttempts()
-            && call.sends < RetryRule.MAX_SENDS;
     call.retryAccount.recordRunnerReached();
     if (generation == null
-        || !mayRunAgain
+        || !call.mayAddAttempt()
         || !attempts.maySend(call, nowMillis)
         || !retryGate.mayResume(call, nowMillis)) {
       waitingCalls.stopWaiting(call);
