Let a runner's next sign refute a connect that timed out

What callers would see: after a short pause of a sound runner's port (its queue of connections full, or its host frozen) the host avoided the runner for seconds after it was back, while the other runners took its load.

Cause: a connect that timed out was recorded like a refused one: failure rate 1 with a half-life of 1.5 s, which no response refutes but only completed requests dilute. Silence was refuted by the next event only for the request that had reported it. Class: a pause is taken for a failure.

Ruled out: a refused connect as well. A runner that closes its port completes the responses that it has begun, so their events don't refute a refusal.

Fix: a timed-out connect counts like silence (RunnerHealth.connectTimedOut). At each tick the newest chunk of each active attempt refutes what was recorded of its runner before. The relay says which attempt received the newest chunk.

SilentRunnerTest.connectThatTimedOutDoesNotKeepLaterRequestsAway: red with the timed-out connect recorded as before, green now.

Not changed: a runner from which this host receives nothing at that time is avoided until the mark has decayed, as nothing shows that it is back.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/RunnerHealth.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/RunnerHealth.java
@@ -16,7 +16,10 @@
   private double latencyMillis;
   private long updatedMillis;
 
-  /** The failure rate due to silence alone, which the next sign of the runner refutes. */
+  /**
+   * The failure rate due to silence and connects that timed out, which the next sign of the runner
+   * refutes.
+   */
   private double silence;
 
   private long silentMillis;
@@ -47,12 +50,30 @@
     silentMillis = nowMillis;
   }
 
-  /** Records that a part of a response was received from the runner, so that it is not silent. */
-  public void responded() {
-    silence = 0;
+  /**
+   * Records that a connect to the runner timed out. It may be paused or gone: this counts like a
+   * refused connection, but only until {@link #responded}.
+   */
+  public void connectTimedOut(long nowMillis) {
+    silence = 1;
+    silentMillis = nowMillis;
   }
 
-  /** Records that the runner may have terminated, for example after a refused connection. */
+  /**
+   * Records that a part of a response was received from the runner, so that it is not silent.
+   *
+   * @param atMillis when it was received; refutes silence that was recorded before
+   */
+  public void responded(long atMillis) {
+    if (atMillis > silentMillis) {
+      silence = 0;
+    }
+  }
+
+  /**
+   * Records that the runner may have terminated, for example after a refused connection. A part of
+   * a response does not refute this: a runner that shuts down completes what it has begun.
+   */
   public void unreachable(long nowMillis) {
     failures = 1;
     updatedMillis = nowMillis;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -600,7 +600,11 @@
     } else if (outcome instanceof Outcome.Refused refused) {
       onRefusal(call, active, refused, now);
     } else if (outcome instanceof Outcome.NotSent notSent) {
-      fleet.health(active.runner).unreachable(now);
+      if (notSent.connect() == Outcome.NotSent.Connect.TIMED_OUT) {
+        fleet.health(active.runner).connectTimedOut(now);
+      } else {
+        fleet.health(active.runner).unreachable(now);
+      }
       if (notSent.connect() != Outcome.NotSent.Connect.NONE) {
         runnerPath.recordConnectFailure(
             active.runner, notSent.connect() == Outcome.NotSent.Connect.REFUSED);
@@ -774,6 +778,7 @@
   private void checkActiveAttempts(Call call, long nowMillis) {
     for (Call.ActiveAttempt active : call.activeAttempts) {
       quarantineGate.recordProgress(call, active, nowMillis);
+      fleet.health(active.runner).responded(call.relay.lastChunkMillis(active.number));
       if (active.attempt != null
           && (runnerPath.isLost() || !fleet.isOpen(active.runner, nowMillis))) {
         active.attempt.withdrawIfUnsent("the runner takes no requests any more");
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
@@ -96,7 +96,6 @@
     if (silent < silenceLimitMillis(call, active)) {
       if (call.silenceReported && progress > call.silentSinceMillis) {
         call.silenceReported = false;
-        fleet.health(active.runner).responded();
         waitingCalls.stopWaiting(call);
       }
       return;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -36,6 +36,9 @@
   private int currentAttempt;
   private long lastChunkMillis;
 
+  /** The attempt that received the last chunk. */
+  private int lastChunkAttempt;
+
   /** The attempt that stands by; null if there is none. */
   private @Nullable Standby standby;
 
@@ -157,11 +160,11 @@
       waiting.content.writeBytes(bytes);
       waiting.events.accept(bytes);
       if (waiting.events.completeEvents() > 0) {
-        lastChunkMillis = nowMillis;
+        recordChunk(number, nowMillis);
         takeOver(waiting);
       }
     } else if (number == currentAttempt) {
-      lastChunkMillis = nowMillis;
+      recordChunk(number, nowMillis);
       int before = events.completeEvents();
       byte[] complete = events.accept(BufferUtil.toArray(chunk));
       if (complete.length > 0) {
@@ -174,6 +177,11 @@
     return noneBefore && events.completeEvents() > 0;
   }
 
+  private void recordChunk(int number, long nowMillis) {
+    lastChunkMillis = nowMillis;
+    lastChunkAttempt = number;
+  }
+
   /**
    * Returns whether the stream of an attempt is complete, once its response has ended. An attempt
    * whose stream is complete goes on, and the other one does not.
@@ -242,4 +250,9 @@
   synchronized long lastChunkMillis() {
     return lastChunkMillis;
   }
+
+  /** Returns when a chunk of an attempt was received last (ms); 0 if another one had the last. */
+  synchronized long lastChunkMillis(int number) {
+    return number == lastChunkAttempt ? lastChunkMillis : 0;
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -126,6 +126,13 @@
     cuts.put(number, address -> nowhere);
   }
 
+  /** Cuts a host's link to one runner. */
+  void cutFromRunner(int number, StandinRunner runner, Cut cut) throws IOException {
+    InetSocketAddress nowhere = cut == Cut.REFUSED ? closedPort() : silentPort();
+    int port = Integer.parseInt(runner.address().substring(runner.address().lastIndexOf(':') + 1));
+    cuts.put(number, address -> address.getPort() == port ? nowhere : address);
+  }
+
   /** Restores a host's links to the runners. */
   void restoreLinks(int number) {
     cuts.remove(number);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
@@ -36,6 +36,9 @@
   /** A pause that does not end while a test runs (ms). */
   private static final int ENDLESS_MILLIS = 15_000;
 
+  /** An interval between two events that lets a stream last for the most part of a test (ms). */
+  private static final int LONG_EVENT_MILLIS = 1_000;
+
   private static final Pattern EVENT = Pattern.compile("data: words (\\d)");
 
   private LoopbackFleet fleet;
@@ -138,7 +141,7 @@
 
     @BeforeEach
     void startCaller() {
-      callers = Executors.newSingleThreadExecutor();
+      callers = Executors.newCachedThreadPool();
     }
 
     @AfterEach
@@ -199,5 +202,28 @@
       }
       assertThat(first.runs().keySet()).containsAtLeast("later0", "later9");
     }
+
+    /** Guards against a runner that is avoided for seconds after a short pause of its port. */
+    @Test
+    void connectThatTimedOutDoesNotKeepLaterRequestsAway() throws Exception {
+      first.streamEvents(EVENTS, LONG_EVENT_MILLIS);
+      List<Future<String>> responses = new ArrayList<>();
+      responses.add(beginStream("q1"));
+      StandinRunner second = startSecondRunner();
+      second.streamEvents(EVENTS, LONG_EVENT_MILLIS);
+      fleet.cutFromRunner(1, first, LoopbackFleet.Cut.SILENT);
+      for (int request = 2; request <= 5; request++) {
+        String id = "q" + request;
+        responses.add(callers.submit(() -> send(id)));
+        awaitRun(second, id);
+      }
+      fleet.restoreLinks(1);
+      Thread.sleep(2 * LONG_EVENT_MILLIS);
+      responses.add(callers.submit(() -> send("q6")));
+      for (Future<String> response : responses) {
+        assertComplete(response.get());
+      }
+      assertThat(first.runs()).containsKey("q6");
+    }
   }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
@@ -169,6 +169,14 @@
       assertThat(relay.currentAttempt()).isEqualTo(2);
     }
 
+    @Test
+    void chunkIsAttributedToTheAttemptThatReceivedIt() {
+      begin();
+      relay(1, "ta: x\n\n");
+      assertThat(relay.lastChunkMillis(1)).isEqualTo(relay.lastChunkMillis());
+      assertThat(relay.lastChunkMillis(2)).isEqualTo(0);
+    }
+
     @Test
     void isDroppedOnceTheStreamOfTheFirstAttemptIsComplete() {
       begin();
