--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
@@ -27,10 +27,10 @@
    * Time without an event, beyond the pause that its route accepts, after which a second runner is
    * sought (ms).
    */
-  private static final long SILENCE_MILLIS = 1_500;
+  static final long SILENCE_MILLIS = 1_500;
 
   /** Interval between two searches for a second runner while there is none to wait at (ms). */
-  private static final long SEARCH_INTERVAL_MILLIS = 100;
+  static final long SEARCH_INTERVAL_MILLIS = 100;
 
   private final FleetView fleet;
   private final CandidateSelector selector;
