Test that a pause of all runners is no lost path

Runners that pause accept connections: 50 seeds, pauses of 1 to 3 s of all runners at once, with kept and with new connections, change nothing in RunnerPath.

--- a/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/reach/RunnerPathTest.java
@@ -50,6 +50,10 @@
     private final List<Verdict> changes = new ArrayList<>();
     final Set<String> down = new HashSet<>();
     LongPredicate cut = at -> false;
+
+    /** When all runners accept connections and respond to nothing. */
+    LongPredicate paused = at -> false;
+
     long now = 10_000;
     long lastChangeMillis;
     int probes;
@@ -103,12 +107,20 @@
       RunnerEntry runner = runners.get(sent++ % runners.size());
       path.recordSent(now);
       if (works(runner)) {
-        at(60, path::recordResponse);
+        at(60, this::respond);
       } else if (!keepsConnections) {
         at(connectMillis(false), () -> path.recordConnectFailure(runner.id()));
       }
     }
 
+    private void respond() {
+      if (paused.test(now)) {
+        at(TICK_MILLIS, this::respond);
+      } else {
+        path.recordResponse();
+      }
+    }
+
     private void ended(Verdict verdict) {
       if (verdict == Verdict.LOST || verdict == Verdict.RESTORED) {
         changes.add(verdict);
@@ -212,6 +224,18 @@
       }
     }
 
+    @Test
+    void allRunnersPause() {
+      for (long seed = 1; seed <= 50; seed++) {
+        for (boolean keepsConnections : List.of(true, false)) {
+          Host host = new Host(seed, 8, keepsConnections, Failure.HANGS);
+          long pauseMillis = 1_000 + 40 * seed;
+          host.paused = at -> at % 5_000 < pauseMillis;
+          staysReachable(host);
+        }
+      }
+    }
+
     @Test
     void oneRunnerDown() {
       for (long seed = 1; seed <= 50; seed++) {
