Test that a short pause of all runners changes nothing for later requests

Eight streams over two runners that both pause for 1.2 s: each runs once and to its end, none is cancelled, and the next eight of the same content are all served, at both runners.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
@@ -33,6 +33,12 @@
   /** A pause after which hosts look for another runner (ms). */
   private static final int PAUSE_MILLIS = 2_600;
 
+  /** A pause after which hosts do not look for another runner yet (ms). */
+  private static final int SHORT_PAUSE_MILLIS = 1_200;
+
+  /** Number of streams that are sent at the same time. */
+  private static final int STREAMS = 8;
+
   /** A pause that does not end while a test runs (ms). */
   private static final int ENDLESS_MILLIS = 15_000;
 
@@ -220,10 +226,43 @@
       fleet.restoreLinks(1);
       Thread.sleep(2 * LONG_EVENT_MILLIS);
       responses.add(callers.submit(() -> send("q6")));
+      assertAllComplete(responses);
+      assertThat(first.runs()).containsKey("q6");
+    }
+
+    /** Guards against runners that are avoided, and requests held back, after a pause of all. */
+    @Test
+    void shortPauseOfAllRunnersChangesNothing() throws Exception {
+      StandinRunner second = startSecondRunner();
+      List<StandinRunner> runners = List.of(first, second);
+      runners.forEach(runner -> runner.pauseStreamsAfter(2, SHORT_PAUSE_MILLIS, STREAMS));
+      assertAllComplete(sendTogether("q"));
+      assertThat(fleet.runCount("q")).isEqualTo(STREAMS);
+      runners.forEach(runner -> runner.pauseStreamsAfter(0, 0, 0));
+      runners.forEach(runner -> runner.streamEvents(EVENTS, LONG_EVENT_MILLIS / EVENTS));
+      assertAllComplete(sendTogether("later"));
+      assertThat(fleet.runCount("later")).isEqualTo(STREAMS);
+      for (StandinRunner runner : runners) {
+        assertThat(runner.cancelledRequests()).isEmpty();
+        assertWithMessage("later requests at %s", runner.id())
+            .that(runner.runs().keySet().stream().filter(id -> id.startsWith("later")).count())
+            .isAtLeast(1);
+      }
+    }
+
+    private List<Future<String>> sendTogether(String prefix) {
+      List<Future<String>> responses = new ArrayList<>();
+      for (int request = 0; request < STREAMS; request++) {
+        String id = prefix + request;
+        responses.add(callers.submit(() -> send(id)));
+      }
+      return responses;
+    }
+
+    private static void assertAllComplete(List<Future<String>> responses) throws Exception {
       for (Future<String> response : responses) {
         assertComplete(response.get());
       }
-      assertThat(first.runs()).containsKey("q6");
     }
   }
 }
