--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/PauseSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/PauseSimulation.java
@@ -352,8 +352,7 @@
       case PAUSE_OF_A_THIRD -> pause(third(runners), 500, 3_000);
       case PAUSE_OF_ALL -> pause(runners, 500, 3_000);
       case SHORT_PAUSE_OF_ALL -> pause(runners, 1_000, 1_500);
-      case SILENT_FOR_GOOD ->
-          third(runners).forEach(runner -> end(runner, TROUBLE_MILLIS, false));
+      case SILENT_FOR_GOOD -> third(runners).forEach(runner -> end(runner, TROUBLE_MILLIS, false));
       case RELEASE -> {
         pause(third(runners), 500, 3_000);
         List<Runner> replaced = List.copyOf(runners);
@@ -373,12 +372,13 @@
         }
       }
       case HOSTS_LAG ->
-          third(hosts).forEach(
-              host -> {
-                for (int lag = 0; lag < 3; lag++) {
-                  host.lags.add(pauseFrom(TROUBLE_MILLIS + 4_000L * lag, 500, 3_000));
-                }
-              });
+          third(hosts)
+              .forEach(
+                  host -> {
+                    for (int lag = 0; lag < 3; lag++) {
+                      host.lags.add(pauseFrom(TROUBLE_MILLIS + 4_000L * lag, 500, 3_000));
+                    }
+                  });
     }
   }
 
@@ -449,8 +449,7 @@
   }
 
   private void decide(Request request) {
-    if (now >= request.deadlineMillis
-        || now - request.progressMillis >= request.patienceMillis()) {
+    if (now >= request.deadlineMillis || now - request.progressMillis >= request.patienceMillis()) {
       results.notSent += request.runs == 0 && request.first == null ? 1 : 0;
       finish(request);
       return;
