--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.eclipse.jetty.http.HttpFields;
@@ -58,6 +59,7 @@
   private final BooleanSupplier ready;
   private final Supplier<CallerLimits> limits;
   private final Consumer<CallerExchange> requestHandler;
+  private final LongUnaryOperator idleTimeout;
   private final int readinessPort;
   private final int addressPort;
   private final int metricsPort;
@@ -86,6 +88,39 @@
       Supplier<CallerLimits> limits,
       UnaryOperator<String> operatorPage,
       Consumer<CallerExchange> requestHandler) {
+    this(
+        ip,
+        callerPort,
+        readinessPort,
+        addressPort,
+        metricsPort,
+        addressTtlMillis,
+        addresses,
+        ready,
+        limits,
+        operatorPage,
+        requestHandler,
+        idleLimitMillis -> Math.max(MIN_IDLE_MILLIS, idleLimitMillis + IDLE_MARGIN_MILLIS));
+  }
+
+  /**
+   * Creates a server with idle timeouts of its own.
+   *
+   * @param idleTimeout returns the idle timeout for the idle limit of a configuration (ms)
+   */
+  CallerServer(
+      String ip,
+      int callerPort,
+      int readinessPort,
+      int addressPort,
+      int metricsPort,
+      long addressTtlMillis,
+      Supplier<List<String>> addresses,
+      BooleanSupplier ready,
+      Supplier<CallerLimits> limits,
+      UnaryOperator<String> operatorPage,
+      Consumer<CallerExchange> requestHandler,
+      LongUnaryOperator idleTimeout) {
     this.addresses = addresses;
     this.addressTtlMillis = addressTtlMillis;
     this.ready = ready;
@@ -95,6 +130,7 @@
     this.addressPort = addressPort;
     this.metricsPort = metricsPort;
     this.operatorPage = operatorPage;
+    this.idleTimeout = idleTimeout;
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("http-server");
     threads.setDaemon(true);
@@ -119,8 +155,7 @@
   /** Applies limits to existing and future connections. */
   public void apply(CallerLimits newLimits) {
     callerConfiguration.setRequestHeaderSize(newLimits.maxHeaderBytes());
-    long idleTimeoutMillis =
-        Math.max(MIN_IDLE_MILLIS, newLimits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS);
+    long idleTimeoutMillis = idleTimeout.applyAsLong(newLimits.idleTimeoutMillis());
     callerConnector.setIdleTimeout(idleTimeoutMillis);
     callerConnector
         .getConnectedEndPoints()
