Keep a connection between hosts open on which only the server sends

What callers saw (by a test, not in the record of the incident): a stream that one host passed on to another was broken off 4.5 s after it had begun, in the middle of its events, by the hosts themselves.

Cause: the client of a connection between processes sends a probe only when it receives nothing (750 ms), and the server closes a connection on which it receives nothing for three idle timeouts (4.5 s). While events arrive in shorter intervals than 750 ms and nothing else is passed on over that connection, the client sends nothing at all. With larger pauses it sends probes, so that only steady streams were broken off. Ruled out: a pause of the runner (22 ms), the deadline (45 s left), a change of the configuration (none). It is not the cause of the incident, whose request was sent to its runner by the host that had received it.

Fix: the client also sends a probe when it has sent nothing for the idle timeout. Idle connections carry no more messages than before.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -304,4 +304,62 @@
           .isEqualTo(new ForwardOutcome.Lost("the connection to the other host was lost", false));
     }
   }
+
+  /** The connection is closed after less time without messages than a stream takes. */
+  @Nested
+  class IdleConnections {
+
+    private static final long SHORT_TIMEOUT_MILLIS = 300;
+    private static final int EVENTS = 40;
+
+    private WireClients shortClients;
+    private WireServer shortServer;
+
+    @BeforeEach
+    void open() throws Exception {
+      ForwardedRequests requests = new ForwardedRequests(received::add);
+      shortServer =
+          WireServer.open(
+              network,
+              LOOPBACK,
+              0,
+              SHORT_TIMEOUT_MILLIS,
+              new WireServer.Handler() {
+                @Override
+                public void onMessage(WireConnection connection, Envelope message) {
+                  requests.onMessage(connection, message);
+                }
+
+                @Override
+                public void onClosed(WireConnection connection) {
+                  requests.onClosed(connection);
+                }
+              });
+      shortClients = new WireClients(network, SHORT_TIMEOUT_MILLIS);
+      forwarder = new WireRequestForwarder(shortClients, shortServer.port());
+    }
+
+    @AfterEach
+    void close() {
+      shortClients.close();
+      shortServer.close();
+    }
+
+    /** Guards against a server that closes a connection on which only it has something to send. */
+    @ParameterizedTest
+    @ValueSource(longs = {SHORT_TIMEOUT_MILLIS / 6, 2 * SHORT_TIMEOUT_MILLIS})
+    void streamIsNotEndedWhateverItsPauses(long pauseMillis) throws Exception {
+      forward(0, "");
+      CallerExchange exchange = awaitReceived();
+      exchange.start(200, runnerHeaders());
+      int events = (int) (EVENTS * SHORT_TIMEOUT_MILLIS / 6 / pauseMillis);
+      for (int number = 0; number < events; number++) {
+        TimeUnit.MILLISECONDS.sleep(pauseMillis);
+        exchange.writeChunk(ByteBuffer.wrap(("e" + number).getBytes(UTF_8)));
+      }
+      exchange.complete();
+      assertThat(recorder.awaitOutcome()).isEqualTo(new ForwardOutcome.StreamCompleted());
+      assertThat(recorder.events).hasSize(1 + events);
+    }
+  }
 }
--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/Pipelines.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/Pipelines.java
@@ -21,8 +21,15 @@
 
   private Pipelines() {}
 
-  static void addCodec(ChannelPipeline pipeline, long readerIdleMillis) {
-    pipeline.addLast(new IdleStateHandler(readerIdleMillis, 0, 0, TimeUnit.MILLISECONDS));
+  /**
+   * Adds the handlers.
+   *
+   * @param readerIdleMillis the time without a received message that is reported (ms)
+   * @param writerIdleMillis the time without a sent message that is reported (ms); 0 for none
+   */
+  static void addCodec(ChannelPipeline pipeline, long readerIdleMillis, long writerIdleMillis) {
+    pipeline.addLast(
+        new IdleStateHandler(readerIdleMillis, writerIdleMillis, 0, TimeUnit.MILLISECONDS));
     pipeline.addLast(
         new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
     pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
@@ -33,4 +40,8 @@
   static boolean isReaderIdle(Object event) {
     return event instanceof IdleStateEvent idle && idle.state() == IdleState.READER_IDLE;
   }
+
+  static boolean isWriterIdle(Object event) {
+    return event instanceof IdleStateEvent idle && idle.state() == IdleState.WRITER_IDLE;
+  }
 }
--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
@@ -28,7 +28,8 @@
  * <p>A connection can become unresponsive while new ones work, and the kernel may take a quarter of
  * an hour to detect it. The client therefore sends a probe after half the idle timeout without a
  * message, and closes the connection after the whole of it; the listeners of its calls are then
- * notified of the loss.
+ * notified of the loss. As the server closes a connection on which it receives nothing, the client
+ * also sends a probe when it has sent nothing for the idle timeout, as during a long response.
  */
 public final class WireClient implements AutoCloseable {
 
@@ -142,7 +143,9 @@
               @Override
               protected void initChannel(Channel child) {
                 Pipelines.addCodec(
-                    child.pipeline(), Math.max(1, idleTimeoutMillis / IDLE_EVENTS_BEFORE_CLOSE));
+                    child.pipeline(),
+                    Math.max(1, idleTimeoutMillis / IDLE_EVENTS_BEFORE_CLOSE),
+                    idleTimeoutMillis);
                 child.pipeline().addLast(new Inbound());
               }
             })
@@ -213,12 +216,9 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-      if (!Pipelines.isReaderIdle(event)) {
-        return;
-      }
-      if (++idleEvents >= IDLE_EVENTS_BEFORE_CLOSE) {
+      if (Pipelines.isReaderIdle(event) && ++idleEvents >= IDLE_EVENTS_BEFORE_CLOSE) {
         context.close();
-      } else {
+      } else if (Pipelines.isReaderIdle(event) || Pipelines.isWriterIdle(event)) {
         Ping ping = Ping.newBuilder().setToken(idleEvents).build();
         context.writeAndFlush(Envelope.newBuilder().setPing(ping).build(), context.voidPromise());
       }
--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/WireServer.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireServer.java
@@ -19,7 +19,7 @@
 /** Accepts connections from other processes of the system. */
 public final class WireServer implements AutoCloseable {
 
-  /** Clients probe within their idle timeout; the server waits longer before it closes. */
+  /** Clients send something within their idle timeout; the server waits longer to close. */
   private static final int IDLE_TIMEOUTS_BEFORE_CLOSE = 3;
 
   /** Bytes waiting to be sent on a connection from which it counts as not writable. */
@@ -63,7 +63,7 @@
                   @Override
                   protected void initChannel(Channel child) {
                     long readerIdleMillis = idleTimeoutMillis * IDLE_TIMEOUTS_BEFORE_CLOSE;
-                    Pipelines.addCodec(child.pipeline(), readerIdleMillis);
+                    Pipelines.addCodec(child.pipeline(), readerIdleMillis, 0);
                     child.pipeline().addLast(new Inbound(new WireConnection(child), handler));
                   }
                 });
