--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -42,7 +42,7 @@
 
   private static final int SHUTDOWN_MILLIS = 400;
 
-  private static final int PORT_COUNT = 5;
+  private static final int PORT_COUNT = 6;
 
   /** Time after which a connect shows that a port's queue is full (ms). */
   private static final int FILL_TIMEOUT_MILLIS = 200;
@@ -61,6 +61,9 @@
   /** How long runners that are started from now on take to load an adapter (ms); 0 for default. */
   private volatile int loadMillis;
 
+  /** The time from the stop of a node that is started from now on until it ends (ms). */
+  private volatile int shutdownMillis = SHUTDOWN_MILLIS;
+
   LoopbackFleet() throws Exception {
     store = new StandinStore();
     caller = UpstreamClient.start();
@@ -76,32 +79,35 @@
     return startNode(number, List.of(ip(1), ip(2)));
   }
 
+  /** Returns the settings of host {@code number}. */
+  HostSettings settings(int number, List<String> seeds) {
+    return new HostSettings(
+        "host-" + number,
+        "z",
+        ip(number),
+        ports.get(0),
+        ports.get(1),
+        ports.get(2),
+        ports.get(3),
+        ports.get(4),
+        seeds,
+        true,
+        store.address(),
+        shutdownMillis,
+        2_000,
+        2_000,
+        3_000,
+        new RetryBudgetSettings(0.2, 50, 10_000),
+        5_000,
+        100,
+        AllowanceSettings.DEFAULT);
+  }
+
   private Node startNode(int number, List<String> seeds) throws Exception {
-    HostSettings settings =
-        new HostSettings(
-            "host-" + number,
-            "z",
-            ip(number),
-            ports.get(0),
-            ports.get(1),
-            ports.get(2),
-            ports.get(3),
-            ports.get(4),
-            seeds,
-            true,
-            store.address(),
-            SHUTDOWN_MILLIS,
-            2_000,
-            2_000,
-            3_000,
-            new RetryBudgetSettings(0.2, 50, 10_000),
-            5_000,
-            100,
-            AllowanceSettings.DEFAULT);
     Node node =
         Node.start(
-            NodeSettings.newBuilder().setAddressTtlMs(1_000).build(),
-            settings,
+            NodeSettings.newBuilder().setAddressTtlMs(1_000).setMetricsPort(ports.get(5)).build(),
+            settings(number, seeds),
             address -> cuts.getOrDefault(number, RunnerAddressResolver.DIRECT).resolve(address),
             MonotonicClock.SYSTEM.nowMillis());
     nodes.add(node);
@@ -109,9 +115,15 @@
   }
 
   /** Starts host 1 as the only host of its deployment and waits until it is ready. */
-  void startOnlyNode() throws Exception {
-    startNode(1, List.of(ip(1)));
+  Node startOnlyNode() throws Exception {
+    Node node = startNode(1, List.of(ip(1)));
     await("the only host to be ready", () -> isReady(1));
+    return node;
+  }
+
+  /** Sets the time from the stop of a node that is started from now on until it ends. */
+  void shutdownMillis(int millis) {
+    shutdownMillis = millis;
   }
 
   /** How a host's new connections to runners fail; those that are open live on. */
@@ -357,6 +369,21 @@
     return response.getContentAsString();
   }
 
+  /** Returns the value of a metric of host {@code number}; 0 if it has none of this name. */
+  double metric(int number, String name) {
+    try {
+      String metrics =
+          caller.GET("http://" + ip(number) + ":" + ports.get(5) + "/metrics").getContentAsString();
+      return metrics
+          .lines()
+          .filter(line -> line.startsWith(name + " "))
+          .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+          .sum();
+    } catch (Exception e) {
+      throw new IllegalStateException("could not read the metrics of host " + number, e);
+    }
+  }
+
   int callerPort() {
     return ports.get(0);
   }
