Suspend runners in the soak and check that no response is ended early

Streams were closed in the middle while their runner was silent for a second or two and at work; the soak had no runner that pauses and no check that would have seen it.

The soak now suspends one, some or all runners for 0.3 to 3 s, as if their processes were stopped by a signal (StandinRunner.suspend), beside bursts of configurations that change timeouts and idle limits, bursts of hangups, and the faults it had. EarlyEndCheck: no request fails before its deadline while a run of it, at a runner whose connection no fault broke, ends in time by the runner's own work and suspensions. Callers use open connections until the process is gone.

The check of orders counts an order at its arrival: a suspended runner accepts later what two holders gave in good time. Without suspensions that is the same moment. A host that is killed at the end of its grace period writes its stacks first, and the soak prints how long each stop took.

--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Callers.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Callers.java
@@ -14,7 +14,11 @@
 import org.sequoiahub.soak.RequestResult.Kind;
 import org.sequoiahub.usersplatform.Headers;
 
-/** Sends requests to randomly chosen hosts, as callers do, and records the result of each. */
+/**
+ * Sends requests to randomly chosen hosts, as callers do, and records the result of each.
+ *
+ * <p>Open connections to a host are used until the host closes them or its process is gone.
+ */
 final class Callers {
 
   /** How long a caller waits for the complete response (ms). */
@@ -82,15 +86,31 @@
     }
     request.body(new StringRequestContent("body of " + id));
     inProgress.incrementAndGet();
+    long sentNanos = System.nanoTime();
     new CompletableResponseListener(request)
         .send()
         .whenComplete(
             (response, failure) -> {
               results.add(
                   failure != null || response == null
-                      ? new RequestResult(id, kind, 0, null)
+                      ? new RequestResult(
+                          id,
+                          kind,
+                          0,
+                          null,
+                          String.valueOf(failure),
+                          host.name(),
+                          sentNanos,
+                          System.nanoTime())
                       : new RequestResult(
-                          id, kind, response.getStatus(), response.getContentAsString()));
+                          id,
+                          kind,
+                          response.getStatus(),
+                          response.getContentAsString(),
+                          "",
+                          host.name(),
+                          sentNanos,
+                          System.nanoTime()));
               inProgress.decrementAndGet();
             });
   }
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultProxy.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultProxy.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /** A TCP proxy that forwards bytes to a target and can delay, discard or reset the traffic. */
 final class FaultProxy implements AutoCloseable {
@@ -32,6 +33,8 @@
   private volatile InetSocketAddress target;
   private volatile Mode mode = Mode.PASS;
   private volatile long delayMillis;
+  private final Interruptions interruptions = new Interruptions();
+  private @Nullable Long discardingSinceNanos;
 
   /**
    * Creates a proxy that listens on a free loopback port.
@@ -57,21 +60,38 @@
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
-  /** Sets how bytes are handled from now on, also on open connections. */
-  void mode(Mode newMode) {
+  /**
+   * Sets how bytes are handled from now on, also on open connections; reset the connections when
+   * bytes are no longer discarded.
+   */
+  synchronized void mode(Mode newMode) {
+    if (newMode != Mode.PASS && discardingSinceNanos == null) {
+      discardingSinceNanos = System.nanoTime();
+    }
     mode = newMode;
   }
 
+  /** Returns the times in which responses were broken off here. */
+  Interruptions interruptions() {
+    return interruptions;
+  }
+
   /** Sets the delay before each chunk of bytes is forwarded (ms). */
   void delay(long millis) {
     delayMillis = millis;
   }
 
   /** Resets all open connections. */
-  void resetConnections() {
+  synchronized void resetConnections() {
+    Long discardingSince = discardingSinceNanos;
+    long fromNanos = discardingSince == null ? System.nanoTime() : discardingSince;
     for (Socket socket : openSockets) {
       abort(socket);
     }
+    interruptions.add(fromNanos, System.nanoTime());
+    if (mode == Mode.PASS) {
+      discardingSinceNanos = null;
+    }
   }
 
   private void acceptConnections() {
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/GuaranteeChecker.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/GuaranteeChecker.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -21,24 +23,28 @@
    */
   private static final long RESUME_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-  private final Collection<StandinRunner> runners;
+  private final Map<StandinRunner, FaultProxy> runners;
   private final Map<String, HostProcess> hostsByName;
   private final int eventsPerStream;
+  private final long workNanos;
 
   /**
    * Creates a checker for one run.
    *
-   * @param runners every runner of the run, including replaced ones
+   * @param runners every runner of the run, including replaced ones, with its proxy
    * @param hostsByName the host processes by host name
    * @param eventsPerStream the number of events in a complete stream
+   * @param workNanos how long a runner takes for a request at most while it is not suspended
    */
   GuaranteeChecker(
-      Collection<StandinRunner> runners,
+      Map<StandinRunner, FaultProxy> runners,
       Map<String, HostProcess> hostsByName,
-      int eventsPerStream) {
+      int eventsPerStream,
+      long workNanos) {
     this.runners = runners;
     this.hostsByName = hostsByName;
     this.eventsPerStream = eventsPerStream;
+    this.workNanos = workNanos;
   }
 
   /** Returns a description of each violated guarantee; empty if all of them held. */
@@ -47,7 +53,8 @@
     for (RequestResult request : results) {
       checkRequest(request, violations);
     }
-    for (StandinRunner runner : runners) {
+    checkEarlyEnds(results, violations);
+    for (StandinRunner runner : runners.keySet()) {
       if (runner.capacityViolations() > 0) {
         violations.add(runner.id() + " was ordered to hold more adapters than it has slots for");
       }
@@ -79,6 +86,43 @@
     }
   }
 
+  private void checkEarlyEnds(Collection<RequestResult> results, List<String> violations) {
+    Map<String, RequestResult> failed = new HashMap<>();
+    for (RequestResult request : results) {
+      if (request.status() != 200) {
+        failed.put(request.id(), request);
+      }
+    }
+    Map<String, List<EarlyEndCheck.Run>> runs = new HashMap<>();
+    runners.forEach(
+        (runner, proxy) -> {
+          for (StandinRunner.Run run : runner.runRecords()) {
+            RequestResult request = failed.get(run.requestId());
+            if (request != null) {
+              runs.computeIfAbsent(run.requestId(), id -> new ArrayList<>())
+                  .add(describe(run, request, runner, proxy));
+            }
+          }
+        });
+    for (RequestResult request : failed.values()) {
+      HostProcess host = hostsByName.get(request.host());
+      boolean hostInterrupted =
+          host != null
+              && host.interruptions().anyBetween(request.sentNanos(), request.endedNanos());
+      EarlyEndCheck.violation(request, runs.getOrDefault(request.id(), List.of()), hostInterrupted)
+          .ifPresent(violations::add);
+    }
+  }
+
+  private EarlyEndCheck.Run describe(
+      StandinRunner.Run run, RequestResult request, StandinRunner runner, FaultProxy proxy) {
+    return new EarlyEndCheck.Run(
+        runner.id(),
+        EarlyEndCheck.endNanos(run.startedNanos(), workNanos, runner.suspensions()),
+        run.pieces().get(),
+        proxy.interruptions().anyBetween(request.sentNanos(), request.endedNanos()));
+  }
+
   private boolean isExpectedBody(RequestResult request, String body) {
     if (!request.kind().isStream()) {
       return body.endsWith(
@@ -98,7 +142,7 @@
 
   private int runCount(String id) {
     int runs = 0;
-    for (StandinRunner runner : runners) {
+    for (StandinRunner runner : runners.keySet()) {
       AtomicInteger runnerRuns = runner.runs().get(id);
       runs += runnerRuns == null ? 0 : runnerRuns.get();
     }
@@ -107,15 +151,19 @@
 
   private void checkOrders(StandinRunner runner, List<String> violations) {
     AcceptedOrder previous = null;
-    for (AcceptedOrder order : runner.acceptedOrders()) {
+    List<AcceptedOrder> orders =
+        runner.acceptedOrders().stream()
+            .sorted(Comparator.comparingLong(AcceptedOrder::arrivedNanos))
+            .toList();
+    for (AcceptedOrder order : orders) {
       HostProcess host = hostsByName.get(order.holder());
       boolean justResumed =
-          host != null && order.acceptedNanos() - host.lastResumedNanos() < RESUME_TOLERANCE_NANOS;
+          host != null && order.arrivedNanos() - host.lastResumedNanos() < RESUME_TOLERANCE_NANOS;
       if (previous != null
           && !justResumed
           && !previous.holder().equals(order.holder())
-          && order.acceptedNanos() - previous.acceptedNanos() < LEASE_NANOS) {
-        long gap = TimeUnit.NANOSECONDS.toMillis(order.acceptedNanos() - previous.acceptedNanos());
+          && order.arrivedNanos() - previous.arrivedNanos() < LEASE_NANOS) {
+        long gap = TimeUnit.NANOSECONDS.toMillis(order.arrivedNanos() - previous.arrivedNanos());
         violations.add(
             "%s accepted an order of %s %d ms after an order of %s"
                 .formatted(runner.id(), order.holder(), gap, previous.holder()));
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -20,6 +21,15 @@
    */
   static final long GRACE_MILLIS = GRACE_SECONDS * 1_000L;
 
+  /**
+   * Time after a stop request in which the process ends nothing that is in progress (ms); later it
+   * prepares for the end of the grace period.
+   */
+  private static final long FINISHING_MILLIS = 3_000;
+
+  /** Time for a process to write the stacks of its threads before it is killed (ms). */
+  private static final long STACKS_MILLIS = 500;
+
   private static final long POLL_MILLIS = 20;
 
   private final String name;
@@ -31,6 +41,7 @@
   private boolean startedBefore;
   private volatile long lastResumedNanos = System.nanoTime();
   private final RunningTime runningTime = new RunningTime();
+  private final Interruptions interruptions = new Interruptions();
 
   /**
    * Creates a host whose process is not started yet.
@@ -63,6 +74,11 @@
     return lastResumedNanos;
   }
 
+  /** Returns the times in which responses were broken off by the end of the process. */
+  Interruptions interruptions() {
+    return interruptions;
+  }
+
   /** Starts the process unless it is running. */
   synchronized void start() throws IOException {
     Process current = process;
@@ -111,10 +127,12 @@
 
   /** Kills the process and waits for it to exit. */
   void kill() throws IOException, InterruptedException {
+    final long fromNanos = System.nanoTime();
     signal("KILL");
     // SIGKILL also ends a paused process, so the wait for its exit must count time again.
     runningTime.markResumed(System.nanoTime());
     awaitTermination(GRACE_MILLIS);
+    interruptions.add(fromNanos, System.nanoTime());
   }
 
   /**
@@ -125,9 +143,21 @@
    */
   boolean stop() throws IOException, InterruptedException {
     signal("CONT");
+    final long finishedNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FINISHING_MILLIS);
     signal("TERM");
+    long signalledNanos = System.nanoTime();
     boolean exited = awaitTermination(GRACE_MILLIS);
+    System.out.printf(
+        "event=host-stopped host=%s exited=%b took_ms=%d time=%s%n",
+        name,
+        exited,
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNanos),
+        Instant.now());
+    interruptions.add(finishedNanos, Math.max(finishedNanos, System.nanoTime()));
     if (!exited) {
+      // The process writes the stacks of its threads to its log.
+      signal("QUIT");
+      TimeUnit.MILLISECONDS.sleep(STACKS_MILLIS);
       kill();
     }
     return !exited;
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/RequestResult.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/RequestResult.java
@@ -9,8 +9,20 @@
  * @param kind the kind of request, which decides its route
  * @param status the response status; 0 if no complete response was received
  * @param body the response body; null if no complete response was received
+ * @param failure why no complete response was received; empty if one was
+ * @param host the name of the host that the request was sent to
+ * @param sentNanos when the request was sent, in {@link System#nanoTime()}
+ * @param endedNanos when its response ended, in {@link System#nanoTime()}
  */
-record RequestResult(String id, Kind kind, int status, @Nullable String body) {
+record RequestResult(
+    String id,
+    Kind kind,
+    int status,
+    @Nullable String body,
+    String failure,
+    String host,
+    long sentNanos,
+    long endedNanos) {
 
   /** A kind of request, with the route that serves it and whether it may run more than once. */
   enum Kind {
@@ -46,6 +58,13 @@
     }
   }
 
+  /** Returns the status, or the kind of failure if no complete response was received. */
+  String outcome() {
+    return status == 0
+        ? failure.replaceAll(":.*", "").replaceAll(".*[.$]", "")
+        : Integer.toString(status);
+  }
+
   /** Returns whether the response status states that the request has not run and never will. */
   boolean guaranteesNotRun() {
     return status == 503 || status == 429 || status == 408 || status == 421;
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +44,10 @@
   private static final int PLAIN_DURATION_MILLIS = 15;
   private static final long REQUEST_INTERVAL_MILLIS = 25;
 
+  /** The longest time that a runner takes for a request while it is not suspended (ns). */
+  private static final long LONGEST_WORK_NANOS =
+      TimeUnit.MILLISECONDS.toNanos((long) EVENTS_PER_STREAM * EVENT_INTERVAL_MILLIS);
+
   /** How long each condition is awaited, such as the recovery after the last fault (ms). */
   private static final long RECOVERY_MILLIS = 20_000;
 
@@ -52,6 +59,18 @@
 
   private static final int RECOVERY_SAMPLE_REQUESTS = 20;
 
+  /** The accepted pause between two events of a stream in runs with suspensions (ms). */
+  private static final int SHORT_GAP_MILLIS = 300;
+
+  /** Idle times of callers' connections that configurations alternate in such runs (ms). */
+  private static final List<Integer> IDLE_MILLIS = List.of(15_000, 1_000, 6_000);
+
+  /** Timeouts of routes that configurations alternate: none is below the callers' deadline (ms). */
+  private static final List<Integer> ROUTE_TIMEOUT_MILLIS = List.of(20_000, 4_000, 9_000);
+
+  /** The time from which on a complete response counts as long (ns). */
+  private static final long LONG_RESPONSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
   private final long seed;
   private final Random random;
   private final Path directory;
@@ -61,7 +80,8 @@
   private final List<FaultProxy> storeProxies = new ArrayList<>();
   private final List<FaultProxy> runnerProxies = new ArrayList<>();
   private final List<StandinRunner> runners = new ArrayList<>();
-  private final List<StandinRunner> allRunners = new ArrayList<>();
+  private final Map<StandinRunner, FaultProxy> allRunners = new ConcurrentHashMap<>();
+  private final SoakOptions options;
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(4);
   private final List<Integer> ports;
   private final List<String> hostsKilledAtStop = new ArrayList<>();
@@ -75,9 +95,11 @@
    * @param hostCount the number of hosts, 3 or more
    * @param jar the host program
    * @param directory where log and settings files are written
+   * @param options the faults beside those of every run
    */
-  Soak(long seed, int hostCount, Path jar, Path directory) throws Exception {
+  Soak(long seed, int hostCount, Path jar, Path directory, SoakOptions options) throws Exception {
     this.seed = seed;
+    this.options = options;
     this.random = new Random(seed);
     this.directory = Files.createDirectories(directory);
     this.ports = FreePorts.find(PORTS_PER_HOST, new SecureRandom());
@@ -106,7 +128,8 @@
     return StandinSettings.text(name, "z", ip, ports, seeds, first, proxy.address(), grace);
   }
 
-  private void writeConfiguration() {
+  private synchronized void writeConfiguration() {
+    configurationVersion++;
     List<String> routes = new ArrayList<>();
     routes.add(
         StandinConfiguration.route(RequestResult.Kind.PLAIN.prefix(), "safe", "plain", false));
@@ -118,9 +141,18 @@
     routes.add(
         StandinConfiguration.route(
             RequestResult.Kind.STREAM_ONCE.prefix(), "streaming", "llm", false));
+    String configuration = StandinConfiguration.configuration(configurationVersion, routes);
     store.put(
-        StandinConfiguration.key(),
-        StandinConfiguration.configuration(++configurationVersion, routes));
+        StandinConfiguration.key(), options.suspensions() ? variant(configuration) : configuration);
+  }
+
+  /** Returns a configuration whose times depend on its version. */
+  private String variant(String configuration) {
+    int number = (int) (configurationVersion % IDLE_MILLIS.size());
+    return configuration
+        .replace("\"gapAimMs\":2000", "\"gapAimMs\":" + SHORT_GAP_MILLIS)
+        .replace("\"timeoutMs\":20000", "\"timeoutMs\":" + ROUTE_TIMEOUT_MILLIS.get(number))
+        .replace("\"idleTimeoutMs\":15000", "\"idleTimeoutMs\":" + IDLE_MILLIS.get(number));
   }
 
   private StandinRunner createRunner(String service, String model) throws Exception {
@@ -130,14 +162,15 @@
     runner.version(VERSIONS.get(number % VERSIONS.size()));
     runner.streamEvents(EVENTS_PER_STREAM, EVENT_INTERVAL_MILLIS);
     runner.plainMillis(PLAIN_DURATION_MILLIS);
-    allRunners.add(runner);
     return runner;
   }
 
   private void addRunner(String service, String model) throws Exception {
     StandinRunner runner = createRunner(service, model);
+    FaultProxy proxy = new FaultProxy(runner.address());
     runners.add(runner);
-    runnerProxies.add(new FaultProxy(runner.address()));
+    runnerProxies.add(proxy);
+    allRunners.put(runner, proxy);
     publishRunner(runners.size() - 1, "ready");
   }
 
@@ -163,9 +196,13 @@
         new Callers(http, hosts, ports.get(0), new Random(random.nextLong()), "s" + seed);
     scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     FaultInjector faults = new FaultInjector(this, random, new Random(~seed), scheduler);
+    SuspensionInjector suspensions = new SuspensionInjector(this, suspensionRandom(), scheduler);
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
     while (System.nanoTime() < end) {
       faults.injectNext();
+      if (options.suspensions()) {
+        suspensions.injectNext();
+      }
       TimeUnit.MILLISECONDS.sleep(50 + random.nextInt(900));
     }
     faults.undoAll();
@@ -177,20 +214,41 @@
     hosts.forEach(host -> hostsByName.put(host.name(), host));
     List<String> violations =
         new ArrayList<>(
-            new GuaranteeChecker(allRunners, hostsByName, EVENTS_PER_STREAM)
+            new GuaranteeChecker(allRunners, hostsByName, EVENTS_PER_STREAM, LONGEST_WORK_NANOS)
                 .violations(List.copyOf(callers.results())));
     if (!servingAgain) {
       violations.add("requests are not served again after the last fault: see the host logs");
     }
     hostsKilledAtStop.forEach(
         name -> violations.add(name + " did not stop within the grace period and was killed"));
-    long succeeded = callers.results().stream().filter(request -> request.status() == 200).count();
+    Map<String, Integer> outcomes = new TreeMap<>();
+    callers.results().forEach(request -> outcomes.merge(request.outcome(), 1, Integer::sum));
+    long longResponses = callers.results().stream().filter(Soak::isLongResponse).count();
     System.out.printf(
-        "event=soak seed=%d requests=%d good=%d faults=%d broken=%d%n",
-        seed, callers.results().size(), succeeded, faults.count(), violations.size());
+        "event=soak seed=%d requests=%d good=%d long=%d faults=%d suspensions=%d broken=%d"
+            + " outcomes=\"%s\"%n",
+        seed,
+        callers.results().size(),
+        outcomes.getOrDefault("200", 0),
+        longResponses,
+        faults.count(),
+        allRunners.keySet().stream().mapToInt(runner -> runner.suspensions().size()).sum(),
+        violations.size(),
+        outcomes);
     return violations;
   }
 
+  /** Returns whether a response was completed although its runners were silent for long. */
+  private static boolean isLongResponse(RequestResult request) {
+    return request.status() == 200
+        && request.endedNanos() - request.sentNanos() > LONG_RESPONSE_NANOS;
+  }
+
+  /** Draws the suspensions, so that a seed draws the same other faults with or without them. */
+  private Random suspensionRandom() {
+    return new Random(new SplittableRandom(seed).nextLong());
+  }
+
   private boolean isServingAgain(Callers callers) {
     List<RequestResult> all = List.copyOf(callers.results());
     List<RequestResult> sample =
@@ -243,6 +301,10 @@
     return store;
   }
 
+  int runnerCount() {
+    return runners.size();
+  }
+
   StandinRunner runner(int index) {
     return runners.get(index);
   }
@@ -279,6 +341,7 @@
     store.delete(StoreKeys.RUNNER_PREFIX + old.id());
     StandinRunner replacement =
         createRunner(index % 2 == 0 ? "plain" : "llm", index % 2 == 0 ? "" : "m");
+    allRunners.put(replacement, runnerProxies.get(index));
     runners.set(index, replacement);
     runnerProxies.get(index).target(replacement.address());
     runnerProxies.get(index).resetConnections();
@@ -298,7 +361,7 @@
     for (FaultProxy proxy : runnerProxies) {
       proxy.close();
     }
-    for (StandinRunner runner : allRunners) {
+    for (StandinRunner runner : allRunners.keySet()) {
       runner.close();
     }
     try {
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
@@ -30,6 +30,11 @@
                 null, "seconds", true, "how long faults are injected in each run (default: 15)")
             .addOption(
                 null, "hosts", true, "the number of hosts in each run, 3 or more (default: 4)")
+            .addOption(
+                null,
+                "no-suspensions",
+                false,
+                "without suspended runners and bursts of configurations and signals")
             .addOption(null, "jar", true, "the path of the host program");
     try {
       CommandLine flags = new DefaultParser().parse(options, arguments);
@@ -47,10 +52,11 @@
     int hosts = Integer.parseInt(flags.getOptionValue("hosts", "4"));
     Path jar =
         Path.of(flags.getOptionValue("jar", "sequoia-node/target/sequoia-node-0.1.0-all.jar"));
+    SoakOptions options = new SoakOptions(!flags.hasOption("no-suspensions"));
     boolean allHeld = true;
     for (long seed = first; seed < first + seeds; seed++) {
       Path directory = Files.createTempDirectory("soak-" + seed + "-");
-      try (Soak soak = new Soak(seed, hosts, jar.toAbsolutePath(), directory)) {
+      try (Soak soak = new Soak(seed, hosts, jar.toAbsolutePath(), directory, options)) {
         List<String> violations = soak.run(faultMillis);
         violations.forEach(line -> System.out.println("event=broken " + line));
         if (!violations.isEmpty()) {
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/PauseInGraceSoakTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/PauseInGraceSoakTest.java
@@ -32,7 +32,7 @@
     assertWithMessage("the host program exists; build sequoia-node first")
         .that(Files.exists(jar))
         .isTrue();
-    try (Soak soak = new Soak(SEED, HOSTS, jar.toAbsolutePath(), directory)) {
+    try (Soak soak = new Soak(SEED, HOSTS, jar.toAbsolutePath(), directory, SoakOptions.NONE)) {
       assertThat(soak.run(FAULT_MILLIS)).isEmpty();
     }
   }
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/SoakTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/SoakTest.java
@@ -29,7 +29,7 @@
     assertWithMessage("the host program exists; build sequoia-node first")
         .that(Files.exists(jar))
         .isTrue();
-    try (Soak soak = new Soak(SEED, 3, jar.toAbsolutePath(), directory)) {
+    try (Soak soak = new Soak(SEED, 3, jar.toAbsolutePath(), directory, SoakOptions.NONE)) {
       assertThat(soak.run(FAULT_MILLIS)).isEmpty();
     }
   }
