Test hosts that follow a store restored from an older copy (known red)

Callers got 404 on acknowledged routes, and their requests went to runners that had announced that they leave, from the moment at which the store came back from an older copy until its revisions had passed the highest one known.

RecordBoundsChecker plays restores in virtual time. Lost changes are written again after 0 to 3 s, each key on its own. The bound of a change runs from its acknowledgement while a host that knew it can tell the others, and otherwise from the write that replaces it. New in it: a process does not use a runner again that it knew to leave.

A leaving is also forgotten by a host that has just started: it hears of it from one host, and then from another one, with a higher revision of the former era, that the runner is ready.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -29,7 +29,7 @@
   Arbitrary<List<RecordTrouble>> troubles() {
     Arbitrary<RecordTrouble> trouble =
         Combinators.combine(
-                Arbitraries.of(Kind.class),
+                Arbitraries.of(RecordTrouble.WITHIN_ONE_ERA),
                 Arbitraries.integers().between(1, 10),
                 Arbitraries.integers().between(200, 9_000),
                 Arbitraries.integers().between(0, 3_000))
@@ -242,12 +242,12 @@
 
     @Test
     void holdsAt7Hosts() {
-      injectEach(7, 3_000, List.of(Kind.values()));
+      injectEach(7, 3_000, RecordTrouble.WITHIN_ONE_ERA);
     }
 
     @Test
     void holdsAt77Hosts() {
-      injectEach(77, 3_000, List.of(Kind.values()));
+      injectEach(77, 3_000, RecordTrouble.WITHIN_ONE_ERA);
     }
 
     /** Frozen, restarted and cut hosts, lost watches and a slow store, all within seconds. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +14,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import org.sequoiahub.node.peer.RecordTrouble.Kind;
+import org.sequoiahub.usersplatform.StoreKeys;
 import org.sequoiahub.usersplatform.standin.VirtualStore.Fault;
 
 /** Injects faults into a fleet and checks at each step which records its hosts have. */
@@ -35,14 +38,21 @@
 
   private static final String ADAPTER = "a1";
 
+  /** How long the store is silent before it comes back from an older copy (ms). */
+  private static final int RESTORE_AWAY_MILLIS = 400;
+
   private final RecordSimulation simulation;
   private final Random random;
 
-  /** When each configuration version was confirmed. */
-  private final TreeMap<Long, Long> confirmed = new TreeMap<>();
+  /** The confirmed configuration versions. */
+  private final TreeMap<Long, AckedChange> confirmed = new TreeMap<>();
+
+  private final TreeMap<Integer, AckedChange> publishedVersions = new TreeMap<>();
+  private final Map<String, AckedChange> leaving = new LinkedHashMap<>();
+
+  /** The runners of which each process knew at the last check that they leave. */
+  private final Map<Integer, Set<String>> knownLeaving = new HashMap<>();
 
-  private final TreeMap<Integer, Long> publishedVersions = new TreeMap<>();
-  private final TreeMap<Long, String> leaving = new TreeMap<>();
   private final Map<Integer, Long> hostFaultyUntil = new HashMap<>();
   private final Map<Integer, Long> highestVersions = new HashMap<>();
 
@@ -60,7 +70,111 @@
   RecordBoundsChecker(RecordSimulation simulation, long seed) {
     this.simulation = simulation;
     this.random = new Random(seed);
-    confirmed.put(simulation.version(), simulation.now());
+    confirmed.put(simulation.version(), new AckedChange(StoreKeys.CONFIGURATION, simulation.now()));
+    simulation.onWrite(this::written);
+  }
+
+  /** A change that the store acknowledged, and that it may have lost since. */
+  private static final class AckedChange {
+    final String key;
+    final long ackedMillis;
+
+    /** When it, or what supersedes it, was written last. */
+    long writtenMillis;
+
+    /** Whether the store has lost it, even if it was written again since. */
+    boolean lost;
+
+    /** Whether it has been lost and is not written again yet. */
+    boolean missing;
+
+    /** The hosts that knew it when the store lost it and that can tell others since. */
+    Set<Integer> knowers = new HashSet<>();
+
+    AckedChange(String key, long ackedMillis) {
+      this.key = key;
+      this.ackedMillis = ackedMillis;
+      this.writtenMillis = ackedMillis;
+    }
+
+    /**
+     * Returns the time from which its bound runs: its acknowledgement, unless the store and all
+     * hosts lost it, and then that of the next write.
+     */
+    long boundStartMillis() {
+      if (!lost || !knowers.isEmpty()) {
+        return ackedMillis;
+      }
+      return missing ? Long.MAX_VALUE / 2 : writtenMillis;
+    }
+
+    void lose(Set<Integer> knownBy) {
+      lost = true;
+      missing = true;
+      knowers = knownBy;
+    }
+  }
+
+  private List<AckedChange> ackedChanges() {
+    List<AckedChange> all = new ArrayList<>(confirmed.values());
+    all.addAll(publishedVersions.values());
+    all.addAll(leaving.values());
+    return all;
+  }
+
+  private void written(String key) {
+    for (AckedChange change : ackedChanges()) {
+      if (change.missing && change.key.equals(key)) {
+        change.missing = false;
+        change.writtenMillis = simulation.now();
+      }
+    }
+  }
+
+  private void restoreStore(long ageMillis) {
+    long copiedAtMillis = simulation.now() - ageMillis;
+    confirmed.forEach(
+        (version, change) ->
+            loseIfNewer(
+                change, copiedAtMillis, host -> simulation.host(host).versionInForce() >= version));
+    publishedVersions.forEach(
+        (version, change) ->
+            loseIfNewer(
+                change,
+                copiedAtMillis,
+                host -> simulation.host(host).registry.newestVersion("m/" + ADAPTER) >= version));
+    leaving.forEach(
+        (runner, change) ->
+            loseIfNewer(
+                change, copiedAtMillis, host -> simulation.host(host).knowsLeaving(runner)));
+    simulation.restoreStore(ageMillis);
+  }
+
+  private void loseIfNewer(AckedChange change, long copiedAtMillis, IntPredicate known) {
+    if (change.missing || change.writtenMillis > copiedAtMillis) {
+      Set<Integer> knowers = new HashSet<>();
+      if (!isAnyCut()) {
+        for (PeerSimulation.Host host : simulation.peers.running()) {
+          if (isHostSound(host.number) && known.test(host.number)) {
+            knowers.add(host.number);
+          }
+        }
+      }
+      change.lose(knowers);
+    }
+  }
+
+  private boolean isAnyCut() {
+    return active.stream()
+        .map(fault -> fault.trouble.kind())
+        .anyMatch(kind -> kind == Kind.HOSTS_CUT_ONE_WAY || kind == Kind.PEER_CONNECTIONS_SILENT);
+  }
+
+  /** Excludes hosts from those that are expected to tell others of lost changes. */
+  private void excludeKnowers(IntPredicate hosts) {
+    for (AckedChange change : ackedChanges()) {
+      change.knowers.removeIf(hosts::test);
+    }
   }
 
   /** Advances the time while changes are made at intervals. */
@@ -105,13 +219,21 @@
         }
         advance(fault.forMillis());
       }
+      case STORE_RESTORED -> {
+        simulation.store.setFault(Fault.SILENT, host -> true);
+        restoreStore(fault.forMillis());
+        awaitStoreFault(RESTORE_AWAY_MILLIS);
+        simulation.store.setFault(Fault.NONE, host -> false);
+      }
       case PEER_CONNECTIONS_SILENT -> {
+        excludeKnowers(host -> true);
         simulation.silenceConnections((from, to) -> affected.contains(to));
         advance(fault.forMillis());
         simulation.silenceConnections((from, to) -> false);
       }
       case HOSTS_RESTART -> restart(affected, fault);
       case HOSTS_FREEZE -> {
+        excludeKnowers(affected::contains);
         long until = simulation.now() + fault.forMillis();
         for (int host : affected) {
           simulation.peers.freeze(host, until);
@@ -120,6 +242,7 @@
         advance(fault.forMillis());
       }
       case HOSTS_CUT_ONE_WAY -> {
+        excludeKnowers(host -> true);
         simulation.cut((from, to) -> affected.contains(from) && !affected.contains(to));
         advance(fault.forMillis());
         simulation.cut((from, to) -> false);
@@ -146,7 +269,9 @@
       Set<Integer> affected = drawHosts(trouble.tenths());
       OverlappingFault fault = new OverlappingFault(trouble, affected);
       steps.add(new Step(begin, () -> begin(fault)));
-      steps.add(new Step(begin + trouble.forMillis(), () -> end(fault)));
+      boolean restored = trouble.kind() == Kind.STORE_RESTORED;
+      long end = begin + (restored ? RESTORE_AWAY_MILLIS : trouble.forMillis());
+      steps.add(new Step(end, () -> end(fault)));
     }
     while (!steps.isEmpty()) {
       Step next = steps.poll();
@@ -165,6 +290,7 @@
     long until = simulation.now() + fault.trouble.forMillis();
     switch (fault.trouble.kind()) {
       case HOSTS_FREEZE -> {
+        excludeKnowers(affected::contains);
         for (int host : affected) {
           simulation.peers.freeze(host, until);
           hostFaulty(host, until);
@@ -173,8 +299,7 @@
       case HOSTS_RESTART -> {
         for (int host : affected) {
           if (simulation.peers.host(host) != null) {
-            simulation.kill(host);
-            highestVersions.remove(host);
+            kill(host);
           }
           hostFaulty(host, until);
         }
@@ -190,6 +315,15 @@
         storeFaulty(until);
       }
       case CHANGES_IN_STORM -> intervalMillis = STORM_INTERVAL_MILLIS;
+      case STORE_RESTORED -> {
+        restoreStore(fault.trouble.forMillis());
+        storeFaulty(simulation.now() + RESTORE_AWAY_MILLIS);
+        applyFaults();
+      }
+      case HOSTS_CUT_ONE_WAY, PEER_CONNECTIONS_SILENT -> {
+        excludeKnowers(host -> true);
+        applyFaults();
+      }
       default -> applyFaults();
     }
   }
@@ -229,6 +363,11 @@
                 fault.affected.forEach(host -> byHost.put(host, kind));
               });
     }
+    boolean storeAway =
+        active.stream().anyMatch(fault -> fault.trouble.kind() == Kind.STORE_RESTORED);
+    for (int host = 0; storeAway && host < simulation.peers.size(); host++) {
+      byHost.put(host, Fault.SILENT);
+    }
     simulation.store.setFaults(host -> byHost.getOrDefault(host, Fault.NONE));
     simulation.cut(
         (from, to) ->
@@ -279,10 +418,16 @@
     advance(millis);
   }
 
+  private void kill(int host) {
+    simulation.kill(host);
+    highestVersions.remove(host);
+    knownLeaving.remove(host);
+    excludeKnowers(killed -> killed == host);
+  }
+
   private void restart(Set<Integer> affected, RecordTrouble fault) {
     for (int host : affected) {
-      simulation.kill(host);
-      highestVersions.remove(host);
+      kill(host);
       hostFaultyUntil.put(host, Long.MAX_VALUE / 2);
     }
     advance(Math.min(fault.forMillis(), 2_000));
@@ -299,19 +444,28 @@
     switch (random.nextInt(3)) {
       case 0 -> {
         int version = publishedVersions.isEmpty() ? 1 : publishedVersions.lastKey() + 1;
-        simulation.store.putVersion(ADAPTER, version);
-        publishedVersions.put(version, simulation.now());
+        simulation.publish(ADAPTER, version);
+        publishedVersions.put(
+            version, new AckedChange(RecordSimulation.versionKey(ADAPTER), simulation.now()));
+      }
+      case 1 -> {
+        String runner = simulation.replaceRunner();
+        leaving.put(runner, new AckedChange(StoreKeys.RUNNER_PREFIX + runner, simulation.now()));
       }
-      case 1 -> leaving.put(simulation.now(), simulation.replaceRunner());
-      default -> confirmed.put(simulation.configure(), simulation.now());
+      default ->
+          confirmed.put(
+              simulation.configure(), new AckedChange(StoreKeys.CONFIGURATION, simulation.now()));
     }
   }
 
   private boolean isConnected(int host) {
+    return isHostSound(host) && storeFaultyUntil + RECOVERY_MILLIS <= simulation.now();
+  }
+
+  private boolean isHostSound(int host) {
     return hostFaultyUntil.getOrDefault(host, simulation.now() - 2 * RECOVERY_MILLIS)
-                + RECOVERY_MILLIS
-            <= simulation.now()
-        && storeFaultyUntil + RECOVERY_MILLIS <= simulation.now();
+            + RECOVERY_MILLIS
+        <= simulation.now();
   }
 
   private void check() {
@@ -332,9 +486,10 @@
       confirmed
           .subMap(before, false, version, true)
           .values()
-          .forEach(at -> latencies.add(simulation.now() - at));
+          .forEach(change -> latencies.add(simulation.now() - change.ackedMillis));
     }
     highestVersions.put(host, version);
+    checkKnownLeaving(host, records);
     if (!isConnected(host)) {
       return;
     }
@@ -348,18 +503,40 @@
         .that(records.registry.newestVersion("m/" + ADAPTER))
         .isAtLeast(adapter);
     long latest = simulation.now() - RecordSimulation.DRAIN_MILLIS;
-    for (String runner : leaving.subMap(latest - LEFT_RUNNER_CHECK_MILLIS, latest).values()) {
-      assertWithMessage(
-              "use of runner %s at host %s at %s, %s", runner, host, simulation.now(), currentFault)
-          .that(records.isUsable(runner))
-          .isFalse();
+    leaving.forEach(
+        (runner, change) -> {
+          long start = change.boundStartMillis();
+          if (start >= latest - LEFT_RUNNER_CHECK_MILLIS && start < latest) {
+            assertWithMessage(
+                    "use of runner %s at host %s at %s, %s",
+                    runner, host, simulation.now(), currentFault)
+                .that(records.isUsable(runner))
+                .isFalse();
+          }
+        });
+  }
+
+  /** A process that knew of a runner that it leaves does not use that runner again. */
+  private void checkKnownLeaving(int host, RecordSimulation.HostRecords records) {
+    Set<String> known = knownLeaving.computeIfAbsent(host, number -> new HashSet<>());
+    for (String runner : leaving.keySet()) {
+      if (records.knowsLeaving(runner)) {
+        known.add(runner);
+      } else if (known.contains(runner)) {
+        assertWithMessage(
+                "renewed use of runner %s at host %s at %s, %s",
+                runner, host, simulation.now(), currentFault)
+            .that(records.isUsable(runner))
+            .isFalse();
+      }
     }
   }
 
-  private <K extends Comparable<K>> K latestDue(TreeMap<K, Long> changes, long bound, K none) {
+  private <K extends Comparable<K>> K latestDue(
+      TreeMap<K, AckedChange> changes, long bound, K none) {
     K due = none;
-    for (Map.Entry<K, Long> change : changes.entrySet()) {
-      if (change.getValue() + bound <= simulation.now()) {
+    for (Map.Entry<K, AckedChange> change : changes.entrySet()) {
+      if (change.getValue().boundStartMillis() + bound <= simulation.now()) {
         due = change.getKey();
       }
     }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerRegistry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.store.StoreFollower;
@@ -23,6 +24,7 @@
 import org.sequoiahub.usersplatform.RecordDecoder;
 import org.sequoiahub.usersplatform.StoreKeys;
 import org.sequoiahub.usersplatform.StoreReader;
+import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.usersplatform.standin.VirtualStore;
 
 /**
@@ -45,6 +47,9 @@
   private static final long RUNNER_HEARTBEAT_MILLIS = 1_200;
   private static final int RUNNERS = 4;
 
+  /** The maximum time until a change that the store lost is written again (ms). */
+  private static final int MAX_REWRITE_MILLIS = 3_000;
+
   final PeerSimulation peers;
   final VirtualStore store;
   private final Random random;
@@ -52,6 +57,8 @@
   private final Map<Integer, Integer> starts = new HashMap<>();
   private BiPredicate<Integer, Integer> silent = (from, to) -> false;
   private final PriorityQueue<Delivery> inTransit = new PriorityQueue<>();
+  private final Map<String, Rewrite> rewrites = new HashMap<>();
+  private Consumer<String> writeListener = key -> {};
   private long deliveries;
   private long sequence;
   private long heartbeatMillis;
@@ -66,6 +73,9 @@
     }
   }
 
+  /** A change that the store lost and that is to be written again. */
+  private record Rewrite(StoredItem item, long atMillis) {}
+
   /** The records of one process. */
   final class HostRecords implements PeerSimulation.Records {
     final PeerSimulation.Host host;
@@ -129,6 +139,11 @@
       return versions.isEmpty() ? -1 : versions.get(versions.size() - 1);
     }
 
+    /** Returns whether this process knows that a runner announced that it leaves. */
+    boolean knowsLeaving(String runner) {
+      return runners.find(runner).filter(RunnerEntry::leaving).isPresent();
+    }
+
     /** Returns whether new requests may go to a runner. */
     boolean isUsable(String runner) {
       return runners.usable(peers.now()).stream().anyMatch(entry -> entry.id().equals(runner));
@@ -186,9 +201,50 @@
   long configure() {
     version++;
     store.putConfiguration(version, "/v" + version + "/");
+    written(StoreKeys.CONFIGURATION);
     return version;
   }
 
+  /** Writes a version of adapter {@code adapter} of model m. */
+  void publish(String adapter, int published) {
+    store.putVersion(adapter, published);
+    written(versionKey(adapter));
+  }
+
+  static String versionKey(String adapter) {
+    return StoreKeys.VERSION_PREFIX + "m." + adapter;
+  }
+
+  /** Notifies {@code listener} of the key of each write by an operator or a runner. */
+  void onWrite(Consumer<String> listener) {
+    writeListener = listener;
+  }
+
+  private void written(String key) {
+    rewrites.remove(key);
+    writeListener.accept(key);
+  }
+
+  /**
+   * Restores the store from a copy of {@code ageMillis} ago. What it lost is written again, each
+   * key on its own, unless a newer value is written first.
+   */
+  void restoreStore(long ageMillis) {
+    for (StoredItem lost : store.restore(ageMillis)) {
+      rewrites.putIfAbsent(
+          lost.key(), new Rewrite(lost, now() + random.nextInt(MAX_REWRITE_MILLIS)));
+    }
+  }
+
+  private void rewriteLost() {
+    for (Rewrite rewrite : List.copyOf(rewrites.values())) {
+      if (rewrite.atMillis <= now()) {
+        store.rewrite(rewrite.item);
+        written(rewrite.item.key());
+      }
+    }
+  }
+
   long version() {
     return version;
   }
@@ -223,6 +279,7 @@
     if (now() - heartbeatMillis >= RUNNER_HEARTBEAT_MILLIS) {
       runnerHeartbeats();
     }
+    rewriteLost();
     store.advance(now());
     while (!inTransit.isEmpty() && inTransit.peek().atMillis <= now()) {
       inTransit.poll().work.run();
@@ -235,6 +292,7 @@
     sequence++;
     for (int runner = 0; runner < RUNNERS; runner++) {
       store.putRunner(runnerId(runner), false, sequence);
+      written(StoreKeys.RUNNER_PREFIX + runnerId(runner));
     }
   }
 
@@ -247,8 +305,10 @@
     int runner = random.nextInt(RUNNERS);
     String id = runnerId(runner);
     store.putRunner(id, true, ++sequence);
+    written(StoreKeys.RUNNER_PREFIX + id);
     starts.merge(runner, 1, Integer::sum);
     store.putRunner(runnerId(runner), false, ++sequence);
+    written(StoreKeys.RUNNER_PREFIX + runnerId(runner));
     return id;
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordTrouble.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordTrouble.java
@@ -1,5 +1,8 @@
 package org.sequoiahub.node.peer;
 
+import java.util.List;
+import java.util.stream.Stream;
+
 /**
  * One fault in a fleet that follows the store.
  *
@@ -22,6 +25,12 @@
     HOSTS_RESTART,
     HOSTS_FREEZE,
     HOSTS_CUT_ONE_WAY,
-    CHANGES_IN_STORM
+    CHANGES_IN_STORM,
+    /** The store is silent for a moment and comes back from a copy of {@code forMillis} ago. */
+    STORE_RESTORED
   }
+
+  /** The faults in which the store's revisions only rise. */
+  static final List<Kind> WITHIN_ONE_ERA =
+      Stream.of(Kind.values()).filter(kind -> kind != Kind.STORE_RESTORED).toList();
 }
