--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -38,7 +38,8 @@
     page.put("host", host)
         .put("ready", ready)
         .put("runners_reachable", !runnersUnreachable)
-        .put("configuration", configuration.version());
+        .put("configuration", configuration.version())
+        .put("configuration_position", configuration.position().toString());
     ArrayNode runners = page.putArray("runners");
     for (LimitStatus limit : limits) {
       runners
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
@@ -56,6 +56,7 @@
                     List.of(runner("i-1", "v1"), runner("i-2", "v1"), runner("i-3", "v1.1"))));
     assertThat(page.path("host").asText()).isEqualTo("host-1");
     assertThat(page.path("configuration").asLong()).isEqualTo(7);
+    assertThat(page.path("configuration_position").asText()).isEqualTo("2.100");
     JsonNode runner = page.path("runners").path(0);
     assertThat(runner.path("runner").asText()).isEqualTo("i-1");
     assertThat(runner.path("limit_per_s").asDouble()).isEqualTo(0.5);
