Wait for a silent runner until the deadline of its request

Cause: the idle timeout of the HTTP client for runners, which is meant for connections that no request uses, holds for those in use as well. Ruled out: the idle limit of callers' connections, which ends no response in progress (CallerServerTest).

Fix: requests in progress have no idle timeout; the deadline ends each of them. Connections that no request uses are closed after 60 s as before.

UpstreamClientTest.IdleConnections, with an idle timeout of 200 ms and a silence of 800 ms: 5 of 5 red before, 5 of 5 green. In the run with this change ResponseEndTest.wholeBodyIsComplete failed once (RESET_LATER), and then in 1 of 22 runs of its nested class with it (HALF_CLOSE_THEN_RESET) and 0 of 14 without it, at a load of 33 on 8 cores; whether it is related is not shown.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContinueProtocolHandler;
@@ -39,9 +40,12 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
-  /** Time after which an idle connection is closed (ms): shorter than the runners' own limits. */
+  /** Time after which an unused connection is closed (ms): shorter than the runners' own limits. */
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
+  /** Lets a connection be idle for any time while a request is in progress on it. */
+  private static final long NO_IDLE_TIMEOUT = 0;
+
   private final HttpClient http;
   private final LongSupplier wallClock;
 
@@ -113,6 +117,8 @@
         http.newRequest("http://" + runner.address())
             .path(pathAndQuery)
             .method(method)
+            // Its deadline ends the request; the silence of its runner does not.
+            .idleTimeout(NO_IDLE_TIMEOUT, TimeUnit.MILLISECONDS)
             .headers(
                 fields -> {
                   fields.remove(HttpHeader.ACCEPT_ENCODING);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -5,12 +5,15 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.usersplatform.Headers;
 
@@ -100,6 +103,62 @@
     }
   }
 
+  /** Requests take longer than connections may be idle. */
+  @Nested
+  class IdleConnections {
+
+    private static final int IDLE_MILLIS = 200;
+    private static final int SILENCE_MILLIS = 4 * IDLE_MILLIS;
+
+    @BeforeEach
+    void shortenIdleTimeout() {
+      http.setIdleTimeout(IDLE_MILLIS);
+    }
+
+    private ScriptedRunner silentRunner(int bytesBefore) throws Exception {
+      String response = completeResponse("1", "whole");
+      int cut = bytesBefore == 0 ? 0 : response.length() - bytesBefore;
+      return new ScriptedRunner(
+          (number, connection, out) -> {
+            ScriptedRunner.write(out, response.substring(0, cut));
+            Thread.sleep(SILENCE_MILLIS);
+            ScriptedRunner.write(out, response.substring(cut));
+          });
+    }
+
+    /** Guards against requests that are given up because their runner is silent. */
+    @ParameterizedTest
+    @CsvSource({"0,false", "0,true", "2,false", "2,true"})
+    void silentRunnerIsWaitedFor(int bytesBefore, boolean stream) throws Exception {
+      try (ScriptedRunner runner = silentRunner(bytesBefore)) {
+        Outcome outcome = send(runner, "1", stream, new AttemptRecorder());
+        assertThat(outcome)
+            .isInstanceOf(stream ? Outcome.StreamCompleted.class : Outcome.Answered.class);
+      }
+    }
+
+    /** Guards against connections that are used again after the runner has closed them. */
+    @Test
+    void connectionIsClosedOnceItIsNotUsed() throws Exception {
+      try (ScriptedRunner runner = silentRunner(0)) {
+        assertThat(sendPlain(runner, "1")).isInstanceOf(Outcome.Answered.class);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (connectionCount() > 0 && System.nanoTime() < end) {
+          TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(connectionCount()).isEqualTo(0);
+      }
+    }
+
+    private int connectionCount() {
+      return http.getDestinations().stream()
+          .mapToInt(
+              destination ->
+                  ((AbstractConnectionPool) destination.getConnectionPool()).getConnectionCount())
+          .sum();
+    }
+  }
+
   @Nested
   class Requests {
     @Test
