--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/PausePoliciesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/PausePoliciesTest.java
@@ -38,13 +38,11 @@
 
   /** Returns the scenarios in which no runner terminates after it has taken a stream over. */
   static Stream<Scenario> withoutLaterTerminations() {
-    return scenarios().stream()
-        .filter(scenario -> scenario.load() != Load.DOMAIN_LOST_AFTER_PAUSE);
+    return scenarios().stream().filter(scenario -> scenario.load() != Load.DOMAIN_LOST_AFTER_PAUSE);
   }
 
   static Stream<Scenario> laterTerminations() {
-    return scenarios().stream()
-        .filter(scenario -> scenario.load() == Load.DOMAIN_LOST_AFTER_PAUSE);
+    return scenarios().stream().filter(scenario -> scenario.load() == Load.DOMAIN_LOST_AFTER_PAUSE);
   }
 
   static Stream<Scenario> shortPauses() {
