--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/SilenceTimerTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/SilenceTimerTest.java
@@ -36,7 +36,7 @@
   }
 
   @Test
-  void firstCheckOfALongSilenceCountsOneStep() {
+  void firstCheckOfLongSilenceCountsOneStep() {
     assertThat(timer.check(1_000, 9_000)).isEqualTo(SilenceTimer.MAX_STEP_MILLIS);
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
@@ -110,14 +110,14 @@
   class OnlyRunner {
 
     @Test
-    void streamGoesOnAfterAPause() throws Exception {
+    void streamGoesOnAfterPause() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
       assertComplete(send("q1"));
       assertThat(first.cancelledRequests()).isEmpty();
     }
 
     @Test
-    void requestIsNotEndedByAPauseBeforeItsFirstEvent() throws Exception {
+    void requestIsNotEndedByPauseBeforeItsFirstEvent() throws Exception {
       first.pauseStreamsAfter(0, PAUSE_MILLIS, 1);
       assertComplete(send("q1"));
       assertThat(fleet.runCount("q1")).isEqualTo(1);
@@ -162,7 +162,7 @@
     }
 
     @Test
-    void streamGoesOnAfterAPauseIfTheOtherRunnerRefuses() throws Exception {
+    void streamGoesOnAfterPauseIfTheOtherRunnerRefuses() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
       Future<String> response = beginStream("q1");
       startSecondRunner().refuseModelRequests();
@@ -170,7 +170,7 @@
     }
 
     @Test
-    void streamGoesOnAfterAPauseIfTheOtherRunnerBreaksItOff() throws Exception {
+    void streamGoesOnAfterPauseIfTheOtherRunnerBreaksItOff() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
       Future<String> response = beginStream("q1");
       startSecondRunner().cutStreamsAfter(0, Cut.RESET_INSIDE_EVENT);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
@@ -163,7 +163,7 @@
     }
 
     @Test
-    void takesOverWithACompleteStreamThatHasNoFurtherEvent() {
+    void takesOverWithCompleteStreamThatHasNoFurtherEvent() {
       begin();
       assertThat(relay.completeness(2, Framing.CHUNKS).isComplete()).isTrue();
       assertThat(relay.currentAttempt()).isEqualTo(2);
