--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/PauseSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/PauseSimulation.java
@@ -122,7 +122,8 @@
     @Override
     public String toString() {
       return String.format(
-          "%d streams, %d completed, %d ended early (%d later), %d spoiled, %d closed, %d taken over, %d late,"
+          "%d streams, %d completed, %d ended early (%d later), %d spoiled, %d closed,"
+              + " %d taken over, %d late,"
               + " %d runs in vain, %d retries, %d not sent, mean wait %d ms",
           streams,
           completed,
@@ -384,7 +385,7 @@
         pause(runners, 500, 3_000);
         loseDomain(TROUBLE_MILLIS + 3_500);
       }
-      case HOSTS_LAG ->
+      default ->
           third(hosts)
               .forEach(
                   host -> {
@@ -485,9 +486,6 @@
     }
     noteDead(request, first);
     switch (policy) {
-      case NEVER -> {
-        // The first attempt goes on.
-      }
       case PROOF -> {
         if (now >= Runner.plus(first.runner.goneMillis, ENTRY_LAPSE_MILLIS + NEWS_MILLIS)) {
           giveUp(request, first);
@@ -504,6 +502,9 @@
         }
       }
       case RACE -> race(request, first);
+      default -> {
+        // The first attempt goes on.
+      }
     }
   }
 
