Restore the soak's store from older copies, off by default

After each restore the configuration gets a new route and a runner leaves by its entry; 4 s later (the bound of 2 s and as much again) each host is asked for the route, and no request that is sent from then on may run at the leaving runner (ChangeChecker). Hosts that were stopped, cut from the store or had it away meanwhile are not judged; after the last fault the store is restored once more while all hosts are in touch with it, and all of them are judged.

The flag stays off until the cause is mended.

--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultInjector.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/FaultInjector.java
@@ -103,10 +103,7 @@
     switch (random.nextInt(3)) {
       case 0 ->
           inject(
-              "store down",
-              () -> soak.store().setDown(true),
-              millis,
-              () -> soak.store().setDown(false));
+              "store down", () -> soak.setStoreDown(true), millis, () -> soak.setStoreDown(false));
       case 1 -> inject("store compacts its history", () -> soak.store().compact(), 0, () -> {});
       default -> inject("configuration", soak::rewriteConfiguration, 0, () -> {});
     }
@@ -140,7 +137,7 @@
    * processes and the start of those that are not running.
    */
   void undoAll() {
-    soak.store().setDown(false);
+    soak.setStoreDown(false);
     List<FaultProxy> proxies = new ArrayList<>(soak.storeProxies());
     proxies.addAll(soak.runnerProxies());
     for (FaultProxy proxy : proxies) {
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
@@ -27,6 +27,9 @@
    */
   private static final long FINISHING_MILLIS = 3_000;
 
+  /** Time for which a process may lag behind after it was started or resumed (ns). */
+  static final long CATCH_UP_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** Time for a process to write the stacks of its threads before it is killed (ms). */
   private static final long STACKS_MILLIS = 500;
 
@@ -42,6 +45,8 @@
   private volatile long lastResumedNanos = System.nanoTime();
   private final RunningTime runningTime = new RunningTime();
   private final Interruptions interruptions = new Interruptions();
+  private final Interruptions outages = new Interruptions();
+  private @Nullable Long outageSinceNanos = System.nanoTime();
 
   /**
    * Creates a host whose process is not started yet.
@@ -79,6 +84,28 @@
     return interruptions;
   }
 
+  /**
+   * Returns the times in which the process did not run or had just begun to catch up with what had
+   * changed meanwhile.
+   */
+  Interruptions outages() {
+    return outages;
+  }
+
+  private synchronized void beginOutage() {
+    if (outageSinceNanos == null) {
+      outageSinceNanos = System.nanoTime();
+    }
+  }
+
+  private synchronized void endOutage() {
+    Long since = outageSinceNanos;
+    if (since != null) {
+      outages.add(since, System.nanoTime() + CATCH_UP_NANOS);
+      outageSinceNanos = null;
+    }
+  }
+
   /** Starts the process unless it is running. */
   synchronized void start() throws IOException {
     Process current = process;
@@ -102,6 +129,7 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
     process = builder.start();
+    endOutage();
     lastResumedNanos = System.nanoTime();
     runningTime.markResumed(lastResumedNanos);
   }
@@ -117,10 +145,12 @@
       new ProcessBuilder("kill", "-" + signal, Long.toString(current.pid())).start().waitFor();
     }
     if (signal.equals("CONT")) {
+      endOutage();
       lastResumedNanos = System.nanoTime();
       runningTime.markResumed(lastResumedNanos);
     }
     if (signal.equals("STOP")) {
+      beginOutage();
       runningTime.markPaused(System.nanoTime());
     }
   }
@@ -128,6 +158,7 @@
   /** Kills the process and waits for it to exit. */
   void kill() throws IOException, InterruptedException {
     final long fromNanos = System.nanoTime();
+    beginOutage();
     signal("KILL");
     // SIGKILL also ends a paused process, so the wait for its exit must count time again.
     runningTime.markResumed(System.nanoTime());
@@ -144,6 +175,7 @@
   boolean stop() throws IOException, InterruptedException {
     signal("CONT");
     final long finishedNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FINISHING_MILLIS);
+    beginOutage();
     signal("TERM");
     long signalledNanos = System.nanoTime();
     boolean exited = awaitTermination(GRACE_MILLIS);
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -16,10 +16,14 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.port.FreePorts;
 import org.sequoiahub.usersplatform.AddressProtocol;
+import org.sequoiahub.usersplatform.Headers;
 import org.sequoiahub.usersplatform.StoreKeys;
 import org.sequoiahub.usersplatform.standin.StandinConfiguration;
 import org.sequoiahub.usersplatform.standin.StandinRunner;
@@ -59,6 +63,18 @@
 
   private static final int RECOVERY_SAMPLE_REQUESTS = 20;
 
+  /** How many versions back a configuration has the route that was new in each of them. */
+  private static final int MARKED_VERSIONS = 40;
+
+  /** The number of writes that the store loses in the restore after the last fault. */
+  private static final int LOST_WRITES = 4;
+
+  /** The time in which all hosts see a change while nothing else happens (ms). */
+  private static final long CALM_MILLIS = 2_000;
+
+  /** How long a runner that leaves by its entry is still there (ms). */
+  private static final long LEAVING_MILLIS = 6_000;
+
   /** The accepted pause between two events of a stream in runs with suspensions (ms). */
   private static final int SHORT_GAP_MILLIS = 300;
 
@@ -82,6 +98,10 @@
   private final List<StandinRunner> runners = new ArrayList<>();
   private final Map<StandinRunner, FaultProxy> allRunners = new ConcurrentHashMap<>();
   private final SoakOptions options;
+  private final Map<String, Long> writtenNanos = new ConcurrentHashMap<>();
+  private final Interruptions storeOutages = new Interruptions();
+  private @Nullable Long storeDownSinceNanos;
+  private final ChangeChecker changes = new ChangeChecker();
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(4);
   private final List<Integer> ports;
   private final List<String> hostsKilledAtStop = new ArrayList<>();
@@ -141,8 +161,13 @@
     routes.add(
         StandinConfiguration.route(
             RequestResult.Kind.STREAM_ONCE.prefix(), "streaming", "llm", false));
+    for (long version = configurationVersion;
+        options.restores() && version > configurationVersion - MARKED_VERSIONS;
+        version--) {
+      routes.add(StandinConfiguration.route(markPrefix(version), "safe", "plain", false));
+    }
     String configuration = StandinConfiguration.configuration(configurationVersion, routes);
-    store.put(
+    write(
         StandinConfiguration.key(), options.suspensions() ? variant(configuration) : configuration);
   }
 
@@ -176,11 +201,144 @@
 
   private void publishRunner(int index, String state) {
     StandinRunner runner = runners.get(index);
-    store.put(
+    write(
         StoreKeys.RUNNER_PREFIX + runner.id(),
         runner.entry(state, runnerProxies.get(index).address()));
   }
 
+  private synchronized void write(String key, String json) {
+    writtenNanos.put(key, System.nanoTime());
+    store.put(key, json);
+  }
+
+  private synchronized void delete(String key) {
+    writtenNanos.put(key, System.nanoTime());
+    store.delete(key);
+  }
+
+  /** Brings the store back from an older copy, and returns what it lost. */
+  synchronized List<StandinStore.LostWrite> restoreStore(StandinStore.Copy copy) {
+    long now = System.nanoTime();
+    storeOutages.add(now, now);
+    return store.restore(copy);
+  }
+
+  /** Makes a write again that the store lost, unless its key was written after {@code nanos}. */
+  synchronized void rewrite(StandinStore.LostWrite lost, long nanos) {
+    Long written = writtenNanos.get(lost.key());
+    if (written == null || written - nanos <= 0) {
+      store.rewrite(lost);
+    }
+  }
+
+  /** Sets whether the store refuses all calls. */
+  synchronized void setStoreDown(boolean down) {
+    Long since = storeDownSinceNanos;
+    if (down && since == null) {
+      storeDownSinceNanos = System.nanoTime();
+    }
+    if (!down && since != null) {
+      storeOutages.add(since, System.nanoTime());
+      storeDownSinceNanos = null;
+    }
+    store.setDown(down);
+  }
+
+  /** Returns the prefix of a route that configurations have from a version on. */
+  private static String markPrefix(long version) {
+    return "/version-" + version + "/";
+  }
+
+  /**
+   * Writes a configuration with a new route, and has each host asked for it at the end of the time
+   * in which changes come into force.
+   */
+  synchronized void writeMarkedConfiguration() {
+    writeConfiguration();
+    long version = configurationVersion;
+    long acknowledgedNanos = System.nanoTime();
+    scheduler.schedule(
+        () -> hosts.forEach(host -> askForMark(host, version, acknowledgedNanos)),
+        ChangeChecker.BOUND_NANOS,
+        TimeUnit.NANOSECONDS);
+  }
+
+  /**
+   * Restores the store once all hosts are in touch with it, and changes the configuration and a
+   * runner at revisions that the hosts have seen before.
+   */
+  private void restoreWithoutOtherFaults() throws InterruptedException {
+    TimeUnit.NANOSECONDS.sleep(HostProcess.CATCH_UP_NANOS);
+    StandinStore.Copy copy = store.copy();
+    for (int number = 0; number < LOST_WRITES; number++) {
+      writeConfiguration();
+    }
+    TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
+    restoreStore(copy);
+    writeMarkedConfiguration();
+    leaveByEntry(0);
+    TimeUnit.MILLISECONDS.sleep(LEAVING_MILLIS + CALM_MILLIS);
+  }
+
+  private void askForMark(HostProcess host, long version, long acknowledgedNanos) {
+    Request request =
+        http.newRequest("http://" + host.ip() + ":" + ports.get(0))
+            .path(markPrefix(version) + "x")
+            .timeout(Callers.DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
+            .headers(
+                headers ->
+                    headers
+                        .put("Host", "h.example")
+                        .put(Headers.REQUEST_ID, "mark-" + version + "-" + host.name())
+                        .put(Headers.DEADLINE, Long.toString(Callers.DEADLINE_MILLIS)));
+    new CompletableResponseListener(request)
+        .send()
+        .whenComplete(
+            (response, failure) -> {
+              if (failure == null && response != null) {
+                changes.addAnswer(
+                    new ChangeChecker.Answer(
+                        host.name(),
+                        version,
+                        acknowledgedNanos,
+                        System.nanoTime(),
+                        response.getStatus()));
+              }
+            });
+  }
+
+  /** Lets a runner leave by its entry in the store, and replaces it some seconds later. */
+  void leaveByEntry(int index) {
+    StandinRunner runner = runners.get(index);
+    publishRunner(index, "draining");
+    changes.addLeaving(new ChangeChecker.Leaving(runner, System.nanoTime()));
+    scheduler.schedule(
+        () -> {
+          try {
+            if (runners.get(index) == runner) {
+              replaceRunner(index, false);
+            }
+          } catch (Exception e) {
+            System.out.println("event=fault-failed why=\"" + e + "\"");
+          }
+        },
+        LEAVING_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns whether a host was cut off from the store, or did not run, between two times. */
+  private boolean isHostImpaired(String name, long fromNanos, long untilNanos) {
+    for (int number = 0; number < hosts.size(); number++) {
+      HostProcess host = hosts.get(number);
+      if (host.name().equals(name)) {
+        return host.outages().anyBetween(fromNanos, untilNanos)
+            || storeProxies.get(number).interruptions().anyBetween(fromNanos, untilNanos)
+            || storeOutages.anyBetween(fromNanos, untilNanos);
+      }
+    }
+    return false;
+  }
+
   /**
    * Runs the test.
    *
@@ -196,10 +354,14 @@
         new Callers(http, hosts, ports.get(0), new Random(random.nextLong()), "s" + seed);
     scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     FaultInjector faults = new FaultInjector(this, random, new Random(~seed), scheduler);
+    RestoreInjector restores = new RestoreInjector(this, new Random(~seed << 8), scheduler);
     SuspensionInjector suspensions = new SuspensionInjector(this, suspensionRandom(), scheduler);
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
     while (System.nanoTime() < end) {
       faults.injectNext();
+      if (options.restores()) {
+        restores.injectNext();
+      }
       if (options.suspensions()) {
         suspensions.injectNext();
       }
@@ -208,6 +370,9 @@
     faults.undoAll();
     boolean recovered = await(this::isEveryHostReady);
     final boolean servingAgain = recovered && await(() -> isServingAgain(callers));
+    if (options.restores()) {
+      restoreWithoutOtherFaults();
+    }
     scheduler.shutdown();
     await(() -> callers.inProgress() == 0);
     Map<String, HostProcess> hostsByName = new HashMap<>();
@@ -216,6 +381,7 @@
         new ArrayList<>(
             new GuaranteeChecker(allRunners, hostsByName, EVENTS_PER_STREAM, LONGEST_WORK_NANOS)
                 .violations(List.copyOf(callers.results())));
+    violations.addAll(changes.violations(callers.results(), this::isHostImpaired));
     if (!servingAgain) {
       violations.add("requests are not served again after the last fault: see the host logs");
     }
@@ -225,7 +391,8 @@
     callers.results().forEach(request -> outcomes.merge(request.outcome(), 1, Integer::sum));
     long longResponses = callers.results().stream().filter(Soak::isLongResponse).count();
     System.out.printf(
-        "event=soak seed=%d requests=%d good=%d long=%d faults=%d suspensions=%d broken=%d"
+        "event=soak seed=%d requests=%d good=%d long=%d faults=%d suspensions=%d restores=%d"
+            + " marks=%d broken=%d"
             + " outcomes=\"%s\"%n",
         seed,
         callers.results().size(),
@@ -233,6 +400,8 @@
         longResponses,
         faults.count(),
         allRunners.keySet().stream().mapToInt(runner -> runner.suspensions().size()).sum(),
+        store.era() - 1,
+        changes.judgedAnswers(this::isHostImpaired),
         violations.size(),
         outcomes);
     return violations;
@@ -338,7 +507,7 @@
       publishRunner(index, "draining");
       TimeUnit.SECONDS.sleep(2);
     }
-    store.delete(StoreKeys.RUNNER_PREFIX + old.id());
+    delete(StoreKeys.RUNNER_PREFIX + old.id());
     StandinRunner replacement =
         createRunner(index % 2 == 0 ? "plain" : "llm", index % 2 == 0 ? "" : "m");
     allRunners.put(replacement, runnerProxies.get(index));
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
@@ -35,6 +35,12 @@
                 "no-suspensions",
                 false,
                 "without suspended runners and bursts of configurations and signals")
+            .addOption(
+                null,
+                "store-restores",
+                false,
+                "the store comes back from older copies; changes that it acknowledges afterwards"
+                    + " must be in force within the bound")
             .addOption(null, "jar", true, "the path of the host program");
     try {
       CommandLine flags = new DefaultParser().parse(options, arguments);
@@ -52,7 +58,8 @@
     int hosts = Integer.parseInt(flags.getOptionValue("hosts", "4"));
     Path jar =
         Path.of(flags.getOptionValue("jar", "sequoia-node/target/sequoia-node-0.1.0-all.jar"));
-    SoakOptions options = new SoakOptions(!flags.hasOption("no-suspensions"));
+    SoakOptions options =
+        new SoakOptions(!flags.hasOption("no-suspensions"), flags.hasOption("store-restores"));
     boolean allHeld = true;
     for (long seed = first; seed < first + seeds; seed++) {
       Path directory = Files.createTempDirectory("soak-" + seed + "-");
