Wait for hosts that exit late in the soak, and say when they did

A host that had not exited at the end of its grace period was killed half a second later, so that a slow exit could not be told from one that hangs. It is reported as before, but has 2 s more to exit before it is killed.

--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
@@ -30,8 +30,11 @@
   /** Time for which a process may lag behind after it was started or resumed (ns). */
   static final long CATCH_UP_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  /** Time for a process to write the stacks of its threads before it is killed (ms). */
-  private static final long STACKS_MILLIS = 500;
+  /**
+   * Running time after the grace period in which a process may write the stacks of its threads and
+   * still exit by itself, to tell one that is slow from one that hangs (ms).
+   */
+  private static final long LATE_MILLIS = 2_000;
 
   private static final long POLL_MILLIS = 20;
 
@@ -189,7 +192,10 @@
     if (!exited) {
       // The process writes the stacks of its threads to its log.
       signal("QUIT");
-      TimeUnit.MILLISECONDS.sleep(STACKS_MILLIS);
+      boolean exitedLate = awaitTermination(LATE_MILLIS);
+      System.out.printf(
+          "event=host-late host=%s exited=%b took_ms=%d%n",
+          name, exitedLate, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNanos));
       kill();
     }
     return !exited;
