--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -30,7 +30,6 @@
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.origin.ResumePolicy;
-import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
@@ -225,7 +224,7 @@
   private void accept(
       CallerExchange exchange, CallerHeaders headers, Admission.Permitted permitted, long now) {
     Route route = permitted.route();
-    String service = route.selectService(serviceDraw(route, headers));
+    String service = route.selectService(StreamResumption.serviceDraw(route, headers, random));
     long requestedMillis =
         headers.deadlineMillis() > 0 ? headers.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
     long timeoutMillis = Math.min(requestedMillis, route.timeoutMillis());
@@ -268,18 +267,6 @@
     place(call, now);
   }
 
-  /**
-   * Returns the draw that selects a request's service. All attempts at a stream get the same one,
-   * at all hosts, so that they reach the service at which the stream began.
-   */
-  private double serviceDraw(Route route, CallerHeaders headers) {
-    String stream =
-        headers.resumedRequestId().isEmpty() ? headers.requestId() : headers.resumedRequestId();
-    return route.repeatPolicy().isStream() && !stream.isEmpty()
-        ? Rendezvous.uniform(stream)
-        : random.nextDouble();
-  }
-
   /** Processes what is due: waiting requests, deadlines, silent runners, disconnected callers. */
   public void tick(long nowMillis) {
     boolean checkCallers = nowMillis - lastCallerCheckMillis >= CALLER_CHECK_INTERVAL_MILLIS;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
@@ -4,14 +4,18 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.Optional;
+import java.util.Random;
 import org.sequoiahub.core.origin.ResumeDecision;
 import org.sequoiahub.core.origin.ResumePolicy;
 import org.sequoiahub.core.origin.StreamKey;
 import org.sequoiahub.core.origin.StreamOrigin;
+import org.sequoiahub.core.placement.Rendezvous;
 import org.sequoiahub.core.routing.RepeatPolicy;
+import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.node.origin.OriginLookup;
 import org.sequoiahub.node.origin.OriginRecorder;
 import org.sequoiahub.runtime.log.EventLog;
+import org.sequoiahub.usersplatform.HeaderCodec.CallerHeaders;
 
 /**
  * Keeps each stream at runners of the software version at which it began, over the attempts of this
@@ -76,6 +80,18 @@
     this.log = requireNonNull(log, "log must not be null");
   }
 
+  /**
+   * Returns the draw that selects a request's service. All attempts at a stream get the same one,
+   * at all hosts, so that they reach the service at which the stream began.
+   */
+  static double serviceDraw(Route route, CallerHeaders headers, Random random) {
+    String stream =
+        headers.resumedRequestId().isEmpty() ? headers.requestId() : headers.resumedRequestId();
+    return route.repeatPolicy().isStream() && !stream.isEmpty()
+        ? Rendezvous.uniform(stream)
+        : random.nextDouble();
+  }
+
   /** Determines the runners at which a request may be placed now. */
   Readiness prepare(Call call, long nowMillis) {
     if (!call.route.repeatPolicy().isStream()) {
