--- a/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
@@ -250,7 +250,7 @@
 
   /** Guards against a stream that is closed because its route was dropped, when it is resumed. */
   @Test
-  void streamOfADroppedRouteIsResumed() throws Exception {
+  void streamOfDroppedRouteIsResumed() throws Exception {
     StandinRunner second = fleet.startRunner("i-2", "llm", "m");
     second.streamEvents(ENDLESS, EVENT_MILLIS);
     try (OpenResponse response = send(RESUMABLE, "q1", "1", "x")) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/ResponseEndCausesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/ResponseEndCausesTest.java
@@ -230,7 +230,7 @@
     }
 
     @Test
-    void callerOfAStreamThatAnotherHostServes() throws Exception {
+    void callerOfStreamThatAnotherHostServes() throws Exception {
       startPassingOn();
       OpenResponse response = begin(ONCE, "q1");
       response.close();
@@ -306,7 +306,7 @@
     }
 
     @Test
-    void afterAPartOfItsPromptIsQuarantined() throws Exception {
+    void afterPartOfItsPromptIsQuarantined() throws Exception {
       fleet.startOnlyNode();
       String parts = Headers.PROMPT_PARTS + ": bad0:50,e";
       OpenResponse response = begin(RESUMABLE, "q1", parts + "0:10");
@@ -335,7 +335,7 @@
     }
 
     @Test
-    void duringAShutdownThatLeavesTimeForIt() throws Exception {
+    void duringShutdownThatLeavesTimeForIt() throws Exception {
       fleet.shutdownMillis(LONG_MILLIS);
       Node node = fleet.startOnlyNode();
       OpenResponse response = begin(ONCE, "q1");
--- a/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
@@ -156,7 +156,7 @@
     }
 
     @Test
-    void lowerLimitDoesNotEndARequestThatHasWaitedLonger() throws Exception {
+    void lowerLimitDoesNotEndRequestThatHasWaitedLonger() throws Exception {
       try (Socket socket = connect()) {
         CallerExchange request = send(socket, "");
         sleep(RESPONSE_MILLIS);
@@ -199,7 +199,7 @@
     }
 
     @Test
-    void keptConnectionServesTheNextRequestAfterAChange() throws Exception {
+    void keptConnectionServesTheNextRequestAfterChange() throws Exception {
       try (Socket socket = connect()) {
         for (int number = 0; number < 6; number++) {
           respond(send(socket, ""), "whole" + number);
@@ -214,7 +214,7 @@
   class HeaderLimit {
 
     @Test
-    void lowerLimitEndsNeitherAResponseNorAKeptConnection() throws Exception {
+    void lowerLimitEndsNeitherResponseNorKeptConnection() throws Exception {
       try (Socket socket = connect()) {
         CallerExchange request = send(socket, "X: " + "x".repeat(1_000) + "\r\n");
         server.apply(limits(LONG_IDLE_MILLIS, 200));
