--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/RestoreInjector.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/RestoreInjector.java
@@ -60,11 +60,11 @@
       return;
     }
     quietUntilNanos = System.nanoTime() + QUIET_NANOS;
-    StandinStore.Copy copy = List.copyOf(copies).get(random.nextInt(copies.size()));
+    final StandinStore.Copy copy = List.copyOf(copies).get(random.nextInt(copies.size()));
     int downMillis = random.nextBoolean() ? random.nextInt(MAX_DOWN_MILLIS) : 0;
     int secondMillis = random.nextInt(SECOND_ONE_IN) == 0 ? downMillis + SECOND_AFTER_MILLIS : 0;
-    int changeMillis = Math.max(downMillis, secondMillis) + random.nextInt(MAX_CHANGE_MILLIS);
-    int leavingRunner = random.nextInt(soak.runnerCount());
+    final int changeMillis = Math.max(downMillis, secondMillis) + random.nextInt(MAX_CHANGE_MILLIS);
+    final int leavingRunner = random.nextInt(soak.runnerCount());
     List<Integer> rewriteMillis = new ArrayList<>();
     int lastRewriteMillis = 1 + random.nextInt(MAX_REWRITE_MILLIS);
     for (int write = 0; write < MAX_REWRITES; write++) {
