--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/EarlyEndCheck.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/EarlyEndCheck.java
@@ -70,7 +70,8 @@
         .findFirst()
         .map(
             run ->
-                "%s (%s, status %d, %s) was ended at %s after %d ms, but %s would have ended it after %d ms"
+                ("%s (%s, status %d, %s) was ended at %s after %d ms,"
+                        + " but %s would have ended it after %d ms")
                     .formatted(
                         request.id(),
                         request.kind(),
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/EarlyEndCheckTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/EarlyEndCheckTest.java
@@ -74,7 +74,7 @@
     }
 
     @Test
-    void isAllowedWithoutARun() {
+    void isAllowedIfNoRunnerRanIt() {
       assertThat(isFound(result(503, 2_200), List.of(), false)).isFalse();
     }
   }
@@ -108,7 +108,7 @@
     }
 
     @Test
-    void isDelayedByTheRestOfASuspension() {
+    void isDelayedByTheRestOfOneSuspension() {
       assertThat(endMillis(suspension(500, 1_200))).isEqualTo(1_500);
     }
   }
