--- a/sequoia-node/src/test/java/org/sequoiahub/node/StoreRestoredTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StoreRestoredTest.java
@@ -106,7 +106,7 @@
 
   @Test
   void configurationWrittenAfterwardsIsServed() throws Exception {
-    StandinStore.Copy copy = fleet.store.copy();
+    final StandinStore.Copy copy = fleet.store.copy();
     report(LOST_CHANGES);
     fleet.configure(route("/a/"), route("/b/"));
     awaitServed("/b/");
@@ -117,11 +117,11 @@
 
   @Test
   void configurationWrittenWhileTheStoreWasAwayIsServed() throws Exception {
-    StandinStore.Copy copy = fleet.store.copy();
+    final StandinStore.Copy copy = fleet.store.copy();
     fleet.configure(route("/a/"), route("/b/"));
     report(LOST_CHANGES);
     awaitServed("/b/");
-    long revision = fleet.store.revision();
+    final long revision = fleet.store.revision();
     fleet.store.setDown(true);
     fleet.store.restore(copy);
     // Its revision is above that of the configuration known, and below that of the last answer.
@@ -137,13 +137,13 @@
 
   @Test
   void configurationBetweenTwoRestoresIsServed() throws Exception {
-    StandinStore.Copy first = fleet.store.copy();
+    final StandinStore.Copy first = fleet.store.copy();
     report(LOST_CHANGES);
     fleet.configure(route("/a/"), route("/b/"));
     awaitServed("/b/");
     fleet.store.restore(first);
     report(4);
-    StandinStore.Copy second = fleet.store.copy();
+    final StandinStore.Copy second = fleet.store.copy();
     fleet.configure(route("/a/"), route("/b/"), route("/c/"));
     report(4);
     Thread.sleep(AWAY_MILLIS);
@@ -155,7 +155,7 @@
 
   @Test
   void leavingWrittenAgainBelowTheKnownRevisionIsRespected() throws Exception {
-    StandinStore.Copy copy = fleet.store.copy();
+    final StandinStore.Copy copy = fleet.store.copy();
     report(LOST_CHANGES);
     fleet.configure(route("/a/"), route("/b/"));
     awaitServed("/b/");
@@ -168,7 +168,7 @@
   /** Guards against a configuration that an older copy replaces. */
   @Test
   void newerConfigurationThatTheStoreLostStays() throws Exception {
-    StandinStore.Copy copy = fleet.store.copy();
+    final StandinStore.Copy copy = fleet.store.copy();
     fleet.configure(route("/a/"), route("/b/"));
     report(LOST_CHANGES);
     awaitServed("/b/");
@@ -179,7 +179,7 @@
   /** Guards against a leaving runner that an older copy shows as ready. */
   @Test
   void leavingThatTheStoreLostStays() throws Exception {
-    StandinStore.Copy copy = fleet.store.copy();
+    final StandinStore.Copy copy = fleet.store.copy();
     fleet.publish(runner, "draining");
     Thread.sleep(BOUND_MILLIS);
     assertUnused(runner);
