--- a/sequoia-node/src/test/java/org/sequoiahub/node/RunnerTerminatingPartTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/RunnerTerminatingPartTest.java
@@ -190,6 +190,29 @@
     assertThat(fleet.runCount("waiting-")).isEqualTo(0);
   }
 
+  /** Guards against callers that take up their broken streams at one host after the other. */
+  @Test
+  void streamTakenUpAtAnotherHostIsRejectedOnceThePartIsHeld() throws Exception {
+    fleet.configure(LoopbackFleet.route("/s/", "streaming", "llm", true));
+    start(1);
+    terminateRunners(RUNNERS, "c0:50,bad0:50");
+    TimeUnit.MILLISECONDS.sleep(QUARANTINE_DELAY_MILLIS);
+    long terminated = fleet.terminatedRunnerCount();
+    for (int host = 1; host <= HOSTS; host++) {
+      Response response =
+          request(host, "m", "taken-up-", "c0:50,bad0:50")
+              .headers(
+                  headers ->
+                      headers
+                          .put(Headers.LAST_EVENT_ID, "1")
+                          .put(Headers.RESUMED_REQUEST_ID, "first-0"))
+              .send();
+      assertWithMessage("host %s rejects the stream", host).that(isQuarantined(response)).isTrue();
+    }
+    assertThat(fleet.runCount("taken-up-")).isEqualTo(0);
+    assertThat(fleet.terminatedRunnerCount()).isEqualTo(terminated);
+  }
+
   @Test
   void rejectionSaysWhenRequestsWithPartMayReturn() throws Exception {
     start(0);
