Leave a stream's first run alone whatever its second runner does

Found by a review of the fix, each by a test that was red: - a second runner that answered 404 cancelled the first run, and the caller's connection was closed (streamGoesOnAfterAPauseIfTheOtherRunnerRejectsIt): an answer of a run that stands by is a failed attempt; - a runner that had refused the second run was excluded for good, so that a later break-off closed the response (streamIsResumedByARunnerThatRefusedTheSecondRun): it may be tried again; - a second runner of another version took over after the head of the first attempt had gone out with a comment: it is dropped as soon as both versions are known (StreamRelayTest). By reading: a host that has lost its path to the runners cancels an attempt only if the request may run again; a resumed attempt that reads its prompt has the time to its first token; attempts that nobody relays are always given up.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -47,6 +47,9 @@
   /** Ids of the runners that failed or finally refused this request; they do not get it again. */
   final Set<String> excludedRunners = new HashSet<>();
 
+  /** Ids of the runners that could not take its stream up while its first runner was silent. */
+  final Set<String> triedBeside = new HashSet<>();
+
   /** Ids of the runners that refused this request once because they did not have its adapter. */
   final Set<String> adapterMissingAt = new HashSet<>();
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -626,6 +626,12 @@
   private void onResponse(
       Call call, Call.ActiveAttempt active, Outcome.Answered answered, long now) {
     call.runs++;
+    if (silentStreams.isStandby(call, active)) {
+      // The first runner may still go on.
+      String reason = "the second runner answered with status " + answered.status();
+      onAttemptFailed(call, active, Ending.FAILED, reason, null, now);
+      return;
+    }
     if (answered.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
       fleet.health(active.runner).succeeded(now - active.startedMillis, now);
       cancelAttempts(call, "another attempt was answered");
@@ -683,8 +689,7 @@
     if (ending != Ending.REFUSED) {
       call.excludedRunners.add(active.runner.id());
     }
-    call.relay.attemptFailed(active.number);
-    if (!call.activeAttempts.isEmpty()) {
+    if (silentStreams.goesOnAfter(call, active, now)) {
       return;
     }
     boolean mayOfferAgain =
@@ -805,19 +810,20 @@
   private final class SecondAttempts implements SilentStreams.Attempts {
     @Override
     public boolean maySend(Call call, long nowMillis) {
-      return !runnerPath.isLost()
-          && !admission.isKeyRevoked(call.permitted, call.headers)
+      return !admission.isKeyRevoked(call.permitted, call.headers)
           && resumption.prepare(call, nowMillis) instanceof StreamResumption.Readiness.Ready
           && !quarantineGate.isSuspect(call, nowMillis);
     }
 
     @Override
     public boolean passOnIfPathLost(Call call, Call.ActiveAttempt attempt, long nowMillis) {
-      if (!runnerPath.isLost() || !forwarding.canForward(call, nowMillis)) {
+      if (!runnerPath.isLost()) {
         return false;
       }
-      cancel(call, attempt, "the path to the runners is lost", nowMillis);
-      place(call, nowMillis);
+      if (forwarding.canForward(call, nowMillis) && maySend(call, nowMillis)) {
+        cancel(call, attempt, "the path to the runners is lost", nowMillis);
+        place(call, nowMillis);
+      }
       return true;
     }
 
@@ -827,8 +833,10 @@
     }
 
     @Override
-    public void start(Call call, Candidate candidate, long nowMillis) {
-      startAttempt(call, candidate.runner(), candidate.unreadTokens(), 0, nowMillis);
+    public void start(Call call, GenerationPlacement.Choice choice, long nowMillis) {
+      Candidate candidate = choice.candidate();
+      long firstToken = (long) choice.firstTokenMillis();
+      startAttempt(call, candidate.runner(), candidate.unreadTokens(), firstToken, nowMillis);
     }
 
     @Override
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
@@ -48,17 +48,18 @@
     boolean maySend(Call call, long nowMillis);
 
     /**
-     * Passes a request on to another host if this host has lost its path to the runners.
+     * Passes a request on if this host has lost its path to the runners and another one can take
+     * it.
      *
-     * @return false if the path is not lost, or if no other host can take the request
+     * @return whether the path is lost
      */
     boolean passOnIfPathLost(Call call, Call.ActiveAttempt attempt, long nowMillis);
 
     /** Takes the right to send a request to a candidate now, or requests a permit. */
     boolean tryAcquire(Call call, Candidate candidate, long nowMillis);
 
-    /** Sends a request to a candidate, beside its active attempt. */
-    void start(Call call, Candidate candidate, long nowMillis);
+    /** Sends a request to the chosen runner, beside its active attempt. */
+    void start(Call call, GenerationPlacement.Choice choice, long nowMillis);
 
     /** Cancels an attempt. */
     void cancel(Call call, Call.ActiveAttempt attempt, String reason, long nowMillis);
@@ -120,7 +121,8 @@
   /** Returns the silence after which a second runner is sought (ms). */
   private static long silenceLimitMillis(Call call, Call.ActiveAttempt active) {
     long limit = SILENCE_MILLIS + call.route.maxEventGapMillis();
-    return call.relay.wholeEvents() == 0 ? limit + active.firstTokenMillis : limit;
+    boolean begun = call.relay.lastChunkMillis(active.number) > 0;
+    return begun ? limit : limit + active.firstTokenMillis;
   }
 
   private void report(
@@ -174,7 +176,7 @@
             && candidate.adapterWaitMillis() <= 0
             && placement.mayStartReading(candidate, limits);
     if (ready && attempts.tryAcquire(call, candidate, nowMillis)) {
-      attempts.start(call, candidate, nowMillis);
+      attempts.start(call, choice.get(), nowMillis);
     } else {
       waitingCalls.waitAt(call, candidate, nowMillis);
     }
@@ -187,10 +189,35 @@
     return nowMillis + beginMillis <= call.deadlineMillis();
   }
 
-  /** Gives up the attempt that lost, once the other one has made the next event of its stream. */
+  /** Returns whether an attempt that has ended stood by while another one goes on. */
+  boolean isStandby(Call call, Call.ActiveAttempt ended) {
+    return call.route.repeatPolicy().isStream()
+        && !call.activeAttempts.isEmpty()
+        && ended.number != call.relay.currentAttempt();
+  }
+
+  /**
+   * Records that an attempt has failed, and returns whether another one goes on. Runners that could
+   * not take a stream up beside its first one may do so once that has failed.
+   */
+  boolean goesOnAfter(Call call, Call.ActiveAttempt failed, long nowMillis) {
+    boolean stoodBy = isStandby(call, failed);
+    call.relay.attemptFailed(failed.number);
+    settle(call, nowMillis);
+    if (call.activeAttempts.isEmpty()) {
+      call.excludedRunners.removeAll(call.triedBeside);
+      return false;
+    }
+    if (stoodBy) {
+      call.triedBeside.add(failed.runner.id());
+    }
+    return true;
+  }
+
+  /** Gives up attempts whose events are not relayed any more, as another one goes on. */
   void settle(Call call, long nowMillis) {
-    if (call.activeAttempts.size() < 2
-        || !call.route.repeatPolicy().isStream()
+    if (!call.route.repeatPolicy().isStream()
+        || call.activeAttempts.isEmpty()
         || call.relay.hasStandby()) {
       return;
     }
@@ -208,6 +235,9 @@
             "left_ms",
             call.deadlineMillis() - nowMillis);
         attempts.cancel(call, active, "another runner made the next event", nowMillis);
+        if (!wasFirst) {
+          call.triedBeside.add(active.runner.id());
+        }
       }
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -118,6 +118,17 @@
     }
   }
 
+  /** Drops the standby if its runner has another version than the one that began the stream. */
+  private void dropStandbyOfOtherVersion() {
+    Standby waiting = standby;
+    if (waiting != null
+        && origin != null
+        && waiting.version != null
+        && !origin.equals(waiting.version)) {
+      standby = null;
+    }
+  }
+
   private void takeOver(Standby next) {
     expectAttempt(next.number);
     head = next.head;
@@ -148,6 +159,7 @@
     } else if (waiting != null && number == waiting.number) {
       waiting.head = new Head(status, headers);
       waiting.version = runnerVersion;
+      dropStandbyOfOtherVersion();
     }
   }
 
@@ -218,6 +230,7 @@
       if (origin == null && version != null) {
         origin = version;
         exchange.originatesAt(version);
+        dropStandbyOfOtherVersion();
       }
       exchange.start(unsent.status, unsent.headers);
     }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
@@ -177,6 +177,24 @@
       assertComplete(response.get());
     }
 
+    /** Guards against a runner that refused a second run and may not resume the stream later. */
+    @Test
+    void streamIsResumedByARunnerThatRefusedTheSecondRun() throws Exception {
+      first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
+      first.cutStreamsAfter(3, Cut.RESET_INSIDE_EVENT);
+      Future<String> response = beginStream("q1");
+      startSecondRunner().refuseModelRequests(1);
+      assertComplete(response.get());
+    }
+
+    @Test
+    void streamGoesOnAfterAPauseIfTheOtherRunnerRejectsIt() throws Exception {
+      first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
+      Future<String> response = beginStream("q1");
+      startSecondRunner().failModelRequestsAfterCuts(404);
+      assertComplete(response.get());
+    }
+
     @Test
     void firstRunnerThatGoesOnBeforeTheOtherOneWins() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/StreamRelayTest.java
@@ -169,6 +169,18 @@
       assertThat(relay.currentAttempt()).isEqualTo(2);
     }
 
+    /** The head and the events that follow it must be of one version. */
+    @Test
+    void ofAnotherVersionDoesNotTakeOverOnceTheHeadOfTheFirstAttemptWasSent() {
+      attempt(1, V1);
+      relay.expectStandby(2);
+      relay.start(2, 200, HttpFields.build().add("X", "attempt-2"), V2);
+      relay(1, ": still here\n\n");
+      relay(2, "id: 1\n\n");
+      assertThat(relay.origin()).hasValue(V1);
+      assertThat(sent).containsExactly("origin v1", "head attempt-1", ": still here\n\n").inOrder();
+    }
+
     @Test
     void chunkIsAttributedToTheAttemptThatReceivedIt() {
       begin();
