--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -105,7 +105,7 @@
           new TrackedRunner(
               change.position,
               current.entry,
-              current.leavingKept,
+              false,
               nowMillis,
               VANISHED_GRACE_MILLIS,
               current.terminatesAtMillis));
--- a/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerRegistryTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/upstream/RunnerRegistryTest.java
@@ -133,7 +133,7 @@
     }
 
     @Test
-    void changeOfLaterEraWinsWithALowerRevision() {
+    void changeOfLaterEraWinsWithLowerRevision() {
       registry.apply(new Change("r", at(50), entry("r", false, -1)), 0);
       assertThat(registry.apply(new Change("r", restored(9), entry("r", true, -1)), 10)).isTrue();
       assertThat(isUsable(10)).isFalse();
@@ -153,6 +153,16 @@
       assertThat(isUsable(30)).isTrue();
     }
 
+    @Test
+    void runnerThatStartsAgainUnderItsIdAfterItsRemovalIsUsed() {
+      registry.apply(new Change("r", at(50), entry("r", true, -1)), 0);
+      registry.applySnapshot(
+          List.of(new Change("r", restored(9), entry("r", false, -1))), Set.of(), restored(20), 10);
+      registry.apply(new Change("r", restored(21), null), 5_000);
+      registry.apply(new Change("r", restored(22), entry("r", false, -1)), 20_000);
+      assertThat(isUsable(20_000)).isTrue();
+    }
+
     @Test
     void removedRunnerIsUsedOnceItHasWrittenItsEntryAgain() {
       registry.apply(new Change("r", at(50), entry("r", false, -1)), 0);
@@ -168,7 +178,7 @@
     }
 
     @Test
-    void missingRunnerIsUsedForAGracePeriodAndHasNotTerminated() {
+    void missingRunnerIsUsedForGracePeriodAndHasNotTerminated() {
       registry.applySnapshot(
           List.of(new Change("r", at(50), entry("r", false, -1))), Set.of(), at(50), 0);
       registry.applySnapshot(List.of(), Set.of(), restored(20), 10);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/KeptRecords.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/KeptRecords.java
@@ -48,6 +48,10 @@
     }
   }
 
+  boolean contains(String key) {
+    return kept.containsKey(key);
+  }
+
   Collection<StoredItem> items() {
     return kept.isEmpty() ? List.of() : kept.values().stream().map(Kept::item).toList();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -175,12 +175,15 @@
     Set<String> present = read.stream().map(StoredItem::key).collect(Collectors.toSet());
     return runnerRecords.values().stream()
         .filter(item -> item.value() != null && !item.position().isAfter(position))
+        // An entry of an earlier era was lost with the restore rather than removed.
+        .filter(item -> item.position().era() == position.era())
         .filter(item -> !present.contains(item.key()))
         .map(item -> new StoredItem(item.key(), position, null))
         .toList();
   }
 
   private void recordRemoval(StoredItem removed) {
+    kept.remove(removed.key());
     runnerRecords.put(removed.key(), removed);
     newestRunnersPosition = StorePosition.max(newestRunnersPosition, removed.position());
   }
@@ -392,25 +395,44 @@
       if (!item.key().startsWith(StoreKeys.RUNNER_PREFIX)) {
         return applyKeptOperatorRecord(item, value, nowMillis);
       }
-      RunnerEntry entry = decoder.decodeRunner(StoreKeys.runnerId(item.key()), value);
-      if (!entry.leaving() || !runnerRegistry.recordLeaving(entry, nowMillis)) {
-        return false;
-      }
-      runnerRecords.put(item.key(), item);
-      kept.put(item, entry.id());
-      return true;
+      return applyKeptRunner(item, value, nowMillis);
     } catch (DecodeException e) {
       logIgnored(item, e);
       return false;
     }
   }
 
+  private boolean applyKeptRunner(StoredItem item, byte[] value, long nowMillis)
+      throws DecodeException {
+    RunnerEntry entry = decoder.decodeRunner(StoreKeys.runnerId(item.key()), value);
+    if (!entry.leaving() || isRestated(item, runnerRecords.get(item.key()))) {
+      return false;
+    }
+    boolean applied = runnerRegistry.recordLeaving(entry, nowMillis);
+    boolean leaves = runnerRegistry.findByKey(entry.id()).filter(RunnerEntry::leaving).isPresent();
+    if (leaves) {
+      StoredItem before = runnerRecords.get(item.key());
+      StorePosition at = before == null ? item.position() : before.position();
+      StoredItem leaving = new StoredItem(item.key(), at, value);
+      runnerRecords.put(item.key(), leaving);
+      kept.put(leaving, entry.id());
+    }
+    return applied;
+  }
+
   private boolean applyKeptOperatorRecord(StoredItem item, byte[] value, long nowMillis)
       throws DecodeException {
+    StoredItem before = operatorRecords.get(item.key());
+    if (isRestated(item, before)) {
+      return false;
+    }
+    if (before != null && Arrays.equals(before.value(), value)) {
+      kept.putOperatorRecord(before);
+      return false;
+    }
     if (isKnown(item, value)) {
       return false;
     }
-    StoredItem before = operatorRecords.get(item.key());
     StorePosition at = before == null ? item.position() : before.position();
     StoredItem recorded = new StoredItem(item.key(), at, value);
     boolean applied = applyOperatorValue(recorded, value, true, nowMillis);
@@ -418,6 +440,13 @@
     return applied;
   }
 
+  /** Returns whether the store has stated a key since it lacked what another host keeps of it. */
+  private boolean isRestated(StoredItem item, @Nullable StoredItem before) {
+    return before != null
+        && before.position().isAfter(item.position())
+        && !kept.contains(item.key());
+  }
+
   /** Returns whether the same version of an operators' record, or a newer one, is known. */
   private boolean isKnown(StoredItem item, byte[] value) throws DecodeException {
     if (item.key().equals(StoreKeys.CONFIGURATION)) {
