--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/SilentStreams.java
@@ -201,7 +201,7 @@
    * not take a stream up beside its first one may do so once that has failed.
    */
   boolean goesOnAfter(Call call, Call.ActiveAttempt failed, long nowMillis) {
-    boolean stoodBy = isStandby(call, failed);
+    final boolean stoodBy = isStandby(call, failed);
     call.relay.attemptFailed(failed.number);
     settle(call, nowMillis);
     if (call.activeAttempts.isEmpty()) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
@@ -56,26 +56,11 @@
     BODY_LIMIT_LOWERED(text -> text.replace("\"bodyBytes\":100000", "\"bodyBytes\":2")),
     PAUSES_SHORTENED(text -> text.replace("\"gapAimMs\":2000", "\"gapAimMs\":1")),
     ATTEMPTS_LOWERED(text -> text.replace("\"attempts\":2", "\"attempts\":1")),
-    MOVED(
-        text ->
-            text.replace("\"service\":\"llm\"", "\"service\":\"llm2\"")
-                .replace("\"service\":\"plain\"", "\"service\":\"plain2\"")),
-    SPLIT(
-        text ->
-            text.replace("\"service\":\"llm\"", split("llm"))
-                .replace("\"service\":\"plain\"", split("plain"))),
-    KIND_CHANGED(
-        text ->
-            text.replace("\"kind\":\"streaming\"", "\"kind\":\"unsafe\"")
-                .replace("\"kind\":\"safe\"", "\"kind\":\"unsafe\"")),
+    MOVED(text -> text.replaceAll("\"service\":\"(llm|plain)\"", "\"service\":\"$12\"")),
+    SPLIT(Change::splitServices),
+    KIND_CHANGED(text -> text.replaceAll("\"kind\":\"\\w+\"", "\"kind\":\"unsafe\"")),
     DROPPED(text -> text.replace("\"prefix\":\"/", "\"prefix\":\"/other/")),
-    KEYS_REQUIRED(
-        text ->
-            text.replace(
-                "\"tenants\":[]",
-                "\"tenants\":["
-                    + StandinConfiguration.workspace("studio", List.of("key-one"), 0)
-                    + "]"));
+    KEYS_REQUIRED(text -> text.replace("\"tenants\":[]", workspaces()));
 
     final UnaryOperator<String> edit;
 
@@ -83,6 +68,17 @@
       this.edit = edit;
     }
 
+    private static String splitServices(String text) {
+      return text.replace("\"service\":\"llm\"", split("llm"))
+          .replace("\"service\":\"plain\"", split("plain"));
+    }
+
+    private static String workspaces() {
+      return "\"tenants\":["
+          + StandinConfiguration.workspace("studio", List.of("key-one"), 0)
+          + "]";
+    }
+
     private static String split(String service) {
       return ("\"trafficSplit\":[{\"service\":\"%1$s2\",\"weight\":99},"
               + "{\"service\":\"%1$s\",\"weight\":1}]")
--- a/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/LoopbackFleet.java
@@ -79,6 +79,17 @@
     return startNode(number, List.of(ip(1), ip(2)));
   }
 
+  private Node startNode(int number, List<String> seeds) throws Exception {
+    Node node =
+        Node.start(
+            NodeSettings.newBuilder().setAddressTtlMs(1_000).setMetricsPort(ports.get(5)).build(),
+            settings(number, seeds),
+            address -> cuts.getOrDefault(number, RunnerAddressResolver.DIRECT).resolve(address),
+            MonotonicClock.SYSTEM.nowMillis());
+    nodes.add(node);
+    return node;
+  }
+
   /** Returns the settings of host {@code number}. */
   HostSettings settings(int number, List<String> seeds) {
     return new HostSettings(
@@ -103,17 +114,6 @@
         AllowanceSettings.DEFAULT);
   }
 
-  private Node startNode(int number, List<String> seeds) throws Exception {
-    Node node =
-        Node.start(
-            NodeSettings.newBuilder().setAddressTtlMs(1_000).setMetricsPort(ports.get(5)).build(),
-            settings(number, seeds),
-            address -> cuts.getOrDefault(number, RunnerAddressResolver.DIRECT).resolve(address),
-            MonotonicClock.SYSTEM.nowMillis());
-    nodes.add(node);
-    return node;
-  }
-
   /** Starts host 1 as the only host of its deployment and waits until it is ready. */
   Node startOnlyNode() throws Exception {
     Node node = startNode(1, List.of(ip(1)));
--- a/sequoia-node/src/test/java/org/sequoiahub/node/ResponseEndCausesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/ResponseEndCausesTest.java
@@ -220,7 +220,8 @@
     void keyThatWasRevokedBeforeTheStreamIsResumed() throws Exception {
       fleet.configure(routes(), List.of(workspace("key-one")));
       fleet.startOnlyNode();
-      OpenResponse response = begin(RESUMABLE, "q1", Headers.AUTHORIZATION + ": Bearer key-one");
+      final OpenResponse response =
+          begin(RESUMABLE, "q1", Headers.AUTHORIZATION + ": Bearer key-one");
       startRunner("i-2");
       revokeKey();
       runner.cutStreamsAfter(0, Cut.RESET_INSIDE_EVENT);
@@ -309,7 +310,7 @@
     void afterPartOfItsPromptIsQuarantined() throws Exception {
       fleet.startOnlyNode();
       String parts = Headers.PROMPT_PARTS + ": bad0:50,e";
-      OpenResponse response = begin(RESUMABLE, "q1", parts + "0:10");
+      final OpenResponse response = begin(RESUMABLE, "q1", parts + "0:10");
       for (int number = 2; number <= 7; number++) {
         fleet.startRunnerTerminatedByPart("i-" + number, "llm", "m", "bad0", 0);
       }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/SilentRunnerTest.java
@@ -179,7 +179,7 @@
 
     /** Guards against a runner that refused a second run and may not resume the stream later. */
     @Test
-    void streamIsResumedByARunnerThatRefusedTheSecondRun() throws Exception {
+    void streamIsResumedByRunnerThatRefusedTheSecondRun() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
       first.cutStreamsAfter(3, Cut.RESET_INSIDE_EVENT);
       Future<String> response = beginStream("q1");
@@ -188,7 +188,7 @@
     }
 
     @Test
-    void streamGoesOnAfterAPauseIfTheOtherRunnerRejectsIt() throws Exception {
+    void streamGoesOnAfterPauseIfTheOtherRunnerRejectsIt() throws Exception {
       first.pauseStreamsAfter(2, PAUSE_MILLIS, 1);
       Future<String> response = beginStream("q1");
       startSecondRunner().failModelRequestsAfterCuts(404);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.usersplatform.Headers;
+import org.sequoiahub.usersplatform.standin.StandinConfiguration;
 import org.sequoiahub.usersplatform.standin.StandinRunner;
 import org.sequoiahub.usersplatform.standin.StandinRunner.Cut;
 
@@ -34,9 +35,7 @@
     fleet.configure(
         LoopbackFleet.route("/once/", "streaming", "llm", false),
         LoopbackFleet.route("/resumable/", "streaming", "llm", true),
-        LoopbackFleet.route("/urgent/", "streaming", "llm", true)
-            .replace("\"targetLatencyMs\":8000", "\"targetLatencyMs\":100")
-            .replace("\"gapAimMs\":2000", "\"gapAimMs\":200"));
+        StandinConfiguration.streamRoute("/urgent/", "llm", 100, 200));
     first = fleet.startRunner("i-1", "llm", "m");
     second = fleet.startRunner("i-2", "llm", "m");
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
@@ -158,7 +158,7 @@
     @Test
     void lowerLimitDoesNotEndRequestThatHasWaitedLonger() throws Exception {
       try (Socket socket = connect()) {
-        CallerExchange request = send(socket, "");
+        final CallerExchange request = send(socket, "");
         sleep(RESPONSE_MILLIS);
         server.apply(limits(SHORT_IDLE_MILLIS, HEADER_BYTES));
         sleep(SHORT_IDLE_MILLIS);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
@@ -17,6 +17,7 @@
 import org.sequoiahub.usersplatform.SampleRecords;
 import org.sequoiahub.usersplatform.StoreKeys;
 import org.sequoiahub.usersplatform.StoredItem;
+import org.sequoiahub.usersplatform.standin.StandinRunner;
 
 /** Guards against hosts that never agree on what the restored store lacks, or lose it. */
 class KeptRecordsExchangeTest {
@@ -77,14 +78,8 @@
   }
 
   private static StoredItem entry(int number, String state, long sequence, StorePosition at) {
-    String json =
-        "{\"service\":\"llm\",\"address\":\"127.0.0.1:%d\",\"zone\":\"none\",\"version\":\"v1\","
-            + "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"born\":1000,\"sequence\":%d,"
-            + "\"models\":[]}";
-    return new StoredItem(
-        StoreKeys.RUNNER_PREFIX + "i-" + number,
-        at,
-        json.formatted(number, state, sequence).getBytes(UTF_8));
+    String json = StandinRunner.entryOf("llm", "127.0.0.1:" + number, state, 1_000, sequence);
+    return new StoredItem(StoreKeys.RUNNER_PREFIX + "i-" + number, at, json.getBytes(UTF_8));
   }
 
   private static StoredItem at(StoredItem item, long revision) {
@@ -147,7 +142,7 @@
   }
 
   @Test
-  void hostsAgreeIfOneMissesTheRemovalOfARunnerThatLeft() throws Exception {
+  void hostsAgreeIfOneMissesTheRemovalOfLeavingRunner() throws Exception {
     StoredItem configuration = configuration(9, new StorePosition(2, 40));
     for (Host host : List.of(first, second)) {
       readBefore(host);
