--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -181,6 +181,7 @@
   private volatile CallerLimits callerLimits = CallerLimits.UNKNOWN;
   private volatile boolean ready;
   private volatile boolean leaving;
+  private volatile boolean fleetLarge;
   private volatile List<String> advertisedAddresses = List.of();
   private volatile List<RunnerEntry> presentRunners = List.of();
   private long lastHolderAndStoreTickMillis;
@@ -597,6 +598,7 @@
     members.removeExpired(nowMillis);
     runnerRegistry.removeExpired(nowMillis, RUNNER_RETENTION_MILLIS);
     presentRunners = runnerRegistry.present();
+    fleetLarge = fleetShape.isLarge();
     fleetView.removeStaleEntries(nowMillis);
     requestQuarantine.historyLost(
         history.isShorterThan(
@@ -656,9 +658,17 @@
   /**
    * Passes a datagram to the decision thread. If that thread's queue is full, the datagram is
    * dropped without a log line, as if the network had lost it.
+   *
+   * <p>In a large fleet the states and digests of other hosts, which arrive many times a second,
+   * wait for the next tick: each wake-up of the thread costs more than their processing.
    */
   private void datagramReceived(String ip, PeerDatagram datagram) {
-    decisionThread.offer(() -> handleDatagram(ip, datagram));
+    Runnable handling = () -> handleDatagram(ip, datagram);
+    if (fleetLarge && (datagram.hasState() || datagram.hasDigest())) {
+      decisionThread.offerDeferred(handling);
+    } else {
+      decisionThread.offer(handling);
+    }
   }
 
   private void handleDatagram(String ip, PeerDatagram datagram) {
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/duty/Duty.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/duty/Duty.java
@@ -81,6 +81,15 @@
     return accepted;
   }
 
+  /**
+   * Offers an event that need not be handled before the next tick: the thread is not woken for it.
+   *
+   * @return false if the ring is full
+   */
+  public boolean offerDeferred(E event) {
+    return ring.offer(event);
+  }
+
   /**
    * Puts an event that must not be lost, waiting while the ring is full.
    *
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/AsyncLogHandler.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/log/AsyncLogHandler.java
@@ -22,7 +22,7 @@
  */
 public final class AsyncLogHandler extends Handler {
 
-  /** The longest interval between writes (ms). */
+  /** The interval between writes while lines arrive (ms). */
   private static final long WRITE_PERIOD_MILLIS = 20;
 
   /** The longest wait for the remaining records when the process terminates (ms). */
@@ -36,6 +36,9 @@
   private final Thread writer;
   private volatile boolean running = true;
 
+  /** Whether the writer waits without a timeout, so that the next line must wake it. */
+  private volatile boolean waiting;
+
   /**
    * Creates a handler and starts its thread.
    *
@@ -56,6 +59,9 @@
     if (isLoggable(record) && !lines.offer(getFormatter().format(record))) {
       dropped.incrementAndGet();
     }
+    if (waiting) {
+      LockSupport.unpark(writer);
+    }
   }
 
   /** Returns the number of dropped lines that the log has not reported yet. */
@@ -94,8 +100,22 @@
       }
       if (wrote) {
         out.flush();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_PERIOD_MILLIS));
+      } else {
+        awaitLine();
       }
-      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_PERIOD_MILLIS));
     }
   }
+
+  /**
+   * Waits until a line is queued; a writer that polled would account for most of an idle host's
+   * wake-ups.
+   */
+  private void awaitLine() {
+    waiting = true;
+    if (lines.isEmpty() && dropped.get() == 0 && running) {
+      LockSupport.park(this);
+    }
+    waiting = false;
+  }
 }
--- a/sequoia-runtime/src/test/java/org/sequoiahub/runtime/duty/DutyTest.java
+++ b/sequoia-runtime/src/test/java/org/sequoiahub/runtime/duty/DutyTest.java
@@ -42,4 +42,35 @@
       assertThat(second.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
     }
   }
+
+  /**
+   * Guards against hosts whose processor time goes into wake-ups: an event that can wait for the
+   * next tick must not wake the thread, and must still be handled before that tick.
+   */
+  @Test
+  void deferredEventWaitsForNextTick() throws InterruptedException {
+    AtomicLong handledEvents = new AtomicLong();
+    AtomicLong handledBeforeTick = new AtomicLong(-1);
+    CountDownLatch firstTick = new CountDownLatch(1);
+    CountDownLatch secondTick = new CountDownLatch(2);
+    try (Duty<Long> duty =
+        new Duty<>(
+            "test",
+            16,
+            () -> 300,
+            event -> handledEvents.incrementAndGet(),
+            now -> {
+              handledBeforeTick.set(handledEvents.get());
+              firstTick.countDown();
+              secondTick.countDown();
+            },
+            failure -> {},
+            MonotonicClock.SYSTEM)) {
+      duty.start();
+      assertThat(firstTick.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+      assertThat(duty.offerDeferred(1L)).isTrue();
+      assertThat(secondTick.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+      assertThat(handledBeforeTick.get()).isEqualTo(1);
+    }
+  }
 }
--- a/sequoia-runtime/src/test/java/org/sequoiahub/runtime/log/AsyncLogHandlerTest.java
+++ b/sequoia-runtime/src/test/java/org/sequoiahub/runtime/log/AsyncLogHandlerTest.java
@@ -62,4 +62,25 @@
       Thread.onSpinWait();
     }
   }
+
+  /**
+   * Guards against lines that stay in the queue: the writer waits without a timeout while there is
+   * nothing to write, and a line that arrives just then does not wake it.
+   */
+  @Test
+  void writesLinesThatArriveWhileWriterWaits() throws InterruptedException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    AsyncLogHandler handler = new AsyncLogHandler(out, 64);
+    handler.setFormatter(new LineFormatter());
+    for (int number = 0; number < 40; number++) {
+      handler.publish(record(number));
+      // Pauses around the writer's own interval, so that lines arrive before and after it parks.
+      Thread.sleep(number);
+      String expected = "line " + number;
+      while (!out.toString(UTF_8).contains(expected)) {
+        Thread.onSpinWait();
+      }
+    }
+    handler.close();
+  }
 }
