Keep the sums of the fleet's load up to date instead of adding reports for each placement

Cause: each placement added up three counters over all sources (some 20 at a delegate) for each of 98 runners. Change: sums by runner and by adapter, updated with each report; reports that are too old are taken out. FleetLoadTest.SumsByRunner compares them with the reports in 500 series.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/FleetLoad.java
@@ -1,8 +1,11 @@
 package org.sequoiahub.core.dispatch;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks what all hosts have in flight at the runners: exactly for this host, and as last reported
@@ -25,6 +28,18 @@
   private final Map<String, SourceLoad> others = new HashMap<>();
   private final Map<String, MutableUse> own = new HashMap<>();
 
+  /**
+   * The sums of the other sources' recent reports by runner. Each placement of a request reads them
+   * for many runners, so they are kept up to date instead of being added up there.
+   */
+  private final Map<String, MutableUse> sums = new HashMap<>();
+
+  /** The number of requests by adapter, over all runners and the other sources' recent reports. */
+  private final Map<String, Integer> adapterSums = new HashMap<>();
+
+  /** When the oldest report in the sums becomes too old (ms). */
+  private long sumsValidUntilMillis = Long.MAX_VALUE;
+
   /**
    * What one source has in flight at one runner.
    *
@@ -41,22 +56,17 @@
     }
   }
 
-  /**
-   * The last report of one source.
-   *
-   * @param uses the requests in flight by runner
-   * @param adapterUses the number of requests by adapter, over all runners
-   * @param receivedMillis when the report was received (ms)
-   */
-  private record SourceLoad(
-      Map<String, Use> uses, Map<String, Integer> adapterUses, long receivedMillis) {
+  /** The last report of one source: what it has in flight, by runner. */
+  private static final class SourceLoad {
+    final Map<String, Use> uses;
+    final long receivedMillis;
 
-    static SourceLoad of(Map<String, Use> uses, long receivedMillis) {
-      Map<String, Integer> adapterUses = new HashMap<>();
-      for (Use use : uses.values()) {
-        use.adapters.forEach((adapter, count) -> adapterUses.merge(adapter, count, Integer::sum));
-      }
-      return new SourceLoad(uses, adapterUses, receivedMillis);
+    /** Whether the report is part of the sums; it is not once it is too old. */
+    boolean summed;
+
+    SourceLoad(Map<String, Use> uses, long receivedMillis) {
+      this.uses = uses;
+      this.receivedMillis = receivedMillis;
     }
   }
 
@@ -71,7 +81,14 @@
       requests += use.requests;
       unreadTokens += use.unreadTokens;
       queuedTokens += use.queuedTokens;
-      use.adapters.forEach((adapter, count) -> adapters.merge(adapter, count, Integer::sum));
+      use.adapters.forEach((adapter, count) -> addTo(adapters, adapter, count));
+    }
+
+    void subtract(Use use) {
+      requests -= use.requests;
+      unreadTokens -= use.unreadTokens;
+      queuedTokens -= use.queuedTokens;
+      use.adapters.forEach((adapter, count) -> addTo(adapters, adapter, -count));
     }
 
     Use use() {
@@ -94,7 +111,55 @@
     }
     now.putAll(uses);
     now.values().removeIf(use -> use.requests == 0);
-    others.put(host, SourceLoad.of(now, nowMillis));
+    removeFromSums(before);
+    SourceLoad load = new SourceLoad(now, nowMillis);
+    others.put(host, load);
+    addToSums(load);
+  }
+
+  private void addToSums(SourceLoad load) {
+    load.summed = true;
+    load.uses.forEach(
+        (runner, use) -> {
+          sums.computeIfAbsent(runner, id -> new MutableUse()).add(use);
+          use.adapters.forEach((adapter, count) -> addTo(adapterSums, adapter, count));
+        });
+    sumsValidUntilMillis = Math.min(sumsValidUntilMillis, load.receivedMillis + MAX_AGE_MILLIS);
+  }
+
+  private void removeFromSums(@Nullable SourceLoad load) {
+    if (load == null || !load.summed) {
+      return;
+    }
+    load.summed = false;
+    load.uses.forEach(
+        (runner, use) -> {
+          MutableUse sum = requireNonNull(sums.get(runner), "a summed runner must have a sum");
+          sum.subtract(use);
+          if (sum.requests == 0) {
+            sums.remove(runner);
+          }
+          use.adapters.forEach((adapter, count) -> addTo(adapterSums, adapter, -count));
+        });
+  }
+
+  private static void addTo(Map<String, Integer> counts, String key, int added) {
+    counts.merge(key, added, (count, more) -> count + more == 0 ? null : count + more);
+  }
+
+  /** Removes the reports from the sums that have become too old. */
+  private void expireSums(long nowMillis) {
+    if (nowMillis < sumsValidUntilMillis) {
+      return;
+    }
+    sumsValidUntilMillis = Long.MAX_VALUE;
+    for (SourceLoad load : others.values()) {
+      if (!isRecent(load, nowMillis)) {
+        removeFromSums(load);
+      } else if (load.summed) {
+        sumsValidUntilMillis = Math.min(sumsValidUntilMillis, load.receivedMillis + MAX_AGE_MILLIS);
+      }
+    }
   }
 
   /**
@@ -103,13 +168,14 @@
   public void replaceWithTotals(Map<String, Use> sums, long nowMillis) {
     Map<String, Use> rest = new HashMap<>();
     sums.forEach((runner, sum) -> rest.put(runner, subtract(sum, own(runner))));
+    others.values().forEach(this::removeFromSums);
     others.clear();
     update(TOTALS, rest, true, nowMillis);
   }
 
   /** Removes the totals over the whole fleet, because its parts are reported from now on. */
   public void removeTotals() {
-    others.remove(TOTALS);
+    removeFromSums(others.remove(TOTALS));
   }
 
   /**
@@ -167,57 +233,49 @@
   /** Returns how many requests of all hosts are in flight at a runner or wait to be sent there. */
   public int requests(String runner, long nowMillis) {
     MutableUse ownUse = own.get(runner);
-    int sum = ownUse == null ? 0 : ownUse.requests;
-    for (SourceLoad load : others.values()) {
-      sum += isRecent(load, nowMillis) ? use(load, runner).requests : 0;
-    }
-    return sum;
+    MutableUse sum = othersAt(runner, nowMillis);
+    return (ownUse == null ? 0 : ownUse.requests) + (sum == null ? 0 : sum.requests);
   }
 
   /** Returns how many prompt tokens were sent to a runner that it has not read yet. */
   public long unreadTokens(String runner, long nowMillis) {
     MutableUse ownUse = own.get(runner);
-    long sum = ownUse == null ? 0 : Math.max(0, ownUse.unreadTokens);
-    for (SourceLoad load : others.values()) {
-      sum += isRecent(load, nowMillis) ? use(load, runner).unreadTokens : 0;
-    }
-    return Math.max(0, sum);
+    MutableUse sum = othersAt(runner, nowMillis);
+    return (ownUse == null ? 0 : Math.max(0, ownUse.unreadTokens))
+        + (sum == null ? 0 : sum.unreadTokens);
   }
 
   /** Returns how many prompt tokens wait to be sent to a runner. */
   public long queuedTokens(String runner, long nowMillis) {
     MutableUse ownUse = own.get(runner);
-    long sum = ownUse == null ? 0 : Math.max(0, ownUse.queuedTokens);
-    for (SourceLoad load : others.values()) {
-      sum += isRecent(load, nowMillis) ? use(load, runner).queuedTokens : 0;
-    }
-    return Math.max(0, sum);
+    MutableUse sum = othersAt(runner, nowMillis);
+    return (ownUse == null ? 0 : Math.max(0, ownUse.queuedTokens))
+        + (sum == null ? 0 : sum.queuedTokens);
   }
 
   /** Returns how many requests use an adapter at a runner or wait for it there. */
   public int uses(String runner, String target, long nowMillis) {
     MutableUse ownUse = own.get(runner);
-    int sum = ownUse == null ? 0 : ownUse.adapters.getOrDefault(target, 0);
-    for (SourceLoad load : others.values()) {
-      if (isRecent(load, nowMillis)) {
-        sum += use(load, runner).adapters.getOrDefault(target, 0);
-      }
-    }
-    return sum;
+    MutableUse sum = othersAt(runner, nowMillis);
+    return (ownUse == null ? 0 : ownUse.adapters.getOrDefault(target, 0))
+        + (sum == null ? 0 : sum.adapters.getOrDefault(target, 0));
   }
 
   /** Returns how many requests use an adapter or wait for it at any runner. */
   public int totalUses(String target, long nowMillis) {
-    int sum = 0;
+    expireSums(nowMillis);
+    int sum = adapterSums.getOrDefault(target, 0);
     for (MutableUse ownUse : own.values()) {
       sum += ownUse.adapters.getOrDefault(target, 0);
     }
-    for (SourceLoad load : others.values()) {
-      sum += isRecent(load, nowMillis) ? load.adapterUses.getOrDefault(target, 0) : 0;
-    }
     return sum;
   }
 
+  private @Nullable MutableUse othersAt(String runner, long nowMillis) {
+    expireSums(nowMillis);
+    return sums.get(runner);
+  }
+
   private static boolean isRecent(SourceLoad load, long nowMillis) {
     return nowMillis - load.receivedMillis < MAX_AGE_MILLIS;
   }
@@ -239,8 +297,4 @@
     MutableUse use = own.get(runner);
     return use == null ? NONE : use.use();
   }
-
-  private static Use use(SourceLoad load, String runner) {
-    return load.uses.getOrDefault(runner, NONE);
-  }
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/FleetLoadTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/FleetLoadTest.java
@@ -40,6 +40,46 @@
     }
   }
 
+  @Nested
+  class SumsByRunner {
+    /**
+     * Guards against runners that are avoided or flooded because the sums that are kept up to date
+     * differ from the reports: hosts report only changes, stop reporting and continue later.
+     */
+    @Property(tries = 500)
+    void equalTheRecentReports(@ForAll @Size(max = 60) List<@IntRange(max = 9_999) Integer> codes) {
+      FleetLoad some = new FleetLoad();
+      long now = 0;
+      for (int code : codes) {
+        now += code % 11 == 0 ? 2_600 : 150;
+        String runner = "i-" + code % 3;
+        int requests = code / 6 % 4;
+        if (code % 5 == 0) {
+          some.add(runner, 1, 10, 5, "m/a" + code % 2);
+        } else if (code % 13 == 0) {
+          some.replaceWithTotals(use(requests), now);
+        } else {
+          some.update(
+              "host-" + code % 4,
+              Map.of(
+                  runner,
+                  new FleetLoad.Use(requests, code % 100, code % 50, Map.of("m/a1", requests))),
+              code % 7 == 0,
+              now);
+        }
+        Map<String, FleetLoad.Use> sums = some.sums(source -> true, now);
+        for (String each : List.of("i-0", "i-1", "i-2")) {
+          FleetLoad.Use expected = sums.getOrDefault(each, FleetLoad.NONE);
+          assertThat(some.requests(each, now)).isEqualTo(expected.requests());
+          assertThat(some.unreadTokens(each, now)).isEqualTo(expected.unreadTokens());
+          assertThat(some.queuedTokens(each, now)).isEqualTo(expected.queuedTokens());
+          assertThat(some.uses(each, "m/a1", now))
+              .isEqualTo(expected.adapters().getOrDefault("m/a1", 0));
+        }
+      }
+    }
+  }
+
   @Nested
   class TotalUses {
     /**
