--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/CallerHostSelector.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/CallerHostSelector.java
@@ -23,10 +23,12 @@
 public final class CallerHostSelector {
 
   /**
-   * Processor capacity per request a second (hundredths of a core). A request costs 10 to 15 ms,
-   * and half of a host stays free for bursts and for code that is not compiled yet.
+   * Processor capacity per request a second (hundredths of a core). Where a host serves many
+   * requests, one costs less than half of this; the rest stays free for bursts. With a larger value
+   * weak hosts are advertised too, each of which serves few requests with code that is not compiled
+   * yet, at several times the cost.
    */
-  private static final int PROCESSOR_PER_REQUEST = 4;
+  private static final double PROCESSOR_PER_REQUEST = 1.5;
 
   /**
    * The smallest fraction of the fleet's processor capacity that is advertised, whatever the
