Advertise weak hosts to callers only when each can serve an equal share

Cause: callers draw a host evenly, so the sum of the processors says nothing of the weakest one, whose share is that of all. Change: the strongest hosts, and weaker ones until the share of the weakest is within 0.6 of its processor at 6 ms a request.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/CallerHostSelector.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/CallerHostSelector.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -23,12 +24,16 @@
 public final class CallerHostSelector {
 
   /**
-   * Processor capacity per request a second (hundredths of a core). Where a host serves many
-   * requests, one costs less than half of this; the rest stays free for bursts. With a larger value
-   * weak hosts are advertised too, each of which serves few requests with code that is not compiled
-   * yet, at several times the cost.
+   * Processor time of a request at a host that serves many (hundredths of a core per request a
+   * second): 6 ms. At a host that serves two a second it is several times as much.
    */
-  private static final double PROCESSOR_PER_REQUEST = 1.5;
+  private static final double PROCESSOR_PER_REQUEST = 0.6;
+
+  /**
+   * Fraction of a host's processor that its share of the requests may use. The rest is for its
+   * duties in the fleet and for demand that has just jumped.
+   */
+  private static final double MAX_UTILIZATION = 0.6;
 
   /**
    * The smallest fraction of the fleet's processor capacity that is advertised, whatever the
@@ -66,21 +71,33 @@
     ranked.sort(
         Comparator.comparingInt(Candidate::processor).reversed().thenComparing(Candidate::host));
     int totalProcessor = ranked.stream().mapToInt(Candidate::processor).sum();
-    double requiredProcessor =
-        Math.max(
-            totalProcessor * MIN_PROCESSOR_FRACTION, requestsPerSecond * PROCESSOR_PER_REQUEST);
+    double minProcessor = totalProcessor * MIN_PROCESSOR_FRACTION;
     List<Candidate> selected = new ArrayList<>();
+    List<Candidate> rest = new ArrayList<>();
     int selectedProcessor = 0;
     for (Candidate candidate : ranked) {
-      if (selectedProcessor < requiredProcessor
+      if (selectedProcessor < minProcessor
           || countInDomain(selected, candidate.failureDomain) < MIN_HOSTS_PER_DOMAIN) {
         selected.add(candidate);
         selectedProcessor += candidate.processor;
+      } else {
+        rest.add(candidate);
       }
     }
+    Iterator<Candidate> next = rest.iterator();
+    while (next.hasNext() && !carry(selected, requestsPerSecond)) {
+      selected.add(next.next());
+    }
     return selected;
   }
 
+  /** Returns whether the weakest of the hosts can serve its share, which is that of each host. */
+  private static boolean carry(List<Candidate> hosts, double requestsPerSecond) {
+    int weakest = hosts.stream().mapToInt(Candidate::processor).min().orElse(0);
+    double share = requestsPerSecond / Math.max(1, hosts.size());
+    return share * PROCESSOR_PER_REQUEST <= weakest * MAX_UTILIZATION;
+  }
+
   private static long countInDomain(List<Candidate> selected, String failureDomain) {
     return selected.stream().filter(host -> host.failureDomain.equals(failureDomain)).count();
   }
