--- a/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/RunnerStates.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/runnerstate/RunnerStates.java
@@ -176,7 +176,7 @@
    * must receive it; may be called on any thread.
    */
   public boolean isRelevant(RunnerSignals signals) {
-    return anyLimitKnown || !signals.isEmpty();
+    return anyLimitKnown || signals.affectsSending();
   }
 
   /**
