Choose runners by their estimated speeds

Candidates carry a RunnerSpeed, which the choices of runners read in place of the constants; RunnerSpeed.DEFAULT decides as before. Hosts record the first events of streams, successful plain calls and stated loads. A load is applied with the first event or the end of an attempt, so that it causes no further task on the decision thread. Estimates are shown by a log line, gauges, counters and rows on the status page.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/Candidate.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.core.dispatch;
 
+import org.sequoiahub.core.capacity.RunnerSpeed;
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
 
@@ -24,6 +25,7 @@
  * @param latencyMillis how long recent requests took (ms); 0 if unknown
  * @param vanished whether the runner's entry has just disappeared
  * @param sameFailureDomain whether the runner is in this host's failure domain
+ * @param speed how fast the runner works
  */
 public record Candidate(
     RunnerEntry runner,
@@ -41,7 +43,46 @@
     double failureRate,
     double latencyMillis,
     boolean vanished,
-    boolean sameFailureDomain) {
+    boolean sameFailureDomain,
+    RunnerSpeed speed) {
+
+  /** Creates a candidate with the speed assumed where nothing is estimated. */
+  public Candidate(
+      RunnerEntry runner,
+      int inFlight,
+      long unreadAheadTokens,
+      long queuedAheadTokens,
+      int unreadTokens,
+      long adapterWaitMillis,
+      SendDecision sendDecision,
+      boolean warm,
+      int adapterUses,
+      boolean heldOrLoading,
+      boolean hasRoom,
+      boolean hasHolder,
+      double failureRate,
+      double latencyMillis,
+      boolean vanished,
+      boolean sameFailureDomain) {
+    this(
+        runner,
+        inFlight,
+        unreadAheadTokens,
+        queuedAheadTokens,
+        unreadTokens,
+        adapterWaitMillis,
+        sendDecision,
+        warm,
+        adapterUses,
+        heldOrLoading,
+        hasRoom,
+        hasHolder,
+        failureRate,
+        latencyMillis,
+        vanished,
+        sameFailureDomain,
+        RunnerSpeed.DEFAULT);
+  }
 
   /** Returns the expected time until the request may be sent to the runner (ms). */
   public long sendWaitMillis() {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/GenerationPlacement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.sequoiahub.core.call.Generation;
+import org.sequoiahub.core.capacity.RunnerSpeed;
 import org.sequoiahub.core.placement.Rendezvous;
 
 /**
@@ -102,12 +103,14 @@
   public double expectedMillis(Candidate candidate) {
     long ahead = candidate.unreadAheadTokens() + candidate.queuedAheadTokens();
     long overSlots = Math.max(0, candidate.inFlight() + 1 - candidate.runner().slots());
-    double queue = ahead / settings.readTokensPerMilli() + overSlots * settings.slotWaitMillis();
+    RunnerSpeed speed = candidate.speed();
+    double tokensPerMilli = speed.currentTokensPerMilli();
+    double queue = ahead / tokensPerMilli + overSlots * settings.slotWaitMillis() * speed.pace();
     double expected =
         Math.max(
                 queue, (double) Math.max(candidate.adapterWaitMillis(), candidate.sendWaitMillis()))
-            + candidate.unreadTokens() / settings.readTokensPerMilli()
-            + candidate.inFlight() * settings.perRequestMillis();
+            + candidate.unreadTokens() / tokensPerMilli
+            + candidate.inFlight() * settings.perRequestMillis() * speed.pace();
     if (candidate.heldOrLoading()) {
       return expected;
     }
@@ -127,18 +130,22 @@
    */
   public boolean mayStartReading(Candidate candidate, StreamLimits limits) {
     return candidate.unreadAheadTokens() == 0
-        || !pausesStreams(limits, candidate.unreadAheadTokens() + candidate.unreadTokens());
+        || !pausesStreams(
+            limits, candidate.unreadAheadTokens() + candidate.unreadTokens(), candidate.speed());
   }
 
   /** Returns whether reading this many tokens in succession pauses streams for too long. */
-  private boolean pausesStreams(StreamLimits limits, long tokens) {
-    double chunkMillis = settings.chunkTokens() / settings.chunkTokensPerMilli();
+  private boolean pausesStreams(StreamLimits limits, long tokens, RunnerSpeed speed) {
+    double relativeSpeed =
+        speed.currentTokensPerMilli() / RunnerSpeed.DEFAULT.currentTokensPerMilli();
+    double chunkTokensPerMilli = settings.chunkTokensPerMilli() * relativeSpeed;
+    double chunkMillis = settings.chunkTokens() / chunkTokensPerMilli;
     if (limits.maxPauseMillis() <= 0
         || limits.tokensPerEvent() * chunkMillis < limits.maxPauseMillis()) {
       return false;
     }
     long acceptedMillis = limits.maxPauseMillis() - settings.pauseMarginMillis();
-    return tokens > acceptedMillis * settings.chunkTokensPerMilli();
+    return tokens > acceptedMillis * chunkTokensPerMilli;
   }
 
   /**
@@ -147,7 +154,7 @@
    * while short responses gather on the others.
    */
   private double pausePenalty(Candidate candidate, StreamLimits limits) {
-    return pausesStreams(limits, candidate.unreadTokens())
+    return pausesStreams(limits, candidate.unreadTokens(), candidate.speed())
         ? candidate.inFlight() * settings.pausePenaltyMillis()
         : 0;
   }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/PlacementSettings.java
@@ -1,9 +1,13 @@
 package org.sequoiahub.core.dispatch;
 
+import org.sequoiahub.core.capacity.RunnerSpeed;
+
 /**
  * The weights of the choice of a runner. All costs are expressed in milliseconds of expected delay.
  *
- * @param readTokensPerMilli the number of prompt tokens that a runner reads per millisecond
+ * @param readTokensPerMilli the number of prompt tokens that a runner reads per millisecond, by
+ *     which the loads of runners are compared for a shortlist; the choice itself uses {@link
+ *     Candidate#speed}
  * @param slotWaitMillis the wait per request ahead that exceeds the runner's slots
  * @param perRequestMillis by how much each request in flight at a runner slows down the others
  * @param noRoomMillis the wait for an adapter place if all adapters of a runner are in use
@@ -45,9 +49,8 @@
   /**
    * The default weights.
    *
-   * <p>The reading speed is the specified one of known deployments (38.7 and 38.4 tokens per
-   * millisecond) less a tenth for the steps in between. The other waits are the delays that occur
-   * in the respective case, such as one and a half leases until there is a new holder.
+   * <p>The waits are the delays that occur in the respective case, such as one and a half leases
+   * until there is a new holder.
    *
    * <p>A request in flight costs 12 ms. With a much lower cost requests accumulate at one runner,
    * whose streams then pause, while a new runner stays nearly idle.
@@ -58,5 +61,20 @@
    */
   public static final PlacementSettings DEFAULT =
       new PlacementSettings(
-          35, 30, 12, 100, 4_500, 3_000, 2_000, 2, 700, 250, 100, 4_096, 31, 1_000, 100, 80);
+          RunnerSpeed.DEFAULT.prefillTokensPerMilli(),
+          30,
+          12,
+          100,
+          4_500,
+          3_000,
+          2_000,
+          2,
+          700,
+          250,
+          100,
+          4_096,
+          31,
+          1_000,
+          100,
+          80);
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/ServicePlacement.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/dispatch/ServicePlacement.java
@@ -4,13 +4,11 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import org.sequoiahub.core.capacity.RunnerSpeed;
 
 /** Chooses the runner of a plain service with the shortest expected time to the response. */
 public final class ServicePlacement {
 
-  /** Assumed work time of a request before any was observed (ms); deployments specify 21 to 86. */
-  private static final double UNKNOWN_LATENCY_MILLIS = 40;
-
   /** How much faster another runner must be for a waiting request to move there (ms). */
   private static final double MIN_GAIN_MILLIS = 20;
 
@@ -51,12 +49,17 @@
 
   /** Returns the expected time to the response at one runner, including its penalties (ms). */
   public double expectedMillis(Candidate candidate) {
+    RunnerSpeed speed = candidate.speed();
+    // Without an estimate the latency that this host observed is the best known one.
     double work =
-        candidate.latencyMillis() > 0 ? candidate.latencyMillis() : UNKNOWN_LATENCY_MILLIS;
+        speed.isEstimated() || candidate.latencyMillis() <= 0
+            ? speed.currentServiceMillis()
+            : candidate.latencyMillis();
     int slots = Math.max(1, candidate.runner().slots());
     double waiting = Math.max(0, candidate.inFlight() + 1 - slots) * work / slots;
     // A runner works slower the more of its slots are in use.
-    double crowding = work * 0.3 * Math.min(1.0, (double) candidate.inFlight() / slots);
+    double crowding =
+        work * speed.fullnessSlowdown() * Math.min(1.0, (double) candidate.inFlight() / slots);
     return work
         + Math.max(waiting, (double) candidate.sendWaitMillis())
         + crowding
--- a/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/dispatch/GenerationPlacementTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.call.Generation;
 import org.sequoiahub.core.call.PromptPart;
+import org.sequoiahub.core.capacity.RunnerSpeed;
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.runnerstate.SendDecision.Reason;
 import org.sequoiahub.core.upstream.RunnerEntry;
@@ -79,6 +80,47 @@
         .id();
   }
 
+  @Nested
+  class Speeds {
+    private Candidate withSpeed(String id, RunnerSpeed speed) {
+      return new Candidate(
+          runner(id),
+          3,
+          4_000,
+          0,
+          4_000,
+          0,
+          new SendDecision.Now(),
+          false,
+          0,
+          true,
+          true,
+          true,
+          0,
+          0,
+          false,
+          true,
+          speed);
+    }
+
+    /** Guards against requests that queue at a runner whose machine is slowed. */
+    @Test
+    void preferTheFasterOfTwoEquallyLoadedRunners() {
+      Candidate slow = withSpeed("slow", new RunnerSpeed(38, 40, 3.5, 0.3));
+      Candidate fast = withSpeed("fast", new RunnerSpeed(38, 40, 1, 0.3));
+      assertThat(choose(generation("a"), List.of(slow, fast))).isEqualTo("fast");
+      assertThat(choose(generation("a"), List.of(fast, slow))).isEqualTo("fast");
+    }
+
+    /** Guards against changed decisions where no speed is estimated. */
+    @Test
+    void areTheConstantsWhereNothingIsEstimated() {
+      Candidate candidate = withSpeed("r", RunnerSpeed.DEFAULT);
+      assertThat(placement.expectedMillis(candidate))
+          .isEqualTo(4_000 / 35.0 + 4_000 / 35.0 + 3 * 12);
+    }
+  }
+
   @Nested
   class LimitedRunners {
     private Candidate limited(long permitWaitMillis) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -34,6 +34,7 @@
 import org.sequoiahub.node.call.FleetView;
 import org.sequoiahub.node.call.QuarantineGate;
 import org.sequoiahub.node.call.RequestCoordinator;
+import org.sequoiahub.node.call.RunnerSpeeds;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.forward.ForwardedRequests;
@@ -157,6 +158,7 @@
   private final AllowanceLimiter allowances;
   private final RunnerRegistry runnerRegistry;
   private final StoreRegistry storeRegistry;
+  private final RunnerSpeeds runnerSpeeds;
   private final FleetView fleetView;
   private final RequestCoordinator requestCoordinator;
   private final HolderService holderService;
@@ -237,6 +239,7 @@
     this.storeRegistry =
         new StoreRegistry(
             decoder, runnerRegistry, this::applyRoutingTable, this::stateChanged, log);
+    this.runnerSpeeds = new RunnerSpeeds(hostSettings.host(), metrics, log);
     this.fleetView =
         new FleetView(
             runnerRegistry,
@@ -248,7 +251,8 @@
             history::sharingHostCount,
             storeRegistry::newestVersion,
             this::reportMissingAdapter,
-            runnerStates.availability());
+            runnerStates.availability(),
+            runnerSpeeds);
     this.datagrams =
         DatagramPort.open(
             network, hostSettings.ip(), hostSettings.datagramPort(), log, this::datagramReceived);
@@ -639,6 +643,7 @@
             runnerStates.status(),
             runnerStates.capacities(),
             runnerStates.statements(),
+            runnerSpeeds.status(),
             quarantineGate.status(),
             presentRunners)
         : MetricsText.render(metrics);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import org.sequoiahub.core.capacity.ServiceCapacity;
 import org.sequoiahub.core.runnerstate.RunnerAvailability;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.call.QuarantineStatus;
@@ -32,6 +33,7 @@
       List<LimitStatus> limits,
       List<CapacityStatus> capacities,
       List<RunnerAvailability.Statement> statements,
+      List<ServiceCapacity> speeds,
       List<QuarantineStatus> quarantined,
       List<RunnerEntry> present) {
     ObjectNode page = MAPPER.createObjectNode();
@@ -83,6 +85,18 @@
               .put("for_ms", status.forMillis());
       status.terminations().forEach(row.putArray("ends")::add);
     }
+    ArrayNode estimated = page.putArray("speeds");
+    for (ServiceCapacity speed : speeds) {
+      estimated
+          .addObject()
+          .put("service", speed.service())
+          .put("runners", speed.runners())
+          .put("observed", speed.observed())
+          .put("tokens_per_ms", speed.median().prefillTokensPerMilli())
+          .put("service_ms", speed.median().serviceMillis())
+          .put("pace", speed.median().pace())
+          .put("slowest_pace", speed.slowestPace());
+    }
     addVersions(page.putArray("versions"), present);
     return page.toString();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -11,6 +11,7 @@
 import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.retry.RetryAccount;
 import org.sequoiahub.core.routing.Route;
+import org.sequoiahub.core.runnerstate.StatedLoad;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.core.workspace.Workspace;
@@ -147,6 +148,15 @@
     /** Prompt tokens that are counted at the runner as not read yet; 0 after the first event. */
     int unreadTokens;
 
+    /** Requests that were at the runner when this attempt was sent. */
+    int requestsAhead;
+
+    /** Prompt tokens that the runner had to read up to the first event when it was sent. */
+    long tokensToRead;
+
+    /** The load that the response states; null if there is none, or after it was recorded. */
+    volatile @Nullable StatedLoad statedLoad;
+
     boolean firstEventReceived;
 
     /** When the first event was received (ms); 0 before. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -76,6 +76,7 @@
   private final ToIntFunction<String> newestVersion;
   private final MissingAdapterListener missingAdapterListener;
   private final RunnerAvailability availability;
+  private final RunnerSpeeds speeds;
   private final Map<String, RunnerHealth> health = new HashMap<>();
   private final Map<String, PrefixCacheEstimate> promptMemories = new HashMap<>();
   private final Map<String, Long> pauseMillisByService = new HashMap<>();
@@ -102,6 +103,7 @@
    * @param hostCount the number of hosts that share the retry budget at a time
    * @param newestVersion the newest published version of an adapter; 0 if none was published
    * @param availability decides whether calls may be sent to a runner
+   * @param speeds estimates how fast runners work
    */
   public FleetView(
       RunnerRegistry runners,
@@ -113,7 +115,8 @@
       LongFunction<Integer> hostCount,
       ToIntFunction<String> newestVersion,
       MissingAdapterListener missingAdapterListener,
-      RunnerAvailability availability) {
+      RunnerAvailability availability,
+      RunnerSpeeds speeds) {
     this.runners = runners;
     this.holdings = holdings;
     this.fleetLoad = fleetLoad;
@@ -124,6 +127,7 @@
     this.newestVersion = newestVersion;
     this.missingAdapterListener = missingAdapterListener;
     this.availability = availability;
+    this.speeds = speeds;
   }
 
   /** Applies a configuration. */
@@ -147,6 +151,10 @@
     return Optional.ofNullable(table);
   }
 
+  RunnerSpeeds speeds() {
+    return speeds;
+  }
+
   FleetLoad fleetLoad() {
     return fleetLoad;
   }
@@ -326,7 +334,8 @@
         runnerHealth.failureRate(nowMillis),
         runnerHealth.latencyMillis(),
         runners.hasVanished(runner.instance()),
-        runner.failureDomain().equals(failureDomain));
+        runner.failureDomain().equals(failureDomain),
+        speeds.speed(runner, nowMillis));
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RelayingAttemptListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RelayingAttemptListener.java
@@ -55,6 +55,7 @@
   @Override
   public void signalsReceived(RunnerSignals signals) {
     runnerPath.responseReceived();
+    active.statedLoad = signals.load().orElse(null);
     if (runnerStates.isRelevant(signals)) {
       decisionThread.accept(
           () ->
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -512,6 +512,7 @@
     Call.ActiveAttempt active =
         new Call.ActiveAttempt(call.sends, runner, nowMillis, firstTokenMillis, unreadTokens);
     call.activeAttempts.add(active);
+    fleet.speeds().recordSending(active, fleet.fleetLoad(), nowMillis);
     fleet.fleetLoad().add(runner.id(), 1, unreadTokens, 0, call.adapter());
     runnerStates.recordSent(runner.id(), CallKind.REQUEST, nowMillis);
     runnerPath.recordSent(nowMillis);
@@ -563,6 +564,7 @@
     if (!active.firstEventReceived && call.activeAttempts.contains(active)) {
       active.firstEventReceived = true;
       active.firstEventMillis = clock.getAsLong();
+      fleet.speeds().recordFirstEvent(active, active.firstEventMillis);
       fleet.fleetLoad().add(active.runner.id(), 0, -active.unreadTokens, 0, "");
       active.unreadTokens = 0;
       firstEventMillis.update(clock.getAsLong() - call.arrivedMillis);
@@ -589,6 +591,7 @@
     }
     call.mayHaveRun |= !(outcome instanceof Outcome.Refused || outcome instanceof Outcome.NotSent);
     long now = clock.getAsLong();
+    fleet.speeds().recordStated(active, now);
     if (outcome instanceof Outcome.StreamCompleted completed) {
       logEndByConnection(call, active, completed.framing());
       fleet.health(active.runner).succeeded(now - active.startedMillis, now);
@@ -651,6 +654,9 @@
       cancelAttempts(call, "another attempt was answered");
       if (HttpStatus.isSuccess(answered.status())) {
         recordSuccess(call, active, answered.framing(), now);
+        if (call.generation == null) {
+          fleet.speeds().recordResponse(active, now);
+        }
       }
       forwardResponse(call, answered, now);
       return;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.capacity.RunnerSpeed;
+import org.sequoiahub.core.capacity.ServiceCapacity;
 import org.sequoiahub.core.runnerstate.RunnerAvailability.Statement;
 import org.sequoiahub.core.runnerstate.SendDecision.Reason;
 import org.sequoiahub.core.store.StorePosition;
@@ -52,6 +54,8 @@
                     List.of(
                         new Statement("i-2", Reason.LEAVING, 40, -1, true),
                         new Statement("i-3", Reason.BACKOFF, 50, 2_950, false)),
+                    List.of(
+                        new ServiceCapacity("llm", 3, 2, new RunnerSpeed(38, 40, 1.5, 0.3), 3.5)),
                     List.of(),
                     List.of(runner("i-1", "v1"), runner("i-2", "v1"), runner("i-3", "v1.1"))));
     assertThat(page.path("host").asText()).isEqualTo("host-1");
@@ -65,6 +69,10 @@
     assertThat(page.path("runners").path(1).toString())
         .isEqualTo("{\"runner\":\"i-2\",\"stated\":\"leaving\",\"age_ms\":40,\"from\":\"peer\"}");
     assertThat(page.path("runners").path(2).path("left_ms").asLong()).isEqualTo(2_950);
+    assertThat(page.path("speeds").toString())
+        .isEqualTo(
+            "[{\"service\":\"llm\",\"runners\":3,\"observed\":2,\"tokens_per_ms\":38.0,"
+                + "\"service_ms\":40.0,\"pace\":1.5,\"slowest_pace\":3.5}]");
     assertThat(page.path("versions").toString())
         .isEqualTo(
             "[{\"service\":\"llm\",\"version\":\"v1\",\"runners\":2},"
@@ -85,6 +93,7 @@
                     List.of(new CapacityStatus("i-1", 4, 300, true, 8, 6, "host-2")),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of()));
     assertThat(page.path("runners").path(0).toString())
         .isEqualTo(
@@ -105,6 +114,7 @@
                     List.of(),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of(new QuarantineStatus("8c1f", true, List.of("i-1@900ms"), 599_100)),
                     List.of()));
     assertThat(page.path("quarantined").toString())
