--- a/sequoia-core/src/main/java/org/sequoiahub/core/stream/EventSplitter.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/stream/EventSplitter.java
@@ -126,6 +126,11 @@
         : StreamPosition.BETWEEN_EVENTS;
   }
 
+  /** Returns the number of bytes received after the last complete event. */
+  public int pendingBytes() {
+    return pending.size();
+  }
+
   /** Returns the id of the last complete event; empty if there was none. */
   public String lastEventId() {
     return lastEventId;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RelayingAttemptListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RelayingAttemptListener.java
@@ -69,11 +69,12 @@
   }
 
   @Override
-  public void streamContent(ByteBuffer chunk) {
+  public boolean streamContent(ByteBuffer chunk) {
     runnerPath.responseReceived();
     if (call.relay.relayChunk(active.number, chunk, clock.getAsLong())) {
       decisionThread.accept(() -> events.onFirstEvent(call, active));
     }
+    return !call.relay.isEventTooLong(active.number);
   }
 
   @Override
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -28,6 +28,12 @@
  */
 final class StreamRelay {
 
+  /**
+   * Maximum size of the part of a stream that holds no complete event (bytes): memory that a runner
+   * can occupy with an event that never ends. Events of a token or of a tool call are far smaller.
+   */
+  static final int MAX_EVENT_BYTES = 1 << 20;
+
   /** The number of no attempt; attempts are counted from 1. */
   private static final int NO_ATTEMPT = 0;
 
@@ -189,6 +195,15 @@
     return noneBefore && events.completeEvents() > 0;
   }
 
+  /** Returns whether an attempt has sent more than an event may hold without completing one. */
+  synchronized boolean isEventTooLong(int number) {
+    Standby waiting = standby;
+    if (waiting != null && number == waiting.number) {
+      return waiting.content.size() > MAX_EVENT_BYTES;
+    }
+    return number == currentAttempt && events.pendingBytes() > MAX_EVENT_BYTES;
+  }
+
   private void recordChunk(int number, long nowMillis) {
     lastChunkMillis = nowMillis;
     lastChunkAttempt = number;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -1,10 +1,12 @@
 package org.sequoiahub.node.upstream;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.HttpResponseException;
@@ -16,6 +18,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.runtime.http.ReceivedResponse;
+import org.sequoiahub.runtime.http.UnterminatedDataException;
 import org.sequoiahub.usersplatform.HeaderCodec;
 import org.sequoiahub.usersplatform.HeaderCodec.ResponseHeaders;
 
@@ -59,7 +62,11 @@
 
   void send() {
     request
-        .onRequestBegin(sent -> requestBegun = true)
+        .onRequestBegin(
+            sent -> {
+              requestBegun = true;
+              ReceivedResponse.restartUnframedLimit(sent);
+            })
         .onResponseHeaders(this::handleHeaders)
         .onResponseContent(this::handleContent)
         .send(this::handleCompletion);
@@ -98,6 +105,7 @@
    * break: the runner's process was still running to send the response.
    */
   private void handleHeaders(Response response) {
+    ReceivedResponse.restartUnframedLimit(request);
     ResponseHeaders answer =
         HeaderCodec.decodeResponse(
             response.getStatus(), response.getHeaders(), wallClock.getAsLong());
@@ -125,6 +133,7 @@
     if (ended.get()) {
       return;
     }
+    ReceivedResponse.restartUnframedLimit(request);
     if (!streaming) {
       byte[] bytes = BufferUtil.toArray(content);
       if (bufferedBody.size() + bytes.length > MAX_BUFFERED_BYTES) {
@@ -139,7 +148,10 @@
       streamStartReported = true;
       listener.streamStarted(response.getStatus(), HeaderCodec.toCaller(responseHeaders));
     }
-    listener.streamContent(ByteBuffer.wrap(BufferUtil.toArray(content)));
+    if (!listener.streamContent(ByteBuffer.wrap(BufferUtil.toArray(content)))) {
+      finish(new Outcome.ResponseLost("an event exceeds the maximum size", false));
+      request.abort(new IOException("an event exceeds the maximum size"));
+    }
   }
 
   private void handleCompletion(Result result) {
@@ -147,7 +159,10 @@
       Throwable failure = result.getFailure();
       String reason = abbreviate(failure);
       // An invalid response shows that the runner's process was still running to send it.
-      boolean connectionBroken = !(failure instanceof HttpResponseException);
+      boolean connectionBroken =
+          !(failure instanceof HttpResponseException
+              || failure instanceof UnterminatedDataException
+              || (failure instanceof EOFException && !ReceivedResponse.mayBeEndedByPeer(request)));
       finish(
           requestBegun
               ? new Outcome.ResponseLost(reason, connectionBroken)
@@ -191,7 +206,10 @@
    * whole state, but their first words say what happened.
    */
   private static String abbreviate(Throwable failure) {
-    String text = String.valueOf(failure);
+    String text =
+        failure instanceof UnterminatedDataException
+            ? Objects.requireNonNullElse(failure.getMessage(), "")
+            : String.valueOf(failure);
     return text.length() <= MAX_REASON_LENGTH ? text : text.substring(0, MAX_REASON_LENGTH);
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/AttemptListener.java
@@ -16,8 +16,12 @@
   /** Called with the status and headers of a successful stream, before its first content. */
   void streamStarted(int status, HttpFields headers);
 
-  /** Called with the next content of a successful stream; the listener owns the buffer. */
-  void streamContent(ByteBuffer content);
+  /**
+   * Called with the next content of a successful stream; the listener owns the buffer.
+   *
+   * @return false if the content cannot be part of a valid stream; the attempt then ends
+   */
+  boolean streamContent(ByteBuffer content);
 
   /** Called once with the outcome, when the attempt has ended; not called if it was cancelled. */
   void ended(Outcome outcome);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -80,6 +80,7 @@
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
     client.setDestinationIdleTimeout(2 * IDLE_TIMEOUT_MILLIS);
+    client.setMaxResponseHeadersSize(ResetReportingConnector.MAX_HEADER_BYTES);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
     client.setSocketAddressResolver(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/AttemptRecorder.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/AttemptRecorder.java
@@ -18,9 +18,19 @@
   private static final long TIMEOUT_SECONDS = 20;
 
   private final BlockingQueue<StatedLimit> limits = new LinkedBlockingQueue<>();
+  private final int maxContentLength;
   private final StringBuffer content = new StringBuffer();
   private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
 
+  AttemptRecorder() {
+    this(Integer.MAX_VALUE);
+  }
+
+  /** Creates a listener that rejects content after {@code maxContentLength} characters. */
+  AttemptRecorder(int maxContentLength) {
+    this.maxContentLength = maxContentLength;
+  }
+
   /** Returns the limits that the responses stated. */
   BlockingQueue<StatedLimit> limits() {
     return limits;
@@ -40,8 +50,9 @@
   public void streamStarted(int status, HttpFields headers) {}
 
   @Override
-  public void streamContent(ByteBuffer buffer) {
+  public boolean streamContent(ByteBuffer buffer) {
     content.append(new String(BufferUtil.toArray(buffer), UTF_8));
+    return content.length() <= maxContentLength;
   }
 
   @Override
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ChunkWriter.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ChunkWriter.java
@@ -12,17 +12,28 @@
 /**
  * Writes the chunks of a response in order, without blocking and from any thread.
  *
- * <p>The response is aborted if {@link #MAX_PENDING_CHUNKS} chunks are pending because its reader
- * is too slow: without that limit a stalled connection would keep its whole response in memory.
+ * <p>The response is aborted if its reader is too slow, that is, if {@link #MAX_PENDING_CHUNKS}
+ * chunks or {@link #MAX_PENDING_BYTES} are pending or the budget of all responses is used up:
+ * without these limits stalled connections would keep their whole responses in memory.
  */
 public final class ChunkWriter {
 
   /** The maximum number of pending chunks. */
   public static final int MAX_PENDING_CHUNKS = 2_048;
 
+  /**
+   * The maximum number of pending bytes of a response: four times the largest event of a stream.
+   */
+  public static final int MAX_PENDING_BYTES = 4 << 20;
+
   private final Response response;
   private final Callback callback;
+  private final WriteBudget budget;
   private final Deque<Chunk> pending = new ArrayDeque<>();
+
+  /** Bytes of the pending chunks and of the one that is being written. */
+  private long pendingBytes;
+
   private boolean writing;
   private boolean closed;
   private boolean aborted;
@@ -34,6 +45,18 @@
    * @param callback completed after the last chunk; failed if the reader is gone or too slow
    */
   public ChunkWriter(Response response, Callback callback) {
+    this(response, callback, new WriteBudget(Long.MAX_VALUE));
+  }
+
+  /**
+   * Creates a writer.
+   *
+   * @param response the response to write to
+   * @param callback completed after the last chunk; failed if the reader is gone or too slow
+   * @param budget bounds the pending bytes of all responses that share it
+   */
+  public ChunkWriter(Response response, Callback callback, WriteBudget budget) {
+    this.budget = requireNonNull(budget, "budget must not be null");
     this.response = requireNonNull(response, "response must not be null");
     this.callback = requireNonNull(callback, "callback must not be null");
   }
@@ -44,16 +67,19 @@
       if (aborted || closed) {
         return false;
       }
-      if (pending.size() < MAX_PENDING_CHUNKS) {
+      int size = bytes.remaining();
+      if (pending.size() < MAX_PENDING_CHUNKS
+          && pendingBytes + size <= MAX_PENDING_BYTES
+          && budget.acquire(size)) {
+        pendingBytes += size;
         closed = last;
-        pending.add(new Chunk(bytes, last));
+        pending.add(new Chunk(bytes, size, last));
         if (writing) {
           return true;
         }
         writing = true;
       } else {
-        aborted = true;
-        pending.clear();
+        abandonPending();
       }
     }
     if (isAborted()) {
@@ -70,8 +96,7 @@
       if (aborted || closed) {
         return;
       }
-      aborted = true;
-      pending.clear();
+      abandonPending();
     }
     callback.failed(cause);
   }
@@ -81,6 +106,20 @@
     return aborted;
   }
 
+  private synchronized void abandonPending() {
+    aborted = true;
+    pending.clear();
+    budget.release(pendingBytes);
+    pendingBytes = 0;
+  }
+
+  private synchronized void releaseWritten(Chunk chunk) {
+    if (!aborted) {
+      pendingBytes -= chunk.size;
+      budget.release(chunk.size);
+    }
+  }
+
   private void writeNext() {
     @Nullable Chunk next;
     synchronized (this) {
@@ -95,6 +134,7 @@
   }
 
   private void written(Chunk chunk) {
+    releaseWritten(chunk);
     if (chunk.last) {
       callback.succeeded();
     } else {
@@ -107,11 +147,10 @@
       if (aborted) {
         return;
       }
-      aborted = true;
-      pending.clear();
+      abandonPending();
     }
     callback.failed(failure);
   }
 
-  private record Chunk(ByteBuffer bytes, boolean last) {}
+  private record Chunk(ByteBuffer bytes, int size, boolean last) {}
 }
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ReceivedResponse.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ReceivedResponse.java
@@ -29,6 +29,31 @@
     return ResponseCompleteness.of(framing(response), connectionEnd(response.getRequest()));
   }
 
+  /**
+   * Limits the data that the connection of a request receives from now on until the next call,
+   * which follows each head and each part of the body. A connection that was not made by a {@link
+   * ResetReportingConnector} has no such limit.
+   */
+  public static void restartUnframedLimit(Request request) {
+    if (request.getConnection() instanceof Connection connection
+        && connection.getEndPoint() instanceof ResetReportingEndPoint endPoint) {
+      endPoint.restartUnframedLimit();
+    }
+  }
+
+  /**
+   * Returns whether the peer may have closed or reset the connection of a request. If it has not,
+   * an early end of the response that the HTTP library reports stands for an invalid response.
+   */
+  public static boolean mayBeEndedByPeer(Request request) {
+    if (request.getConnection() instanceof Connection connection
+        && connection.getEndPoint() instanceof ResetReportingEndPoint endPoint) {
+      ConnectionEnd end = endPoint.inputEnd();
+      return end == ConnectionEnd.CLOSED || end == ConnectionEnd.RESET;
+    }
+    return true;
+  }
+
   private static ConnectionEnd connectionEnd(Request request) {
     return request.getConnection() instanceof Connection connection
             && connection.getEndPoint() instanceof ResetReportingEndPoint endPoint
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingConnector.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingConnector.java
@@ -10,6 +10,9 @@
 /** Creates connections that report a connection reset as a failure. */
 public final class ResetReportingConnector extends ClientConnector {
 
+  /** Maximum size of a response's head and trailers (bytes). */
+  public static final int MAX_HEADER_BYTES = 32 << 10;
+
   @Override
   protected EndPoint newEndPoint(
       SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingEndPoint.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingEndPoint.java
@@ -20,6 +20,14 @@
  */
 final class ResetReportingEndPoint extends SocketChannelEndPoint {
 
+  /**
+   * Maximum number of bytes between a request and the head of its response, and between two parts
+   * of its body. A head has at most {@link ResetReportingConnector#MAX_HEADER_BYTES}; one read adds
+   * up to 16 KiB, which may belong to the next part.
+   */
+  private static final int MAX_UNFRAMED_BYTES = 4 * ResetReportingConnector.MAX_HEADER_BYTES;
+
+  private final UnframedDataLimit unframed = new UnframedDataLimit();
   private volatile ConnectionEnd inputEnd = ConnectionEnd.NONE;
 
   ResetReportingEndPoint(
@@ -32,6 +40,11 @@
     return inputEnd;
   }
 
+  /** Begins to count the bytes that belong to no head and no content; see the limit's class. */
+  void restartUnframedLimit() {
+    unframed.restart();
+  }
+
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     if (isInputShutdown()) {
@@ -51,6 +64,12 @@
     }
     if (filled > 0) {
       notIdle();
+      String excess =
+          unframed.received(filled, MAX_UNFRAMED_BYTES, UnframedDataLimit.NO_TIME_LIMIT, 0);
+      if (excess != null) {
+        recordEnd(ConnectionEnd.ABANDONED);
+        throw new UnterminatedDataException(excess);
+      }
     } else if (filled < 0) {
       recordEnd(ConnectionEnd.CLOSED);
       shutdownInput();
