--- a/sequoia-core/src/test/java/org/sequoiahub/core/scheduling/LoadSheddingTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/scheduling/LoadSheddingTest.java
@@ -31,7 +31,7 @@
   }
 
   @Test
-  void acceptsWhileARunnerIsFree() {
+  void acceptsWhileAnyRunnerIsFree() {
     // Guards against rejections by reservations or shares while capacity is idle.
     for (int i = 0; i < 100; i++) {
       decide(i, 9_000, 0);
@@ -42,7 +42,7 @@
   }
 
   @Test
-  void acceptsAWaitingRequestUntilItsDeadlineOnly() {
+  void acceptsWaitingRequestsUntilItsDeadlineOnly() {
     // Guards against late rejections because of requests that arrived after this one.
     decide(1, 9_000, 0);
     WaitingRequest waiting = request(3, false, 0);
@@ -54,7 +54,7 @@
   }
 
   @Test
-  void rejectsTheExcessOfAWorkspaceFirst() {
+  void rejectsTheExcessOfOneWorkspaceFirst() {
     // Guards against one workspace filling the queue that makes the others late.
     Outlook outlook = new Outlook(false, 600, 600);
     assertThat(shedding.decide(request(1.5, false, 0), true, 1, outlook, SPEED, 0))
@@ -71,7 +71,7 @@
   }
 
   @Test
-  void refusesASpeedOfZero() {
+  void refusesSpeedZero() {
     Outlook outlook = new Outlook(false, 0, 0);
     assertThrows(
         IllegalArgumentException.class,
