--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -34,6 +34,7 @@
 import org.sequoiahub.node.call.FleetView;
 import org.sequoiahub.node.call.QuarantineGate;
 import org.sequoiahub.node.call.RequestCoordinator;
+import org.sequoiahub.node.call.SchedulingStatus;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.forward.ForwardedRequests;
@@ -184,6 +185,7 @@
   private volatile boolean fleetLarge;
   private volatile List<String> advertisedAddresses = List.of();
   private volatile List<RunnerEntry> presentRunners = List.of();
+  private volatile List<SchedulingStatus> schedulingStatus = List.of();
   private long lastHolderAndStoreTickMillis;
   private long lastUpkeepMillis;
   private long lastHolderCheckMillis;
@@ -307,6 +309,9 @@
             quarantineGate,
             runnerStates,
             runnerPath,
+            // Ordering and shedding begin here: return whether the service's runners state a pace.
+            service -> false,
+            spending::perSecond,
             new ReachingHostSelector(members, random),
             new WireRequestForwarder(wireClients, hostSettings.peerPort()),
             new ResumePolicy(
@@ -600,6 +605,7 @@
     presentRunners = runnerRegistry.present();
     fleetLarge = fleetShape.isLarge();
     fleetView.removeStaleEntries(nowMillis);
+    schedulingStatus = requestCoordinator.schedulingStatus();
     requestQuarantine.historyLost(
         history.isShorterThan(
             QuarantineSettings.DEFAULT.quarantineMillis(), System.currentTimeMillis(), nowMillis));
@@ -640,6 +646,7 @@
             runnerStates.capacities(),
             runnerStates.statements(),
             quarantineGate.status(),
+            schedulingStatus,
             presentRunners)
         : MetricsText.render(metrics);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -10,6 +10,7 @@
 import org.sequoiahub.core.runnerstate.RunnerAvailability;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.call.QuarantineStatus;
+import org.sequoiahub.node.call.SchedulingStatus;
 import org.sequoiahub.node.runnerstate.CapacityStatus;
 import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
@@ -33,6 +34,7 @@
       List<CapacityStatus> capacities,
       List<RunnerAvailability.Statement> statements,
       List<QuarantineStatus> quarantined,
+      List<SchedulingStatus> scheduling,
       List<RunnerEntry> present) {
     ObjectNode page = MAPPER.createObjectNode();
     page.put("host", host)
@@ -83,6 +85,15 @@
               .put("for_ms", status.forMillis());
       status.terminations().forEach(row.putArray("ends")::add);
     }
+    ArrayNode shed = page.putArray("scheduling");
+    for (SchedulingStatus status : scheduling) {
+      shed.addObject()
+          .put("service", status.service())
+          .put("rejected", status.rejected())
+          .put("latest_age_ms", status.ageMillis())
+          .put("why", status.reason())
+          .put("retry_ms", status.retryAfterMillis());
+    }
     addVersions(page.putArray("versions"), present);
     return page.toString();
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
@@ -15,6 +15,7 @@
 import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.core.upstream.SoftwareVersion;
 import org.sequoiahub.node.call.QuarantineStatus;
+import org.sequoiahub.node.call.SchedulingStatus;
 import org.sequoiahub.node.runnerstate.CapacityStatus;
 import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
@@ -53,6 +54,7 @@
                         new Statement("i-2", Reason.LEAVING, 40, -1, true),
                         new Statement("i-3", Reason.BACKOFF, 50, 2_950, false)),
                     List.of(),
+                    List.of(),
                     List.of(runner("i-1", "v1"), runner("i-2", "v1"), runner("i-3", "v1.1"))));
     assertThat(page.path("host").asText()).isEqualTo("host-1");
     assertThat(page.path("configuration").asLong()).isEqualTo(7);
@@ -85,6 +87,7 @@
                     List.of(new CapacityStatus("i-1", 4, 300, true, 8, 6, "host-2")),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of()));
     assertThat(page.path("runners").path(0).toString())
         .isEqualTo(
@@ -106,10 +109,34 @@
                     List.of(),
                     List.of(),
                     List.of(new QuarantineStatus("8c1f", true, List.of("i-1@900ms"), 599_100)),
+                    List.of(),
                     List.of()));
     assertThat(page.path("quarantined").toString())
         .isEqualTo(
             "[{\"fingerprint\":\"8c1f\",\"of\":\"part\",\"for_ms\":599100,"
                 + "\"ends\":[\"i-1@900ms\"]}]");
   }
+
+  @Test
+  void showsWhatWasRejectedForLackOfCapacity() throws Exception {
+    // Guards against rejections that an operator finds in the log only.
+    JsonNode page =
+        new ObjectMapper()
+            .readTree(
+                StatusPage.render(
+                    "host-1",
+                    true,
+                    false,
+                    new ConfigurationStatus(7, new StorePosition(2, 100), false, 0, 0),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(new SchedulingStatus("s", 3, 40, "no capacity", 700)),
+                    List.of()));
+    assertThat(page.path("scheduling").toString())
+        .isEqualTo(
+            "[{\"service\":\"s\",\"rejected\":3,\"latest_age_ms\":40,"
+                + "\"why\":\"no capacity\",\"retry_ms\":700}]");
+  }
 }
