--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/BodyReader.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/BodyReader.java
@@ -14,17 +14,15 @@
 
   private final Request request;
   private final long maxBytes;
-  private final Runnable onContent;
   private final Consumer<byte[]> onComplete;
   private final Runnable onTooLong;
   private final Consumer<Throwable> onFailure;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
   /**
-   * Creates a reader; at most one of the last three callbacks is invoked.
+   * Creates a reader; at most one of the callbacks is invoked.
    *
    * @param maxBytes the largest body that is accepted (bytes)
-   * @param onContent invoked after each part of the body
    * @param onComplete receives the complete body
    * @param onTooLong invoked when the body exceeds {@code maxBytes}
    * @param onFailure receives the failure if the body cannot be read
@@ -32,13 +30,11 @@
   BodyReader(
       Request request,
       long maxBytes,
-      Runnable onContent,
       Consumer<byte[]> onComplete,
       Runnable onTooLong,
       Consumer<Throwable> onFailure) {
     this.request = request;
     this.maxBytes = maxBytes;
-    this.onContent = onContent;
     this.onComplete = onComplete;
     this.onTooLong = onTooLong;
     this.onFailure = onFailure;
@@ -56,7 +52,6 @@
         onFailure.accept(chunk.getFailure());
         return;
       }
-      onContent.run();
       final boolean last = chunk.isLast();
       byte[] content = BufferUtil.toArray(chunk.getByteBuffer());
       chunk.release();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerEndPoint.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerEndPoint.java
@@ -7,17 +7,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.sequoiahub.core.routing.CallerLimits;
-import org.sequoiahub.runtime.duty.MonotonicClock;
-import org.sequoiahub.runtime.http.UnframedDataLimit;
-import org.sequoiahub.runtime.http.UnterminatedDataException;
 
 /**
  * A caller's connection that detects whether the caller has disconnected while its request is in
@@ -36,53 +30,14 @@
   /** Capacity of the buffer for bytes that a check reads. */
   private static final int PREFETCH_BYTES = 2_048;
 
-  /**
-   * Bytes beyond the limit of a head that may be received before a head or content is complete: one
-   * read may also hold the beginning of the next part, and the server rejects a larger head itself.
-   */
-  private static final int EXTRA_UNFRAMED_BYTES = 64 << 10;
-
   /** Filled by checks and drained by the server; in write mode. */
   private final ByteBuffer prefetched = ByteBuffer.allocate(PREFETCH_BYTES);
 
-  private final UnframedDataLimit unframed = new UnframedDataLimit();
-  private final Supplier<CallerLimits> limits;
-  private final Consumer<String> unterminatedLog;
   private boolean disconnected;
 
-  /** Whether the connection was closed for unterminated data. */
-  private volatile boolean unterminated;
-
-  /**
-   * Creates a connection.
-   *
-   * @param limits the present limits on callers' requests
-   * @param unterminatedLog receives the reason if the connection is closed for unterminated data
-   */
   CallerEndPoint(
-      SocketChannel channel,
-      ManagedSelector selector,
-      SelectionKey key,
-      Scheduler scheduler,
-      Supplier<CallerLimits> limits,
-      Consumer<String> unterminatedLog) {
+      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
     super(channel, selector, key, scheduler);
-    this.limits = limits;
-    this.unterminatedLog = unterminatedLog;
-    unframed.restart();
-  }
-
-  /**
-   * Returns whether the connection was closed for unterminated data. The server takes a body as
-   * complete if its connection ends within its trailers.
-   */
-  boolean isUnterminated() {
-    return unterminated;
-  }
-
-  /** Records that a head or a part of a body was received. */
-  void progressed() {
-    unframed.restart();
   }
 
   /** Returns whether the caller has closed the connection; call it only while a request runs. */
@@ -114,26 +69,9 @@
 
   @Override
   public synchronized int fill(ByteBuffer buffer) throws IOException {
-    int filled = prefetched.position() == 0 ? super.fill(buffer) : fillPrefetched(buffer);
-    if (filled > 0) {
-      CallerLimits current = limits.get();
-      String excess =
-          unframed.received(
-              filled,
-              current.maxHeaderBytes() + EXTRA_UNFRAMED_BYTES,
-              current.headerTimeoutMillis(),
-              MonotonicClock.SYSTEM.nowMillis());
-      if (excess != null) {
-        unterminated = true;
-        unterminatedLog.accept(excess);
-        close();
-        throw new UnterminatedDataException(excess);
-      }
+    if (prefetched.position() == 0) {
+      return super.fill(buffer);
     }
-    return filled;
-  }
-
-  private int fillPrefetched(ByteBuffer buffer) {
     prefetched.flip();
     int position = BufferUtil.flipToFill(buffer);
     int filled = BufferUtil.put(prefetched, buffer);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
@@ -28,9 +28,6 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahub.core.routing.CallerLimits;
-import org.sequoiahub.runtime.http.UnterminatedDataException;
-import org.sequoiahub.runtime.http.WriteBudget;
-import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.AddressProtocol;
 
 /** HTTP server with the ports to which callers and the platform connect. */
@@ -53,14 +50,6 @@
    */
   private static final int ACCEPT_QUEUE = 1_024;
 
-  /**
-   * Maximum number of bytes that wait for slow callers on all connections (bytes): a tenth of the
-   * memory of the smallest hosts.
-   */
-  private static final long MAX_UNREAD_BYTES = 32L << 20;
-
-  private final EventLog log;
-  private final WriteBudget writeBudget = new WriteBudget(MAX_UNREAD_BYTES);
   private final Server server;
   private final ServerConnector callerConnector;
   private final HttpConfiguration callerConfiguration;
@@ -132,7 +121,6 @@
       UnaryOperator<String> operatorPage,
       Consumer<CallerExchange> requestHandler,
       LongUnaryOperator idleTimeout) {
-    this.log = new EventLog("node", ip);
     this.addresses = addresses;
     this.addressTtlMillis = addressTtlMillis;
     this.ready = ready;
@@ -200,7 +188,7 @@
   }
 
   /** Creates connections that detect whether their caller has disconnected. */
-  private final class CallerConnector extends ServerConnector {
+  private static final class CallerConnector extends ServerConnector {
     CallerConnector(Server server, ConnectionFactory http) {
       super(server, 1, 1, http);
     }
@@ -208,14 +196,7 @@
     @Override
     protected SocketChannelEndPoint newEndPoint(
         SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-      CallerEndPoint endPoint =
-          new CallerEndPoint(
-              channel,
-              selector,
-              key,
-              getScheduler(),
-              limits,
-              reason -> log.info("caller-data-unterminated", "why", reason));
+      CallerEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler());
       endPoint.setIdleTimeout(getIdleTimeout());
       return endPoint;
     }
@@ -227,7 +208,6 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
       int port = Request.getLocalPort(request);
-      recordProgress(request);
       if (port == readinessPort) {
         readiness(response, callback);
       } else if (port == addressPort) {
@@ -267,44 +247,17 @@
       new BodyReader(
               request,
               limits.get().maxBodyBytes(),
-              () -> recordProgress(request),
-              body -> handleBody(request, response, callback, body),
+              body ->
+                  requestHandler.accept(new HttpCallerExchange(request, response, callback, body)),
               () -> rejectBody(request, response, callback),
               callback::failed)
           .read();
     }
 
-    private void handleBody(Request request, Response response, Callback callback, byte[] body) {
-      if (request.getConnectionMetaData().getConnection().getEndPoint()
-              instanceof CallerEndPoint caller
-          && caller.isUnterminated()) {
-        callback.failed(new UnterminatedDataException("the trailers of the request do not end"));
-        return;
-      }
-      requestHandler.accept(exchange(request, response, callback, body));
-    }
-
-    private void recordProgress(Request request) {
-      if (request.getConnectionMetaData().getConnection().getEndPoint()
-          instanceof CallerEndPoint caller) {
-        caller.progressed();
-      }
-    }
-
-    private HttpCallerExchange exchange(
-        Request request, Response response, Callback callback, byte[] body) {
-      return new HttpCallerExchange(
-          request,
-          response,
-          callback,
-          body,
-          writeBudget,
-          caller -> log.info("response-unread", "caller", caller));
-    }
-
     private void rejectBody(Request request, Response response, Callback callback) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
-      HttpCallerExchange exchange = exchange(request, response, callback, new byte[0]);
+      HttpCallerExchange exchange =
+          new HttpCallerExchange(request, response, callback, new byte[0]);
       exchange.respond(
           HttpStatus.PAYLOAD_TOO_LARGE_413,
           HttpFields.EMPTY,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpVersion;
@@ -12,7 +11,6 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahub.runtime.http.ChunkWriter;
-import org.sequoiahub.runtime.http.WriteBudget;
 
 /** A request that a caller sent to this host over HTTP. */
 public final class HttpCallerExchange implements CallerExchange {
@@ -24,7 +22,6 @@
   private final Callback callback;
   private final byte[] body;
   private final ChunkWriter writer;
-  private final Consumer<String> unreadLog;
   private boolean started;
   private boolean ended;
   private boolean closeConnection;
@@ -32,25 +29,13 @@
   /** Whether an orderly end of the connection would mark the end of the response. */
   private volatile boolean endsWithConnection;
 
-  /**
-   * Creates an exchange for a request whose body has been read.
-   *
-   * @param budget bounds the unread bytes of all responses
-   * @param unreadLog receives the caller's address if it reads its response too slowly
-   */
-  public HttpCallerExchange(
-      Request request,
-      Response response,
-      Callback callback,
-      byte[] body,
-      WriteBudget budget,
-      Consumer<String> unreadLog) {
-    this.unreadLog = unreadLog;
+  /** Creates an exchange for a request whose body has been read. */
+  public HttpCallerExchange(Request request, Response response, Callback callback, byte[] body) {
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.body = body;
-    this.writer = new ChunkWriter(response, callback, budget);
+    this.writer = new ChunkWriter(response, callback);
   }
 
   @Override
@@ -150,26 +135,7 @@
         return false;
       }
     }
-    if (writer.write(bytes, false)) {
-      return true;
-    }
-    synchronized (this) {
-      if (ended) {
-        return false;
-      }
-      ended = true;
-    }
-    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    if (endPoint.isOpen()) {
-      unreadLog.accept(callerIp());
-    }
-    // The failed callback would wait for a chunk that the caller never reads.
-    if (endPoint instanceof CallerEndPoint caller) {
-      caller.closeWithReset();
-    } else {
-      endPoint.close();
-    }
-    return false;
+    return writer.write(bytes, false);
   }
 
   @Override
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StatusPageTest.java
@@ -96,6 +96,7 @@
                     List.of(),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of()));
     assertThat(page.path("runners").path(0).toString())
         .isEqualTo(
@@ -141,6 +142,7 @@
                     List.of(),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of(new SchedulingStatus("s", 3, 40, "no capacity", 700)),
                     List.of()));
     assertThat(page.path("scheduling").toString())
--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ChunkWriter.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ChunkWriter.java
@@ -12,28 +12,17 @@
 /**
  * Writes the chunks of a response in order, without blocking and from any thread.
  *
- * <p>The response is aborted if its reader is too slow, that is, if {@link #MAX_PENDING_CHUNKS}
- * chunks or {@link #MAX_PENDING_BYTES} are pending or the budget of all responses is used up:
- * without these limits stalled connections would keep their whole responses in memory.
+ * <p>The response is aborted if {@link #MAX_PENDING_CHUNKS} chunks are pending because its reader
+ * is too slow: without that limit a stalled connection would keep its whole response in memory.
  */
 public final class ChunkWriter {
 
   /** The maximum number of pending chunks. */
   public static final int MAX_PENDING_CHUNKS = 2_048;
 
-  /**
-   * The maximum number of pending bytes of a response: four times the largest event of a stream.
-   */
-  public static final int MAX_PENDING_BYTES = 4 << 20;
-
   private final Response response;
   private final Callback callback;
-  private final WriteBudget budget;
   private final Deque<Chunk> pending = new ArrayDeque<>();
-
-  /** Bytes of the pending chunks and of the one that is being written. */
-  private long pendingBytes;
-
   private boolean writing;
   private boolean closed;
   private boolean aborted;
@@ -45,18 +34,6 @@
    * @param callback completed after the last chunk; failed if the reader is gone or too slow
    */
   public ChunkWriter(Response response, Callback callback) {
-    this(response, callback, new WriteBudget(Long.MAX_VALUE));
-  }
-
-  /**
-   * Creates a writer.
-   *
-   * @param response the response to write to
-   * @param callback completed after the last chunk; failed if the reader is gone or too slow
-   * @param budget bounds the pending bytes of all responses that share it
-   */
-  public ChunkWriter(Response response, Callback callback, WriteBudget budget) {
-    this.budget = requireNonNull(budget, "budget must not be null");
     this.response = requireNonNull(response, "response must not be null");
     this.callback = requireNonNull(callback, "callback must not be null");
   }
@@ -67,19 +44,16 @@
       if (aborted || closed) {
         return false;
       }
-      int size = bytes.remaining();
-      if (pending.size() < MAX_PENDING_CHUNKS
-          && pendingBytes + size <= MAX_PENDING_BYTES
-          && budget.acquire(size)) {
-        pendingBytes += size;
+      if (pending.size() < MAX_PENDING_CHUNKS) {
         closed = last;
-        pending.add(new Chunk(bytes, size, last));
+        pending.add(new Chunk(bytes, last));
         if (writing) {
           return true;
         }
         writing = true;
       } else {
-        abandonPending();
+        aborted = true;
+        pending.clear();
       }
     }
     if (isAborted()) {
@@ -96,7 +70,8 @@
       if (aborted || closed) {
         return;
       }
-      abandonPending();
+      aborted = true;
+      pending.clear();
     }
     callback.failed(cause);
   }
@@ -106,20 +81,6 @@
     return aborted;
   }
 
-  private synchronized void abandonPending() {
-    aborted = true;
-    pending.clear();
-    budget.release(pendingBytes);
-    pendingBytes = 0;
-  }
-
-  private synchronized void releaseWritten(Chunk chunk) {
-    if (!aborted) {
-      pendingBytes -= chunk.size;
-      budget.release(chunk.size);
-    }
-  }
-
   private void writeNext() {
     @Nullable Chunk next;
     synchronized (this) {
@@ -134,7 +95,6 @@
   }
 
   private void written(Chunk chunk) {
-    releaseWritten(chunk);
     if (chunk.last) {
       callback.succeeded();
     } else {
@@ -147,10 +107,11 @@
       if (aborted) {
         return;
       }
-      abandonPending();
+      aborted = true;
+      pending.clear();
     }
     callback.failed(failure);
   }
 
-  private record Chunk(ByteBuffer bytes, int size, boolean last) {}
+  private record Chunk(ByteBuffer bytes, boolean last) {}
 }
