--- a/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/allowance/FleetSpending.java
@@ -278,20 +278,6 @@
     return sum;
   }
 
-  /**
-   * Returns the units per second that a workspace spent on all hosts lately, as far as reported or
-   * assumed; 0 for one without a limit.
-   */
-  public double perSecond(String workspace, long nowMillis) {
-    long newest = SpendingSlots.index(nowMillis);
-    long spent = 0;
-    // The newest slot is still incomplete.
-    for (long slot = newest - RATE_SLOTS; slot < newest; slot++) {
-      spent += fleetSpent(workspace, slot);
-    }
-    return spent * 1_000.0 / (RATE_SLOTS * SpendingSlots.MILLIS);
-  }
-
   /** Returns the sources of reports. */
   Iterable<Source> sources() {
     return sources.values();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -35,7 +35,6 @@
 import org.sequoiahub.node.call.QuarantineGate;
 import org.sequoiahub.node.call.RequestCoordinator;
 import org.sequoiahub.node.call.RunnerSpeeds;
-import org.sequoiahub.node.call.SchedulingStatus;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.CallerServer;
 import org.sequoiahub.node.forward.ForwardedRequests;
@@ -187,7 +186,6 @@
   private volatile boolean fleetLarge;
   private volatile List<String> advertisedAddresses = List.of();
   private volatile List<RunnerEntry> presentRunners = List.of();
-  private volatile List<SchedulingStatus> schedulingStatus = List.of();
   private long lastHolderAndStoreTickMillis;
   private long lastUpkeepMillis;
   private long lastHolderCheckMillis;
@@ -313,9 +311,6 @@
             quarantineGate,
             runnerStates,
             runnerPath,
-            // Ordering and shedding begin here: return whether the service's runners state a pace.
-            service -> false,
-            spending::perSecond,
             new ReachingHostSelector(members, random),
             new WireRequestForwarder(wireClients, hostSettings.peerPort()),
             new ResumePolicy(
@@ -609,7 +604,6 @@
     presentRunners = runnerRegistry.present();
     fleetLarge = fleetShape.isLarge();
     fleetView.removeStaleEntries(nowMillis);
-    schedulingStatus = requestCoordinator.schedulingStatus();
     requestQuarantine.historyLost(
         history.isShorterThan(
             QuarantineSettings.DEFAULT.quarantineMillis(), System.currentTimeMillis(), nowMillis));
@@ -651,7 +645,6 @@
             runnerStates.statements(),
             runnerSpeeds.status(),
             quarantineGate.status(),
-            schedulingStatus,
             presentRunners)
         : MetricsText.render(metrics);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/StatusPage.java
@@ -11,7 +11,6 @@
 import org.sequoiahub.core.runnerstate.RunnerAvailability;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.node.call.QuarantineStatus;
-import org.sequoiahub.node.call.SchedulingStatus;
 import org.sequoiahub.node.runnerstate.CapacityStatus;
 import org.sequoiahub.node.runnerstate.LimitStatus;
 import org.sequoiahub.node.store.ConfigurationStatus;
@@ -36,7 +35,6 @@
       List<RunnerAvailability.Statement> statements,
       List<ServiceCapacity> speeds,
       List<QuarantineStatus> quarantined,
-      List<SchedulingStatus> scheduling,
       List<RunnerEntry> present) {
     ObjectNode page = MAPPER.createObjectNode();
     page.put("host", host)
@@ -99,15 +97,6 @@
           .put("pace", speed.median().pace())
           .put("slowest_pace", speed.slowestPace());
     }
-    ArrayNode shed = page.putArray("scheduling");
-    for (SchedulingStatus status : scheduling) {
-      shed.addObject()
-          .put("service", status.service())
-          .put("rejected", status.rejected())
-          .put("latest_age_ms", status.ageMillis())
-          .put("why", status.reason())
-          .put("retry_ms", status.retryAfterMillis());
-    }
     addVersions(page.putArray("versions"), present);
     return page.toString();
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -63,12 +63,6 @@
   /** Whether it waits only for a permit or for the end of a backoff of its runner. */
   boolean waitsToSend;
 
-  /** Whether it waits only for the prompts ahead of it to be read. */
-  boolean waitsForPrompts;
-
-  /** Whether it returned when a rejection by this host had told its caller to. */
-  boolean returned;
-
   /** When it is placed again at the latest while it waits (ms). */
   long nextPlacementMillis;
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/EarlyEndings.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/EarlyEndings.java
@@ -5,7 +5,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
 import java.util.function.Supplier;
-import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.node.store.ConfigurationStatus;
 import org.sequoiahub.runtime.log.EventLog;
 
@@ -85,19 +84,4 @@
         "in_force_ms",
         nowMillis - status.inForceSinceMillis());
   }
-
-  /** Logs the end of a stream that only the end of its connection marked. */
-  void logEndByConnection(Call call, Call.ActiveAttempt active, Framing framing) {
-    if (framing == Framing.CONNECTION_END) {
-      metrics.counter("streams.ended_by_connection").inc();
-      log.info(
-          "stream-ended-by-connection",
-          "request",
-          call.id(),
-          "runner",
-          active.runner.id(),
-          "position",
-          call.relay.position());
-    }
-  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/WaitingCalls.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/WaitingCalls.java
@@ -30,7 +30,6 @@
 
   private final FleetView fleet;
   private final RunnerStates runnerStates;
-  private final RequestScheduling scheduling;
   private final Runnable inFlightListener;
   private final EventLog log;
   private final WaitingDemands waitingDemands = new WaitingDemands();
@@ -41,14 +40,9 @@
    * @param inFlightListener invoked when the load that this host has in flight has changed
    */
   WaitingCalls(
-      FleetView fleet,
-      RunnerStates runnerStates,
-      RequestScheduling scheduling,
-      Runnable inFlightListener,
-      EventLog log) {
+      FleetView fleet, RunnerStates runnerStates, Runnable inFlightListener, EventLog log) {
     this.fleet = requireNonNull(fleet, "fleet must not be null");
     this.runnerStates = requireNonNull(runnerStates, "runnerStates must not be null");
-    this.scheduling = requireNonNull(scheduling, "scheduling must not be null");
     this.inFlightListener = requireNonNull(inFlightListener, "inFlightListener must not be null");
     this.log = requireNonNull(log, "log must not be null");
   }
@@ -74,18 +68,6 @@
         || fleet.holdingRevision(runner) != call.holdingRevision;
   }
 
-  /** Returns whether a runner's limit or backoff delays a request until it is too late. */
-  boolean isSentTooLate(Call call, Candidate candidate, long nowMillis) {
-    return runnerStates
-        .availability()
-        .isTooLate(
-            candidate.runner().id(),
-            candidate.sendDecision(),
-            call.targetMillis(),
-            call.nextEventDeadlineMillis(),
-            nowMillis);
-  }
-
   /** Makes a request wait at a runner, and counts it there. */
   void waitAt(Call call, Candidate candidate, long nowMillis) {
     long adapterWait = candidate.adapterWaitMillis();
@@ -99,7 +81,6 @@
                 ? Math.min(ADAPTER_WAIT_INTERVAL_MILLIS, knownWait)
                 : PROMPT_WAIT_INTERVAL_MILLIS);
     call.waitsToSend = adapterWait <= 0 && candidate.sendWaitMillis() > 0;
-    call.waitsForPrompts = candidate.heldOrLoading() && knownWait <= 0 && !call.waitsToSend;
     call.holdingRevision = fleet.holdingRevision(candidate.runner());
     RunnerEntry before = call.waitingAt;
     if (before != null && before.id().equals(candidate.runner().id())) {
@@ -107,7 +88,6 @@
     }
     stopWaiting(call);
     call.waitingAt = candidate.runner();
-    scheduling.recordWaiting(call);
     waitingDemands.recordBegin();
     call.waitingSinceMillis = nowMillis;
     call.waitingTokens = candidate.unreadTokens();
@@ -132,10 +112,8 @@
     RunnerEntry before = call.waitingAt;
     if (before != null) {
       fleet.fleetLoad().add(before.id(), -1, 0, -call.waitingTokens, call.adapter());
-      scheduling.recordWaitEnded(call);
       call.waitingAt = null;
       call.waitsToSend = false;
-      call.waitsForPrompts = false;
       runnerStates.withdraw(call);
       waitingDemands.recordEnd();
     }
