Take the digests for standby hosts out again

Cause: PartTerminationExchangeTest failed with them: two hosts instead of one were elected for the trial of a held prompt part (77 and 300 hosts' series, one case), and a held part cost 302 bytes a second instead of at most 300. Views of the fleet differ for longer if hosts hear of it every 500 ms. Change: the exchange is as before; what they saved of an idle host's datagrams (7,496 to 5,307 bytes a second among 70) is given up.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -1,6 +1,5 @@
 package org.sequoiahub.node.peer;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,14 +7,12 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.allowance.SpendingReport;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Holdings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
-import org.sequoiahub.core.store.StorePosition;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.schema.peer.Digest;
 import org.sequoiahub.schema.peer.HeldBy;
@@ -44,14 +41,6 @@
    */
   private static final long OTHER_DELEGATE_PERIOD_MILLIS = 450;
 
-  /**
-   * Shortest interval between each delegate's digests to the hosts of its group that serve no
-   * requests (ms). They place nothing, and most of their processor time goes into digests. A lost
-   * digest must not make them suspect a host, so in larger fleets the interval follows the members'
-   * heartbeat period. Changes with a time bound are sent without this delay.
-   */
-  private static final long MIN_STANDBY_PERIOD_MILLIS = 500;
-
   /**
    * Lower bound of the interval between digests to other groups, for each delegate addressed (ms):
    * with many groups they are sent less often.
@@ -82,12 +71,6 @@
   /** Unchanged holdings in each digest to the own group. */
   private static final int INTRA_GROUP_HOLDINGS = 4;
 
-  /** Unchanged host reports in each digest to hosts that serve no requests. */
-  private static final int STANDBY_REPORTS = 3 * INTRA_GROUP_REPORTS;
-
-  /** Unchanged holdings in each digest to hosts that serve no requests. */
-  private static final int STANDBY_HOLDINGS = 3 * INTRA_GROUP_HOLDINGS;
-
   /** Maximum number of reports, of 100 bytes each, sent to a host that lacks its delegates. */
   private static final int MAX_MEMBERSHIP_REPORTS = 500;
 
@@ -114,16 +97,9 @@
   private final DigestBuilder gossip = new DigestBuilder(GOSSIP_REPORTS, 0);
   private final DigestBuilder intraGroup =
       new DigestBuilder(INTRA_GROUP_REPORTS, INTRA_GROUP_HOLDINGS);
-  private final DigestBuilder standby = new DigestBuilder(STANDBY_REPORTS, STANDBY_HOLDINGS);
   private final Map<String, Long> membershipSentMillis = new HashMap<>();
   private long interGroupDueMillis = Long.MIN_VALUE;
   private long intraGroupDueMillis = Long.MIN_VALUE;
-  private long standbyDueMillis = Long.MIN_VALUE;
-  private @Nullable BoundedChanges sentToStandby;
-
-  /** What the hosts of the fleet must learn within the operators' bounds. */
-  private record BoundedChanges(
-      StorePosition operators, StorePosition runners, int keptRecords, int leavingRunners) {}
 
   /**
    * Creates an exchange.
@@ -181,34 +157,6 @@
     }
   }
 
-  private void sendIntraGroup(long nowMillis) {
-    List<Member<HostState>> serving = new ArrayList<>();
-    List<Member<HostState>> idle = new ArrayList<>();
-    for (Member<HostState> member : topology.ownGroupNonDelegates(nowMillis)) {
-      HostState state = member.state();
-      (state != null && state.getRequestsPerSecond() == 0 ? idle : serving).add(member);
-    }
-    HostWord own = ownReport.apply(nowMillis);
-    if (!serving.isEmpty()) {
-      sendFleetDigest(intraGroup, own, serving, nowMillis);
-    }
-    BoundedChanges changes = boundedChanges(own.getState(), nowMillis);
-    if (!idle.isEmpty() && (nowMillis >= standbyDueMillis || !changes.equals(sentToStandby))) {
-      standbyDueMillis =
-          nowMillis + Math.max(MIN_STANDBY_PERIOD_MILLIS, members.heartbeatPeriodMillis());
-      sentToStandby = changes;
-      sendFleetDigest(standby, own, idle, nowMillis);
-    }
-  }
-
-  private BoundedChanges boundedChanges(HostState own, long nowMillis) {
-    return new BoundedChanges(
-        new StorePosition(own.getConfigEra(), own.getConfigRevision()),
-        new StorePosition(own.getRunnersEra(), own.getRunnersRevision()),
-        own.getKeptRecords(),
-        runnerStates.availability().leavingReports(nowMillis).size());
-  }
-
   private void sendInterGroup(List<Member<HostState>> delegates, long nowMillis) {
     Digest.Builder digest = Digest.newBuilder().setGroup(topology.group());
     List<Member<HostState>> group =
@@ -233,21 +181,20 @@
     }
   }
 
-  /** Sends the state of the whole fleet to hosts of the own group. */
-  private void sendFleetDigest(
-      DigestBuilder builder, HostWord own, List<Member<HostState>> receivers, long nowMillis) {
-    Digest.Builder digest = Digest.newBuilder().addWords(own);
+  private void sendIntraGroup(long nowMillis) {
+    Digest.Builder digest = Digest.newBuilder();
+    digest.addWords(ownReport.apply(nowMillis));
     List<Member<HostState>> all = members.reachable(nowMillis);
-    builder.addReports(digest, all, nowMillis);
+    intraGroup.addReports(digest, all, nowMillis);
     marks.add(digest, all, nowMillis);
-    builder.addHoldings(digest, holdings, holder -> true, nowMillis);
+    intraGroup.addHoldings(digest, holdings, holder -> true, nowMillis);
     DigestBuilder.addLoads(digest, loads.sums(source -> true, nowMillis), runner -> false);
     if (!spending.isUnused()) {
       digest.setSpending(StateCodec.encodeSpending(spending.fleetReport(nowMillis)));
     }
     addStatements(digest, nowMillis);
     byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
-    receivers.forEach(member -> sender.accept(member.ip(), bytes));
+    topology.ownGroupNonDelegates(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
   }
 
   private void addStatements(Digest.Builder digest, long nowMillis) {
