Drop the bound on time that no connection sets

Cause: UnframedDataLimit was written for callers and runners; with the callers' side taken out, its only user passes no limit on time and 0 as the present time, so that half of it was dead. Change: it counts bytes only.

--- a/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingEndPoint.java
+++ b/sequoia-runtime/src/main/java/org/sequoiahub/runtime/http/ResetReportingEndPoint.java
@@ -64,8 +64,7 @@
     }
     if (filled > 0) {
       notIdle();
-      String excess =
-          unframed.received(filled, MAX_UNFRAMED_BYTES, UnframedDataLimit.NO_TIME_LIMIT, 0);
+      String excess = unframed.received(filled, MAX_UNFRAMED_BYTES);
       if (excess != null) {
         recordEnd(ConnectionEnd.ABANDONED);
         throw new UnterminatedDataException(excess);
