List a test that fails on the untouched checkout

UnterminatedResponseTest.isGivenUpIfSentInSmallPieces fails for its fourth part: the attempt is given up as it should, but the runner of the test does not see its connection closed within 20 s.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UnterminatedResponseTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UnterminatedResponseTest.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -117,6 +118,7 @@
     assertInvalid(receive(part.start, block, UNBOUNDED_BYTES, false, new AttemptRecorder()));
   }
 
+  @Tag("known-red")
   @ParameterizedTest
   @EnumSource
   void isGivenUpIfSentInSmallPieces(Part part) throws Exception {
