Review: show parts of streams that callers take for complete

A runner is killed while it sends a stream that has neither a length nor chunks and ends with its channel. The channel ends in order between two events, and the host completes the caller's response.

--- a/review/harness/Load.java
+++ b/review/harness/Load.java
@@ -12,15 +12,17 @@
 
   private static final int ADAPTERS = 3_000;
   private static final double ZIPF = 1.2;
+  private static final double GENERATIONS = 0.7;
 
   /** What a caller sent and received. */
-  record Call(long nanos, String host, String kind, String requestId, int status, String problem) {}
+  record Call(long nanos, String host, String kind, String requestId, int status, String problem, String body) {}
 
   final List<Call> calls = new CopyOnWriteArrayList<>();
   private final Fleet fleet;
   private final Predicate<Fleet.Host> usable;
   private final Random random;
-  private final double[] cumulated = new double[ADAPTERS];
+  private final double[] cumulated;
+  private final double generations;
   private final ExecutorService workers = Executors.newCachedThreadPool(daemon -> {
     Thread thread = new Thread(daemon, "caller");
     thread.setDaemon(true);
@@ -31,11 +33,29 @@
   private long number;
 
   Load(Fleet fleet, double perSecond, long seed, Predicate<Fleet.Host> usable) {
+    this(fleet, perSecond, seed, usable, GENERATIONS, ADAPTERS);
+  }
+
+  /**
+   * Starts to send.
+   *
+   * @param generations the part of the requests that go to the model servers
+   * @param adapters how many adapters are asked for
+   */
+  Load(
+      Fleet fleet,
+      double perSecond,
+      long seed,
+      Predicate<Fleet.Host> usable,
+      double generations,
+      int adapters) {
     this.fleet = fleet;
+    this.generations = generations;
+    this.cumulated = new double[adapters];
     this.usable = usable;
     this.random = new Random(seed);
     double sum = 0;
-    for (int i = 0; i < ADAPTERS; i++) {
+    for (int i = 0; i < adapters; i++) {
       sum += 1 / Math.pow(i + 1, ZIPF);
       cumulated[i] = sum;
     }
@@ -69,14 +89,17 @@
   }
 
   private int adapter() {
-    double draw = random.nextDouble() * cumulated[ADAPTERS - 1];
+    double draw = random.nextDouble() * cumulated[cumulated.length - 1];
     int at = java.util.Arrays.binarySearch(cumulated, draw);
-    return 1 + Math.min(ADAPTERS - 1, at < 0 ? -at - 1 : at);
+    return 1 + Math.min(cumulated.length - 1, at < 0 ? -at - 1 : at);
   }
 
   private void call(Fleet.Host host, String id, double draw, int adapter) {
-    boolean generation = draw < 0.7;
-    String kind = draw < 0.4 ? "notes" : generation ? "draft" : draw < 0.85 ? "hold" : "check";
+    boolean generation = draw < generations;
+    String kind =
+        draw < generations * 4 / 7
+            ? "notes"
+            : generation ? "draft" : draw < (1 + generations) / 2 ? "hold" : "check";
     long nanos = System.nanoTime();
     int deadline = kind.equals("notes") ? 15_000 : generation ? 12_000 : 600;
     byte[] body =
@@ -116,7 +139,7 @@
       answer = new Http.Answer();
       answer.problem = e.toString();
     }
-    calls.add(new Call(nanos, host.name, kind, id, answer.status, answer.problem));
+    calls.add(new Call(nanos, host.name, kind, id, answer.status, answer.problem, answer.text()));
   }
 
   @Override
--- a/review/harness/Runner.java
+++ b/review/harness/Runner.java
@@ -131,7 +131,7 @@
     }
   }
 
-  private static String field(String json, String name) {
+  static String field(String json, String name) {
     int at = json.indexOf("\"" + name + "\":");
     if (at < 0) {
       return "";
