Order a runner after an interrupted lease only if nobody held it meanwhile

Cause: a host that regained a lease within the platform's lease time took its former tenure up again, as "a new holder waits for the lease time". The host in between may have regained the lease in the same way, and then has not waited. exclusiveGranters also kept statements of former rounds, so that a host that begins a new tenure could have passed for the first holder.

Ruled out: orders in flight (they go on for seconds); two majorities by different views (all hosts know each other, and pauses of one host alone break nothing).

Why this works: a granter states with each grant for how long it has granted the lease to nobody else. A regained lease continues the former tenure only if a majority has been exclusive since the loss; any other majority shares a host with it. The statement is read as of its arrival and counts with the grant of the latest round only. Everything else is a new tenure, with a new token and the full wait.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
@@ -15,6 +15,7 @@
  */
 public final class LeaseGranter {
 
+  private final long startedMillis;
   private final long abstainUntilMillis;
   private final Map<String, Grant> grants = new HashMap<>();
 
@@ -29,6 +30,7 @@
    */
   public LeaseGranter(long startedMillis, long longestMillis) {
     checkArgument(longestMillis > 0, "longestMillis must be above 0");
+    this.startedMillis = startedMillis;
     this.abstainUntilMillis = startedMillis + longestMillis;
   }
 
@@ -46,13 +48,29 @@
     if (current != null && !current.holder.equals(holder) && nowMillis < current.expiresMillis) {
       return false;
     }
-    if (current != null && !current.holder.equals(holder)) {
+    long exclusiveSinceMillis = startedMillis;
+    if (current != null && current.holder.equals(holder)) {
+      exclusiveSinceMillis = current.exclusiveSinceMillis;
+    } else if (current != null) {
+      exclusiveSinceMillis = current.grantedMillis;
       previouslyHeld.add(runner);
     }
-    grants.put(runner, new Grant(holder, nowMillis + durationMillis));
+    grants.put(
+        runner, new Grant(holder, nowMillis, nowMillis + durationMillis, exclusiveSinceMillis));
     return true;
   }
 
+  /**
+   * Returns for how long this granter has granted the runner's lease to nobody but {@code holder}
+   * (ms), which is at most the time since it started; 0 if it granted it to another holder last.
+   */
+  public long exclusiveMillis(String runner, String holder, long nowMillis) {
+    Grant current = grants.get(runner);
+    return current != null && current.holder.equals(holder)
+        ? nowMillis - current.exclusiveSinceMillis
+        : 0;
+  }
+
   /**
    * Returns whether this granter has granted the runner's lease to nobody but {@code holder} since
    * it started.
@@ -72,10 +90,20 @@
   public void release(String runner, String holder) {
     Grant current = grants.get(runner);
     if (current != null && current.holder.equals(holder)) {
-      grants.remove(runner);
+      grants.put(
+          runner,
+          new Grant(holder, current.grantedMillis, Long.MIN_VALUE, current.exclusiveSinceMillis));
       previouslyHeld.add(runner);
     }
   }
 
-  private record Grant(String holder, long expiresMillis) {}
+  /**
+   * The last grant of a runner's lease.
+   *
+   * @param grantedMillis when it was made (ms)
+   * @param exclusiveSinceMillis when the lease was last granted to another holder, or when this
+   *     granter started (ms)
+   */
+  private record Grant(
+      String holder, long grantedMillis, long expiresMillis, long exclusiveSinceMillis) {}
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -3,9 +3,13 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 
 /**
  * Authority over a runner whose engine does not check fencing numbers, held as a lease from a
@@ -36,11 +40,22 @@
   private final Term term;
   private final List<Electorate> formerElectorates = new ArrayList<>();
   private Set<String> granters = Set.of();
-  private final Set<String> grantedBy = new HashSet<>();
+
+  /** The hosts that granted the latest round, and since when each granted to no other holder. */
+  private final Map<String, Long> exclusiveSinceMillis = new HashMap<>();
+
   private long roundSentMillis;
   private long nextClaimMillis = Long.MIN_VALUE;
   private boolean lastRoundSucceeded;
 
+  /** When the term before the current one expired (ms). */
+  private long formerTermEndMillis = Long.MIN_VALUE;
+
+  /** When the round was sent with which the current term began (ms). */
+  private long termRoundMillis = Long.MIN_VALUE;
+
+  private boolean continuesFormerTerm;
+
   /**
    * Creates an authority that is not held.
    *
@@ -58,16 +73,18 @@
       return;
     }
     if (!granters.isEmpty()) {
-      formerElectorates.add(new Electorate(granters, nowMillis + durationMillis));
+      formerElectorates.add(new Electorate(granters, nowMillis));
     }
     granters = Set.copyOf(hosts);
+    removeObsoleteElectorates(nowMillis);
   }
 
   /** Returns the hosts to ask for a grant, including those of former lists that still count. */
   public Set<String> hostsToAsk(long nowMillis) {
     Set<String> hosts = new HashSet<>(granters);
-    formerElectorates.removeIf(electorate -> nowMillis >= electorate.expiresMillis);
-    formerElectorates.forEach(electorate -> hosts.addAll(electorate.hosts));
+    formerElectorates.stream()
+        .filter(electorate -> isRecent(electorate, nowMillis))
+        .forEach(electorate -> hosts.addAll(electorate.hosts));
     return hosts;
   }
 
@@ -90,23 +107,56 @@
   public void roundSent(long nowMillis) {
     roundSentMillis = nowMillis;
     lastRoundSucceeded = false;
-    grantedBy.clear();
+    exclusiveSinceMillis.clear();
     int rounds = term.rights(nowMillis).held() ? RENEWALS_PER_TERM : CLAIMS_PER_TERM;
     nextClaimMillis = nowMillis + durationMillis / rounds;
   }
 
-  /** Records that {@code host} granted the claim of the round sent at {@code sentMillis}. */
+  /**
+   * Records that {@code host} granted the claim of the round sent at {@code sentMillis}; what it
+   * granted to other holders before is not known.
+   */
   public void claimGranted(String host, long sentMillis, long nowMillis) {
+    claimGranted(host, sentMillis, 0, nowMillis);
+  }
+
+  /**
+   * Records that {@code host} granted the claim of the round sent at {@code sentMillis}.
+   *
+   * @param exclusiveMillis for how long the host had granted the lease to no other holder then (ms)
+   * @return whether the grant belongs to the latest round; others do not count
+   */
+  public boolean claimGranted(String host, long sentMillis, long exclusiveMillis, long nowMillis) {
     if (sentMillis != roundSentMillis) {
-      return;
+      return false;
     }
-    grantedBy.add(host);
-    formerElectorates.removeIf(electorate -> nowMillis >= electorate.expiresMillis);
-    if (isMajority(granters)
-        && formerElectorates.stream().allMatch(electorate -> isMajority(electorate.hosts))) {
+    // The grant was made before now, so the host has been exclusive for longer than this.
+    exclusiveSinceMillis.put(host, nowMillis - exclusiveMillis);
+    removeObsoleteElectorates(nowMillis);
+    if (hasGrantedMajorities(electorate -> isRecent(electorate, nowMillis), since -> true)) {
       lastRoundSucceeded = true;
+      if (!term.held(nowMillis)) {
+        formerTermEndMillis = term.expiresMillis();
+        termRoundMillis = sentMillis;
+        continuesFormerTerm = false;
+      }
       term.claimAccepted(sentMillis, nowMillis);
     }
+    if (sentMillis == termRoundMillis && formerTermEndMillis != Long.MIN_VALUE) {
+      continuesFormerTerm |=
+          hasGrantedMajorities(
+              electorate -> electorate.replacedMillis >= formerTermEndMillis,
+              since -> since <= formerTermEndMillis);
+    }
+    return true;
+  }
+
+  /**
+   * Returns whether the lease was regained and no other holder can have had it since the former
+   * term: a majority has granted it to nobody else, and any other majority shares a host with it.
+   */
+  public boolean continuesFormerTerm() {
+    return continuesFormerTerm;
   }
 
   @Override
@@ -117,15 +167,46 @@
   @Override
   public void release() {
     term.end();
+    continuesFormerTerm = false;
+    formerTermEndMillis = Long.MIN_VALUE;
     lastRoundSucceeded = false;
     roundSentMillis = Long.MIN_VALUE;
     nextClaimMillis = Long.MIN_VALUE;
   }
 
-  private boolean isMajority(Set<String> hosts) {
-    long count = hosts.stream().filter(grantedBy::contains).count();
-    return !hosts.isEmpty() && 2 * count > hosts.size();
+  private boolean isRecent(Electorate electorate, long nowMillis) {
+    return nowMillis - electorate.replacedMillis < durationMillis;
+  }
+
+  /** Removes the former electorates that count neither for a claim nor for an interrupted term. */
+  private void removeObsoleteElectorates(long nowMillis) {
+    long endMillis = term.expiresMillis();
+    formerElectorates.removeIf(
+        electorate ->
+            !isRecent(electorate, nowMillis)
+                && (endMillis == Long.MIN_VALUE || electorate.replacedMillis < endMillis));
+  }
+
+  /** Returns whether the current and the selected former electorates have a granting majority. */
+  private boolean hasGrantedMajorities(
+      Predicate<Electorate> selected, LongPredicate exclusiveSince) {
+    return isMajority(granters, exclusiveSince)
+        && formerElectorates.stream()
+            .filter(selected)
+            .allMatch(electorate -> isMajority(electorate.hosts, exclusiveSince));
+  }
+
+  private boolean isMajority(Set<String> hosts, LongPredicate exclusiveSince) {
+    if (2 * exclusiveSinceMillis.size() <= hosts.size()) {
+      return false;
+    }
+    long count =
+        hosts.stream()
+            .map(exclusiveSinceMillis::get)
+            .filter(since -> since != null && exclusiveSince.test(since))
+            .count();
+    return 2 * count > hosts.size();
   }
 
-  private record Electorate(Set<String> hosts, long expiresMillis) {}
+  private record Electorate(Set<String> hosts, long replacedMillis) {}
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/Term.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/Term.java
@@ -23,6 +23,11 @@
     expiresMillis = Math.max(expiresMillis, sentMillis + durationMillis);
   }
 
+  /** Returns when the last term expired or expires (ms); {@link Long#MIN_VALUE} without one. */
+  long expiresMillis() {
+    return expiresMillis;
+  }
+
   void end() {
     expiresMillis = Long.MIN_VALUE;
     exclusiveSinceMillis = Long.MAX_VALUE / 2;
--- a/sequoia-core/src/test/java/org/sequoiahub/core/authority/AuthorityTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/authority/AuthorityTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -68,6 +69,98 @@
       assertThat(authority.rights(23).held()).isTrue();
     }
 
+    /** Guards against a holder that goes on although another one may have held the lease. */
+    @Nested
+    class Regained {
+
+      private static final long LOST_MILLIS = TERM_MILLIS;
+
+      @BeforeEach
+      void loseLease() {
+        authority.updateGranters(Set.of("a", "b", "c"), 0);
+        grantAll(0, 0);
+      }
+
+      private void grantAll(long sentMillis, long exclusiveMillis) {
+        authority.roundSent(sentMillis);
+        for (String host : Set.of("a", "b", "c")) {
+          authority.claimGranted(host, sentMillis, exclusiveMillis, sentMillis);
+        }
+      }
+
+      @Test
+      void continuesIfMajorityGrantedItToNobodyElse() {
+        authority.roundSent(1_300);
+        authority.claimGranted("a", 1_300, 300, 1_300);
+        assertThat(authority.rights(1_300).held()).isFalse();
+        authority.claimGranted("b", 1_300, 310, 1_310);
+        assertThat(authority.rights(1_310).held()).isTrue();
+        assertThat(authority.continuesFormerTerm()).isTrue();
+      }
+
+      @Test
+      void doesNotContinueIfGrantersMayHaveGrantedItToOthers() {
+        authority.roundSent(1_300);
+        authority.claimGranted("a", 1_300, 5_000, 1_300);
+        // Granted to another holder at 1,001 at the latest.
+        authority.claimGranted("b", 1_300, 309, 1_310);
+        assertThat(authority.rights(1_310).held()).isTrue();
+        assertThat(authority.continuesFormerTerm()).isFalse();
+      }
+
+      @Test
+      void continuesOnceLaterGrantCompletesMajority() {
+        authority.roundSent(1_300);
+        authority.claimGranted("a", 1_300, 5_000, 1_300);
+        authority.claimGranted("b", 1_300, 0, 1_310);
+        assertThat(authority.continuesFormerTerm()).isFalse();
+        authority.claimGranted("c", 1_300, 5_000, 1_320);
+        assertThat(authority.continuesFormerTerm()).isTrue();
+      }
+
+      @Test
+      void statementsOfFormerRoundsDoNotCount() {
+        authority.roundSent(1_100);
+        authority.claimGranted("a", 1_100, 5_000, 1_100);
+        authority.roundSent(1_300);
+        authority.claimGranted("a", 1_100, 5_000, 1_301);
+        authority.claimGranted("b", 1_300, 5_000, 1_310);
+        authority.claimGranted("c", 1_300, 0, 1_320);
+        assertThat(authority.rights(1_320).held()).isTrue();
+        assertThat(authority.continuesFormerTerm()).isFalse();
+      }
+
+      @Test
+      void statementReadLateCoversLessTime() {
+        authority.roundSent(1_300);
+        authority.claimGranted("a", 1_300, 5_000, 1_300);
+        // Made at 1,310, when the host had been exclusive since 1,000, and read at 1,900.
+        authority.claimGranted("b", 1_300, 310, 1_900);
+        assertThat(authority.continuesFormerTerm()).isFalse();
+      }
+
+      @Test
+      void requiresMajorityOfElectoratesSinceTheLoss() {
+        authority.updateGranters(Set.of("a", "x", "y"), LOST_MILLIS + 50);
+        authority.updateGranters(Set.of("a", "b", "x"), LOST_MILLIS + 100);
+        authority.roundSent(3_000);
+        authority.claimGranted("a", 3_000, 5_000, 3_000);
+        authority.claimGranted("b", 3_000, 5_000, 3_000);
+        assertThat(authority.rights(3_000).held()).isTrue();
+        assertThat(authority.continuesFormerTerm()).isFalse();
+        authority.claimGranted("x", 3_000, 5_000, 3_001);
+        assertThat(authority.continuesFormerTerm()).isTrue();
+      }
+
+      @Test
+      void eachLossNeedsStatementsOfItsOwn() {
+        grantAll(1_300, 5_000);
+        assertThat(authority.continuesFormerTerm()).isTrue();
+        grantAll(2_500, 100);
+        assertThat(authority.continuesFormerTerm()).isFalse();
+      }
+    }
+
     @Test
     void restartedGranterAbstainsUntilEarlierLeasesHaveExpired() {
       LeaseGranter granter = new LeaseGranter(500, TERM_MILLIS);
--- a/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
@@ -42,6 +42,19 @@
     assertThat(granter.grantedOnlyTo("r", "b")).isFalse();
   }
 
+  @Test
+  void statesForHowLongItGrantedToNobodyElse() {
+    granter.grant("r", "a", LEASE_MILLIS, 2_000);
+    assertThat(granter.exclusiveMillis("r", "a", 2_100)).isEqualTo(2_100);
+    granter.grant("r", "b", LEASE_MILLIS, 4_000);
+    assertThat(granter.exclusiveMillis("r", "a", 4_000)).isEqualTo(0);
+    assertThat(granter.exclusiveMillis("r", "b", 4_000)).isEqualTo(2_000);
+    granter.grant("r", "b", LEASE_MILLIS, 5_000);
+    granter.release("r", "b");
+    granter.grant("r", "a", LEASE_MILLIS, 5_100);
+    assertThat(granter.exclusiveMillis("r", "a", 5_200)).isEqualTo(200);
+  }
+
   @Test
   void forgetsRemovedRunners() {
     granter.grant("r", "a", LEASE_MILLIS, 2_000);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -126,6 +126,9 @@
    */
   private static final long LARGE_FLEET_SCAN_PERIOD_MILLIS = 100;
 
+  /** Longest time that a granter states for which it has granted a lease to one host only (ms). */
+  private static final long MAX_EXCLUSIVE_MILLIS = 60_000;
+
   /** Number of distinct host tags in the low-order part of a token. */
   private static final int TOKEN_TAG_COUNT = 1_024;
 
@@ -195,6 +198,10 @@
     final LeasedAuthority authority = new LeasedAuthority(LEASE_MILLIS);
     @Nullable RunnerResidency residency;
     long gainedMillis;
+
+    /** Number of the authority's term that this host knows it has held without another holder. */
+    long term;
+
     long ordersFromMillis;
     long token;
     boolean reportPending;
@@ -210,7 +217,10 @@
     /** When the lease was last known to be held (ms). */
     long lastHeldMillis = Long.MIN_VALUE / 2;
 
-    /** Hosts that have seen every lease of the runner and granted them to this host only. */
+    /**
+     * Hosts that have seen every lease of the runner and granted them to this host only, as stated
+     * with their grants of the latest round.
+     */
     final Set<String> exclusiveGranters = new HashSet<>();
 
     /** When this host first saw the runner (ms). */
@@ -333,10 +343,11 @@
   }
 
   private void advanceAll(long nowMillis) {
-    claimLeases(nowMillis);
+    // Before the claims: a new round discards what the granters stated with the former one.
     for (HeldRunner held : List.copyOf(heldRunners.values())) {
       advance(held, nowMillis);
     }
+    claimLeases(nowMillis);
   }
 
   private void recordHolder(RunnerEntry runner, Holdings.Holding holding) {
@@ -452,6 +463,9 @@
       for (String runner : claim.getRunnersList()) {
         if (granter.grant(runner, host, claim.getDurationMs(), nowMillis)) {
           grant.addGranted(runner);
+          grant.addExclusiveMs(
+              (int)
+                  Math.min(granter.exclusiveMillis(runner, host, nowMillis), MAX_EXCLUSIVE_MILLIS));
           if (granter.grantedOnlyTo(runner, host)) {
             grant.addOnlyEver(runner);
           }
@@ -465,17 +479,18 @@
 
   /** Handles a grant of leases to this host. */
   public void handleGrant(String host, LeaseGrant grant, long nowMillis) {
-    for (String runner : grant.getGrantedList()) {
+    for (int i = 0; i < grant.getGrantedCount(); i++) {
+      String runner = grant.getGranted(i);
       HeldRunner held = heldRunners.get(runner);
-      if (held != null) {
+      long exclusiveMillis = i < grant.getExclusiveMsCount() ? grant.getExclusiveMs(i) : 0;
+      if (held != null
+          && held.authority.claimGranted(
+              host, grant.getClaimSentMs(), exclusiveMillis, nowMillis)) {
         long start = nowMillis - grant.getUptimeMs();
-        boolean sawEveryLease = sawAllLeases(start, grant.getFirstStart(), held);
-        if (sawEveryLease && grant.getOnlyEverList().contains(runner)) {
+        if (sawAllLeases(start, grant.getFirstStart(), held)
+            && grant.getOnlyEverList().contains(runner)) {
           held.exclusiveGranters.add(host);
-        } else {
-          held.exclusiveGranters.remove(host);
         }
-        held.authority.claimGranted(host, grant.getClaimSentMs(), nowMillis);
       }
     }
   }
@@ -611,8 +626,11 @@
         .forEach(member -> sender.accept(member.ip(), bytes));
     for (HeldRunner held : heldRunners.values()) {
       held.authority.roundSent(nowMillis);
-      if (granter.grant(held.runner.instance(), settings.host(), LEASE_MILLIS, nowMillis)) {
-        held.authority.claimGranted(settings.host(), nowMillis, nowMillis);
+      held.exclusiveGranters.clear();
+      String runner = held.runner.instance();
+      if (granter.grant(runner, settings.host(), LEASE_MILLIS, nowMillis)) {
+        long exclusiveMillis = granter.exclusiveMillis(runner, settings.host(), nowMillis);
+        held.authority.claimGranted(settings.host(), nowMillis, exclusiveMillis, nowMillis);
       }
     }
   }
@@ -637,13 +655,10 @@
       handleMissingLease(held, nowMillis);
       return;
     }
-    // A new holder waits for the platform's lease time, so no other host can have sent orders in a
-    // shorter interruption.
-    boolean uninterrupted =
-        held.residency != null && nowMillis - held.lastHeldMillis < settings.leaseMillis();
-    if (!uninterrupted) {
+    if (held.residency == null || !isContinued(held, rights.term(), nowMillis)) {
       leaseGained(held, nowMillis);
     }
+    held.term = rights.term();
     held.lastHeldMillis = nowMillis;
     RunnerResidency residency = held.residency;
     boolean reportWanted =
@@ -660,6 +675,18 @@
     }
   }
 
+  /**
+   * Returns whether no other host can have sent orders to a runner since this host last held its
+   * lease. A short interruption alone does not show this: the host that held the lease meanwhile
+   * may have regained it, too, and so not have waited like a new holder.
+   */
+  private boolean isContinued(HeldRunner held, long term, long nowMillis) {
+    return term == held.term
+        || (term == held.term + 1
+            && held.authority.continuesFormerTerm()
+            && nowMillis - held.lastHeldMillis < settings.leaseMillis());
+  }
+
   private void handleMissingLease(HeldRunner held, long nowMillis) {
     boolean heldRecently = nowMillis - held.lastHeldMillis < settings.leaseMillis();
     if (!heldRecently && held.residency != null) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -85,12 +85,14 @@
   private final List<Runner> runners = new ArrayList<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Set<Integer> disconnected = new HashSet<>();
+  private final Set<Integer> muted = new HashSet<>();
 
   /** The hosts that have lost their path to the runners, and know it. */
   private final Set<Integer> unreachable = new HashSet<>();
 
   private long now = 1_000_000;
   private final List<Digest> digests = new ArrayList<>();
+  private boolean collectsDigests;
   private long eventNumber;
   private int orderCount;
 
@@ -103,11 +105,15 @@
   }
 
   HolderSimulation(long seed, boolean firstStart) {
+    this(seed, firstStart, HOSTS);
+  }
+
+  HolderSimulation(long seed, boolean firstStart, int hostCount) {
     this.random = new Random(seed);
     for (int i = 0; i < RUNNERS; i++) {
       runners.add(new Runner("i-" + i, "10.0.9." + i + ":80"));
     }
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < hostCount; i++) {
       hosts.add(new Host(i));
       hosts.get(i).start(firstStart);
     }
@@ -125,6 +131,7 @@
   /** Requests a runner's holdings from its holder for a host; returns the digests received. */
   List<Digest> requestHoldings(int waitingHost, int runner) {
     digests.clear();
+    collectsDigests = true;
     for (Host host : hosts) {
       HolderService service = host.service;
       if (service != null && service.orderedRunners(now).contains(runnerId(runner))) {
@@ -132,6 +139,7 @@
       }
     }
     advanceTime(2 * MAX_DELAY_MILLIS);
+    collectsDigests = false;
     return List.copyOf(digests);
   }
 
@@ -162,6 +170,28 @@
     }
   }
 
+  /** Returns the numbers of the hosts that hold or claim the lease of any runner. */
+  Set<Integer> claimingHosts() {
+    Set<Integer> claiming = new HashSet<>();
+    for (Host host : hosts) {
+      if (host.service != null && host.service.isActive()) {
+        claiming.add(host.number);
+      }
+    }
+    return claiming;
+  }
+
+  /** Loses all messages that a host sends to the other hosts; it still receives theirs. */
+  void muteHost(int host) {
+    muted.add(host);
+  }
+
+  void unmuteHost(int host) {
+    if (muted.remove(host)) {
+      hosts.get(host).recoveredMillis = now;
+    }
+  }
+
   /** Disconnects a host from the other hosts; it still reaches the runners. */
   void disconnect(int host) {
     disconnected.add(host);
@@ -221,7 +251,7 @@
   }
 
   void killAll() {
-    for (int host = 0; host < HOSTS; host++) {
+    for (int host = 0; host < hosts.size(); host++) {
       kill(host);
     }
   }
@@ -297,6 +327,7 @@
               .that(token)
               .isGreaterThan(lastToken);
         }
+        assertWithMessage("token of %s", holder).that(token).isAtLeast(lastToken);
         lastHolder = holder;
         lastOrderMillis = now;
         lastToken = token;
@@ -425,6 +456,7 @@
     private HostState.Builder newState(boolean withHoldings, boolean complete) {
       HostState.Builder state =
           HostState.newBuilder()
+              .setIp("10.0.0." + number)
               .setFailureDomain("z")
               .setReady(true)
               .setLeaving(leaving)
@@ -451,7 +483,7 @@
         Demand demand = new Demand("m", "a" + random.nextInt(9), 1, 1, 0);
         demands.put(runner.entry.id(), List.of(demand));
       }
-      running.tick(known, now);
+      running.tick(time -> known, now);
       running.updateLocalDemands(demands, now);
       heartbeats.tick(now);
     }
@@ -467,8 +499,11 @@
     private void send(String ip, byte[] bytes) {
       int to = Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
       boolean lost =
-          disconnected.contains(number) || disconnected.contains(to) || random.nextInt(40) == 0;
-      if (to >= HOSTS || to == number || lost) {
+          muted.contains(number)
+              || disconnected.contains(number)
+              || disconnected.contains(to)
+              || random.nextInt(40) == 0;
+      if (to >= hosts.size() || to == number || lost) {
         return;
       }
       schedule(
@@ -489,7 +524,12 @@
           case STATE -> heartbeats.received(ip, datagram, now);
           case CLAIM -> running.handleClaim(name, ip, datagram.getClaim(), now);
           case GRANT -> running.handleGrant(name, datagram.getGrant(), now);
-          case DIGEST -> digests.add(datagram.getDigest());
+          case DIGEST -> {
+            if (collectsDigests) {
+              digests.add(datagram.getDigest());
+            }
+            heartbeats.receivedDigest(ip, datagram, now);
+          }
           case RELEASE -> running.handleRelease(name, datagram.getRelease());
           default -> throw new AssertionError(datagram.getBodyCase());
         }
