Ask a runner whether it outlived the end of a response that its connection marked

Cause: the connections of a killed process are closed in order, and ResponseCompleteness took each orderly end between two events, and of a plain body, for complete.

Ruled out: a lost reset (ResponseEndTest is green, and no part ends inside an event); a relay that completes failed attempts (no attempt-failed, framed streams are never affected).

Why this works: a process that answers under the same id to a question that was sent after the end has outlived it. Only the end waits for the answer; events go out as before. A refused connect, 421 or another id shows that the process is gone, and without a result in 1 s the response counts as truncated, too. From there it is a lost response like any other: resumed, repeated, or broken off visibly. Runners of models are asked for their report, which needs no slot, others for their health; one question at a time answers for all responses of a runner that ended before it. Framed responses cause none.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/response/ResponseCompleteness.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/response/ResponseCompleteness.java
@@ -5,8 +5,9 @@
 /**
  * Decides whether a response is complete.
  *
- * <p>A body that ends with its connection is complete only if its sender closed the connection. A
- * stream that ends inside an event is truncated whatever its framing.
+ * <p>A body that ends with its connection is complete only if its sender closed the connection and
+ * was still running afterwards: the connections of a process that terminates are closed in the same
+ * way. A stream that ends inside an event is truncated whatever its framing.
  */
 public final class ResponseCompleteness {
 
@@ -26,6 +27,33 @@
             "the body ends with its connection, which ended otherwise than by its sender: " + end);
   }
 
+  /**
+   * Returns whether a response that looks complete by {@link #of} may still be truncated, so that
+   * {@link #ofSender} has to decide.
+   */
+  public static boolean dependsOnSender(Framing framing) {
+    requireNonNull(framing, "framing must not be null");
+    return framing == Framing.CONNECTION_END;
+  }
+
+  /**
+   * Decides on a response whose body ended with its connection.
+   *
+   * @param sender the state of the sender, from a question that was asked after the end
+   */
+  public static Completeness ofSender(SenderState sender) {
+    requireNonNull(sender, "sender must not be null");
+    return switch (sender) {
+      case RUNNING -> Completeness.COMPLETE;
+      case TERMINATED ->
+          new Completeness.Truncated(
+              "the body ends with its connection, and its sender has terminated");
+      case UNKNOWN ->
+          new Completeness.Truncated(
+              "the body ends with its connection, and its sender did not show that it still runs");
+    };
+  }
+
   /**
    * Decides on a stream whose response is complete by {@link #of}.
    *
--- a/sequoia-core/src/main/java/org/sequoiahub/core/routing/ServiceSpec.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/routing/ServiceSpec.java
@@ -8,6 +8,9 @@
  * @param name the service's name
  * @param connectionLimit the maximum number of connections that one of its runners accepts from all
  *     hosts together
+ * @param healthPath the path at which its runners answer whether they are healthy; empty if the
+ *     configuration names none
  * @param engine the properties of its runners; null for a plain service
  */
-public record ServiceSpec(String name, int connectionLimit, @Nullable EngineSpec engine) {}
+public record ServiceSpec(
+    String name, int connectionLimit, String healthPath, @Nullable EngineSpec engine) {}
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/CallKind.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/CallKind.java
@@ -7,5 +7,7 @@
   /** An order of the runner's holder. */
   ORDER,
   /** The reading of the runner's report by its holder. */
-  REPORT
+  REPORT,
+  /** A question whether the runner's process still runs. */
+  PROBE
 }
--- a/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/runnerstate/RunnerAvailability.java
@@ -160,7 +160,8 @@
    */
   public SendDecision decide(String runner, CallKind kind, long nowMillis) {
     Leaving left = leaving.get(runner);
-    if (left != null) {
+    // A runner that leaves is still running and says so.
+    if (left != null && kind != CallKind.PROBE) {
       long lastResortLeft = left.sinceMillis + lastResortMillis - nowMillis;
       if (kind != CallKind.REQUEST || lastResortLeft <= 0 || backoffLeft(runner, nowMillis) > 0) {
         return new SendDecision.Never(SendDecision.Reason.LEAVING);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -76,6 +76,7 @@
 import org.sequoiahub.usersplatform.HostSettings;
 import org.sequoiahub.usersplatform.OrderClient;
 import org.sequoiahub.usersplatform.RecordDecoder;
+import org.sequoiahub.usersplatform.RunnerProbeClient;
 import org.sequoiahub.usersplatform.StoreClient;
 import org.sequoiahub.usersplatform.StoredItem;
 import org.sequoiahub.wire.WireClients;
@@ -317,6 +318,8 @@
                 serviceVersions, storeRegistry::runnersKnownMillis, hostSettings.drainMillis()),
             originExchange,
             originExchange,
+            new RunnerProbeClient(
+                runnerHttp, decoder, runner -> fleetView.serviceSpec(runner.service())),
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -24,6 +24,7 @@
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.routing.ServiceSpec;
 import org.sequoiahub.core.runnerstate.CallKind;
 import org.sequoiahub.core.runnerstate.RunnerAvailability;
 import org.sequoiahub.core.runnerstate.SendDecision;
@@ -262,9 +263,14 @@
     return relocations;
   }
 
+  /** Returns a service of the configuration in force. */
+  public Optional<ServiceSpec> serviceSpec(String service) {
+    return table().flatMap(t -> t.service(service));
+  }
+
   /** Returns the engine specification of a service's runners; empty for a plain service. */
   Optional<EngineSpec> engineSpec(String service) {
-    return table().flatMap(t -> t.service(service)).map(s -> s.engine());
+    return serviceSpec(service).map(spec -> spec.engine());
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -31,13 +31,17 @@
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.origin.ResumePolicy;
+import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.core.response.ResponseCompleteness;
+import org.sequoiahub.core.response.SenderState;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
 import org.sequoiahub.core.runnerstate.CallKind;
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.core.upstream.RunnerProbe;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.HostSelector;
@@ -112,6 +116,7 @@
   private final LocalResponses localResponses;
   private final EarlyEndings earlyEndings;
   private final SilentStreams silentStreams;
+  private final EndVerification endVerification;
   private final Set<Call> calls = new LinkedHashSet<>();
   private long lastCallerCheckMillis;
   private long lastAttemptCheckMillis;
@@ -124,6 +129,7 @@
    * @param configuration returns the status of the configuration in force
    * @param propagationMillis the time within which a configuration must be in force (ms)
    * @param keyHasher hashes callers' access keys in the same way as those of the configuration
+   * @param probe asks runners whether they still run
    * @param hosts selects the host that a request is passed on to
    * @param decisionThread executes tasks on the decision thread
    * @param clock the monotonic time (ms)
@@ -145,6 +151,7 @@
       ResumePolicy resumePolicy,
       OriginLookup originLookup,
       OriginRecorder originRecorder,
+      RunnerProbe probe,
       Consumer<Runnable> decisionThread,
       LongSupplier clock,
       Runnable inFlightListener,
@@ -198,6 +205,8 @@
     this.localResponses = new LocalResponses(metrics, log);
     this.earlyEndings = new EarlyEndings(configuration, metrics, log);
     this.waitingCalls = new WaitingCalls(fleet, runnerStates, inFlightListener, log);
+    this.endVerification =
+        new EndVerification(probe, runnerStates, decisionThread, clock, metrics, log);
     this.silentStreams =
         new SilentStreams(
             fleet,
@@ -277,6 +286,7 @@
 
   /** Processes what is due: waiting requests, deadlines, silent runners, disconnected callers. */
   public void tick(long nowMillis) {
+    endVerification.tick(nowMillis);
     boolean checkCallers = nowMillis - lastCallerCheckMillis >= CALLER_CHECK_INTERVAL_MILLIS;
     if (checkCallers) {
       lastCallerCheckMillis = nowMillis;
@@ -580,7 +590,31 @@
     }
   }
 
+  /** Handles the end of an attempt; an end that may be a truncation waits for its sender. */
   private void onAttemptEnded(Call call, Call.ActiveAttempt active, Outcome outcome) {
+    if (call.activeAttempts.contains(active) && endVerification.isNeeded(outcome)) {
+      logEndByConnection(call, active);
+      endVerification.verify(
+          active.runner, clock.getAsLong(), sender -> onEndVerified(call, active, outcome, sender));
+      return;
+    }
+    onAttemptDecided(call, active, outcome);
+  }
+
+  private void onEndVerified(
+      Call call, Call.ActiveAttempt active, Outcome outcome, SenderState sender) {
+    if (ResponseCompleteness.ofSender(sender) instanceof Completeness.Truncated truncated) {
+      boolean terminated = sender == SenderState.TERMINATED;
+      onAttemptDecided(call, active, new Outcome.ResponseLost(truncated.reason(), terminated));
+      return;
+    }
+    if (outcome instanceof Outcome.StreamCompleted && call.activeAttempts.contains(active)) {
+      call.relay.streamCompleted(active.number);
+    }
+    onAttemptDecided(call, active, outcome);
+  }
+
+  private void onAttemptDecided(Call call, Call.ActiveAttempt active, Outcome outcome) {
     silentStreams.settle(call, clock.getAsLong());
     if (!call.activeAttempts.remove(active)) {
       return;
@@ -593,7 +627,6 @@
     long now = clock.getAsLong();
     fleet.speeds().recordStated(active, now);
     if (outcome instanceof Outcome.StreamCompleted completed) {
-      logEndByConnection(call, active, completed.framing());
       fleet.health(active.runner).succeeded(now - active.startedMillis, now);
       cancelAttempts(call, "another attempt was answered");
       call.relay.complete();
@@ -625,19 +658,17 @@
     }
   }
 
-  /** Logs the end of a stream that only the end of its connection marked. */
-  private void logEndByConnection(Call call, Call.ActiveAttempt active, Framing framing) {
-    if (framing == Framing.CONNECTION_END) {
-      metrics.counter("streams.ended_by_connection").inc();
-      log.info(
-          "stream-ended-by-connection",
-          "request",
-          call.id(),
-          "runner",
-          active.runner.id(),
-          "position",
-          call.relay.position());
-    }
+  /** Logs the end of a response that only the end of its connection marked. */
+  private void logEndByConnection(Call call, Call.ActiveAttempt active) {
+    metrics.counter("responses.ended_by_connection").inc();
+    log.info(
+        "response-ended-by-connection",
+        "request",
+        call.id(),
+        "runner",
+        active.runner.id(),
+        "position",
+        call.relay.position());
   }
 
   private void onResponse(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -210,28 +210,34 @@
   }
 
   /**
-   * Returns whether the stream of an attempt is complete, once its response has ended. An attempt
-   * whose stream is complete goes on, and the other one does not.
+   * Returns whether the stream of an attempt is complete, once its response has ended. If that is
+   * decided, an attempt whose stream is complete goes on, and the other one does not.
    */
   synchronized Completeness completeness(int number, Framing framing) {
     Standby waiting = standby;
-    if (waiting != null && number == waiting.number) {
-      Completeness result = ResponseCompleteness.ofStream(framing, waiting.events.position());
-      if (result.isComplete()) {
-        takeOver(waiting);
-      }
-      return result;
-    }
-    if (number != currentAttempt) {
+    boolean standsBy = waiting != null && number == waiting.number;
+    if (!standsBy && number != currentAttempt) {
       return Completeness.COMPLETE;
     }
-    Completeness result = ResponseCompleteness.ofStream(framing, events.position());
-    if (result.isComplete()) {
-      standby = null;
+    StreamPosition position =
+        waiting != null && standsBy ? waiting.events.position() : events.position();
+    Completeness result = ResponseCompleteness.ofStream(framing, position);
+    if (result.isComplete() && !ResponseCompleteness.dependsOnSender(framing)) {
+      streamCompleted(number);
     }
     return result;
   }
 
+  /** Goes on with an attempt whose stream is complete, and with no other one. */
+  synchronized void streamCompleted(int number) {
+    Standby waiting = standby;
+    if (waiting != null && number == waiting.number) {
+      takeOver(waiting);
+    } else if (number == currentAttempt) {
+      standby = null;
+    }
+  }
+
   /** Relays the comments that follow the last event and completes the response. */
   synchronized void complete() {
     write(events.drainRemainder());
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -35,6 +35,8 @@
     fleet.configure(
         LoopbackFleet.route("/once/", "streaming", "llm", false),
         LoopbackFleet.route("/resumable/", "streaming", "llm", true),
+        LoopbackFleet.route("/plain/", "unsafe", "plain", false),
+        LoopbackFleet.route("/safe/", "safe", "plain", false),
         StandinConfiguration.streamRoute("/urgent/", "llm", 100, 200));
     first = fleet.startRunner("i-1", "llm", "m");
     second = fleet.startRunner("i-2", "llm", "m");
@@ -65,6 +67,16 @@
 
   /** Sends a request on a connection that the host is to close after the response. */
   private Received send(int host, String path, String id, String version) throws IOException {
+    return send(
+        host, path, id, version, Headers.MODEL + ": m\r\n" + Headers.TOKEN_COUNTS + ": 100,20");
+  }
+
+  private Received sendPlain(String path, String id) throws IOException {
+    return send(1, path, id, "HTTP/1.1", "Accept: */*");
+  }
+
+  private Received send(int host, String path, String id, String version, String headers)
+      throws IOException {
     String request =
         String.join(
             "\r\n",
@@ -72,8 +84,7 @@
             "Host: h.example",
             Headers.REQUEST_ID + ": " + id,
             Headers.DEADLINE + ": 15000",
-            Headers.MODEL + ": m",
-            Headers.TOKEN_COUNTS + ": 100,20",
+            headers,
             "Content-Length: 1",
             "Connection: close",
             "",
@@ -83,6 +94,21 @@
     return new Received(received.text(), received.end());
   }
 
+  /** Cuts the first host from the runners, and waits until another one serves its requests. */
+  private void awaitPassingOn() throws Exception {
+    fleet.cutFromRunners(1, LoopbackFleet.Cut.REFUSED);
+    int[] probes = {0};
+    LoopbackFleet.await(
+        "requests to be passed on",
+        () -> {
+          try {
+            return send(1, "/once/", "probe-" + probes[0]++, "HTTP/1.1").lastEvent() == EVENTS;
+          } catch (IOException e) {
+            return false;
+          }
+        });
+  }
+
   private void cutAllAfter(int events, Cut cut) {
     for (StandinRunner runner : new StandinRunner[] {first, second}) {
       runner.sendStreamsUnframed();
@@ -90,6 +116,89 @@
     }
   }
 
+  private void terminateAllAfterPieces(int count) {
+    for (StandinRunner runner : new StandinRunner[] {first, second}) {
+      runner.sendStreamsUnframed();
+      runner.terminateAfterPieces(count);
+    }
+  }
+
+  /** A killed process's connections are closed in order, like that of a whole response. */
+  @Nested
+  class RunnerTerminatesBetweenPieces {
+
+    @Test
+    void callerOfStreamThatCannotBeResumedSeesThatItWasBrokenOff() throws Exception {
+      fleet.startOnlyNode();
+      terminateAllAfterPieces(2);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.text()).startsWith("HTTP/1.1 200");
+      assertThat(received.lastEvent()).isEqualTo(2);
+      assertThat(received.isCompleteByChunks()).isFalse();
+      assertThat(fleet.runCount("q1")).isEqualTo(1);
+    }
+
+    @Test
+    void callerWithoutChunksSeesThatItWasBrokenOff() throws Exception {
+      fleet.startOnlyNode();
+      terminateAllAfterPieces(2);
+      Received received = send(1, "/once/", "q1", "HTTP/1.0");
+      assertWithMessage("end").that(received.end()).isEqualTo(RawCaller.End.RESET);
+    }
+
+    @Test
+    void resumableStreamGoesOnAtAnotherRunner() throws Exception {
+      fleet.startOnlyNode();
+      AtomicInteger left = new AtomicInteger(1);
+      for (StandinRunner runner : new StandinRunner[] {first, second}) {
+        runner.sendStreamsUnframed();
+        runner.terminateAfterPieces(2, left);
+      }
+      Received received = send(1, "/resumable/", "q1", "HTTP/1.1");
+      assertWithMessage(received.text()).that(received.isCompleteByChunks()).isTrue();
+      assertThat(received.lastEvent()).isEqualTo(EVENTS);
+      assertThat(fleet.runCount("q1")).isEqualTo(2);
+    }
+
+    @Test
+    void streamPassedOnByAnotherHostIsBrokenOff() throws Exception {
+      fleet.startNodes(3);
+      awaitPassingOn();
+      terminateAllAfterPieces(2);
+      Received received = send(1, "/once/", "q1", "HTTP/1.1");
+      assertThat(received.lastEvent()).isEqualTo(2);
+      assertThat(received.isCompleteByChunks()).isFalse();
+    }
+
+    @Test
+    void plainResponseIsNotComplete() throws Exception {
+      StandinRunner plain = fleet.startRunner("i-3", "plain", "");
+      fleet.startOnlyNode();
+      plain.sendPlainUnframed();
+      Received whole = sendPlain("/plain/", "q1");
+      assertThat(whole.text()).startsWith("HTTP/1.1 200");
+      plain.terminateAfterPieces(1);
+      Received cut = sendPlain("/plain/", "q2");
+      assertThat(cut.text()).startsWith("HTTP/1.1 502");
+      assertThat(fleet.runCount("q2")).isEqualTo(1);
+    }
+
+    @Test
+    void idempotentRequestRunsAgain() throws Exception {
+      StandinRunner third = fleet.startRunner("i-3", "plain", "");
+      StandinRunner fourth = fleet.startRunner("i-4", "plain", "");
+      fleet.startOnlyNode();
+      third.sendPlainUnframed();
+      fourth.sendPlainUnframed();
+      third.terminateAfterPieces(1);
+      for (int i = 0; i < 8; i++) {
+        Received received = sendPlain("/safe/", "q" + i);
+        assertThat(received.text()).startsWith("HTTP/1.1 200");
+        assertThat(received.text()).contains("i-4 ");
+      }
+    }
+  }
+
   @Nested
   class ServedHere {
 
@@ -183,17 +292,7 @@
     @BeforeEach
     void start() throws Exception {
       fleet.startNodes(3);
-      fleet.cutFromRunners(1, LoopbackFleet.Cut.REFUSED);
-      int[] probes = {0};
-      LoopbackFleet.await(
-          "requests to be passed on",
-          () -> {
-            try {
-              return send(1, "/once/", "probe-" + probes[0]++, "HTTP/1.1").lastEvent() == EVENTS;
-            } catch (IOException e) {
-              return false;
-            }
-          });
+      awaitPassingOn();
     }
 
     @ParameterizedTest
