Keep a runner's statements when it is asked whether it still runs

A runner that refuses the question with Retry-After was asked again 25 ms later, during its backoff: the answers of RunnerProbeClient were read for their status only. Read in the code, not seen by callers.

What an answer states now reaches RunnerStates like that of an order, before the result does, so the next question waits for the end of the backoff, or for a permit. RunnerProbeClientTest.backoffIsReportedBeforeTheResult needs the new listener and does not compile without it; EndVerificationTest.runnerIsNotAskedDuringBackoff and leavingRunnerIsAsked hold what the decision side does.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -28,6 +28,7 @@
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.CallerLimits;
 import org.sequoiahub.core.routing.RoutingTable;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerRegistry;
 import org.sequoiahub.core.workspace.KeyHasher;
@@ -319,7 +320,11 @@
             originExchange,
             originExchange,
             new RunnerProbeClient(
-                runnerHttp, decoder, runner -> fleetView.serviceSpec(runner.service())),
+                runnerHttp,
+                decoder,
+                runner -> fleetView.serviceSpec(runner.service()),
+                this::applySignals,
+                System::currentTimeMillis),
             decisionThread::put,
             MonotonicClock.SYSTEM::nowMillis,
             this::stateChanged,
@@ -351,15 +356,7 @@
             fleetShape,
             holdings,
             fleetLoad,
-            new OrderClient(
-                runnerHttp,
-                decoder,
-                (runner, signals) ->
-                    decisionThread.put(
-                        () ->
-                            runnerStates.replyReceived(
-                                runner.id(), signals, MonotonicClock.SYSTEM.nowMillis())),
-                System::currentTimeMillis),
+            new OrderClient(runnerHttp, decoder, this::applySignals, System::currentTimeMillis),
             loadGuard,
             runnerStates,
             heartbeats::datagram,
@@ -712,6 +709,11 @@
     }
   }
 
+  private void applySignals(RunnerEntry runner, RunnerSignals signals) {
+    decisionThread.put(
+        () -> runnerStates.replyReceived(runner.id(), signals, MonotonicClock.SYSTEM.nowMillis()));
+  }
+
   private void handleState(String from, HostState state) {
     long now = MonotonicClock.SYSTEM.nowMillis();
     fleetLoad.update(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/EndVerificationTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/EndVerificationTest.java
@@ -11,8 +11,10 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.allowance.AllowanceSettings;
+import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.response.SenderState;
 import org.sequoiahub.core.retry.RetryBudgetSettings;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.core.upstream.SoftwareVersion;
@@ -42,11 +44,13 @@
   private final List<SenderState> results = new ArrayList<>();
   private long now = 1_000_000;
   private final EventLog log = new EventLog("test", "host");
+  private final RunnerStates runnerStates =
+      new RunnerStates(
+          settings(), now, now, key -> Optional.empty(), () -> {}, new MetricRegistry(), log);
   private final EndVerification verification =
       new EndVerification(
           (runner, timeoutMillis, listener) -> probes.add(listener),
-          new RunnerStates(
-              settings(), now, now, key -> Optional.empty(), () -> {}, new MetricRegistry(), log),
+          runnerStates,
           Runnable::run,
           () -> now,
           new MetricRegistry(),
@@ -141,6 +145,35 @@
     assertThat(results).containsExactly(SenderState.RUNNING);
   }
 
+  @Test
+  void runnerIsNotAskedDuringBackoff() {
+    endResponse();
+    RunnerSignals backoff =
+        new RunnerSignals(
+            false,
+            500,
+            new StatedLimit.None(),
+            new StatedLimit.None(),
+            Optional.empty(),
+            List.of());
+    runnerStates.replyReceived(RUNNER.id(), backoff, now);
+    answer(0, SenderState.UNKNOWN);
+    advance(475);
+    assertThat(probes).hasSize(1);
+    advance(50);
+    assertThat(probes).hasSize(2);
+  }
+
+  @Test
+  void leavingRunnerIsAsked() {
+    RunnerSignals leaving =
+        new RunnerSignals(
+            true, 0, new StatedLimit.None(), new StatedLimit.None(), Optional.empty(), List.of());
+    runnerStates.replyReceived(RUNNER.id(), leaving, now);
+    endResponse();
+    assertThat(probes).hasSize(1);
+  }
+
   @Test
   void silentRunnerIsGivenUpAfterTheTimeLimit() {
     endResponse();
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/RunnerProbeClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/RunnerProbeClientTest.java
@@ -5,8 +5,10 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -16,6 +18,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiahub.core.response.SenderState;
 import org.sequoiahub.core.routing.ServiceSpec;
+import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.usersplatform.Headers;
@@ -27,6 +30,7 @@
 
   private static final long TIMEOUT_MILLIS = 300;
 
+  private final List<RunnerSignals> signals = new CopyOnWriteArrayList<>();
   private HttpClient http;
 
   @BeforeEach
@@ -44,7 +48,9 @@
         new RunnerProbeClient(
             http,
             new RecordDecoder(KeyHasher.withRandomSecret(new SecureRandom())),
-            entry -> Optional.of(new ServiceSpec("s", 10, healthPath, null)));
+            entry -> Optional.of(new ServiceSpec("s", 10, healthPath, null)),
+            (entry, stated) -> signals.add(stated),
+            System::currentTimeMillis);
     CompletableFuture<SenderState> state = new CompletableFuture<>();
     client.probe(runner, TIMEOUT_MILLIS, state::complete);
     return state.get(10, TimeUnit.SECONDS);
@@ -74,6 +80,23 @@
     }
   }
 
+  /** Guards against questions that are repeated although the runner asked for a pause. */
+  @Test
+  void backoffIsReportedBeforeTheResult() throws Exception {
+    try (ScriptedRunner runner =
+        new ScriptedRunner(
+            (number, connection, out) ->
+                ScriptedRunner.write(
+                    out,
+                    "HTTP/1.1 503 S\r\n"
+                        + (Headers.RETRY_AFTER + ": 2\r\n" + Headers.NOT_RUN + ": 1\r\n")
+                        + "Content-Length: 0\r\n\r\n"))) {
+      assertThat(probe(runner.entry(), "/alive")).isEqualTo(SenderState.UNKNOWN);
+      assertThat(signals).hasSize(1);
+      assertThat(signals.get(0).affectsSending()).isTrue();
+    }
+  }
+
   @Test
   void refusedConnectionMeansTerminated() throws Exception {
     RunnerEntry gone;
