Keep granted leases of runners that the granter does not know yet

As soon as any runner had been absent for a minute, a granter dropped the state of all runners that it did not know at that moment, current leases included. A holder may know a runner earlier, when the granter's records are late; its lease could then be granted to a second host. Read in the code while related paths of the interrupted leases were looked at; not seen by callers.

The state is now kept for a minute after the last grant. LeaseGranterTest.keepsLeaseOfRunnerThatOnlyItsHolderKnows is red with the former removal (a second host is granted the lease 200 ms after the first). The test of what is forgotten checks both sides of that minute.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeaseGranter.java
@@ -80,10 +80,18 @@
     return !previouslyHeld.contains(runner) && (current == null || current.holder.equals(holder));
   }
 
-  /** Removes the state of all runners that are not in {@code runners}. */
-  public void retainRunners(Set<String> runners) {
-    grants.keySet().retainAll(runners);
-    previouslyHeld.retainAll(runners);
+  /**
+   * Removes the state of all runners that are not in {@code runners} and whose lease was last
+   * granted at least {@code retentionMillis} ago: a holder may know a runner before this host does.
+   */
+  public void retainRunners(Set<String> runners, long retentionMillis, long nowMillis) {
+    grants
+        .entrySet()
+        .removeIf(
+            entry ->
+                !runners.contains(entry.getKey())
+                    && nowMillis - entry.getValue().grantedMillis >= retentionMillis);
+    previouslyHeld.removeIf(runner -> !runners.contains(runner) && !grants.containsKey(runner));
   }
 
   /** Ends {@code holder}'s lease on {@code runner}, if it holds one. */
--- a/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/authority/LeaseGranterTest.java
@@ -58,7 +58,19 @@
   @Test
   void forgetsRemovedRunners() {
     granter.grant("r", "a", LEASE_MILLIS, 2_000);
-    granter.retainRunners(Set.of("other"));
+    granter.retainRunners(Set.of("other"), 60_000, 61_999);
+    assertThat(granter.grantedOnlyTo("r", "b")).isFalse();
+    granter.retainRunners(Set.of("other"), 60_000, 62_000);
     assertThat(granter.grantedOnlyTo("r", "b")).isTrue();
   }
+
+  /** Guards against a second holder of a runner that this granter has not heard of yet. */
+  @Test
+  void keepsLeaseOfRunnerThatOnlyItsHolderKnows() {
+    granter.grant("r", "a", LEASE_MILLIS, 2_000);
+    granter.retainRunners(Set.of("other"), 60_000, 2_100);
+    assertThat(granter.grant("r", "b", LEASE_MILLIS, 2_200)).isFalse();
+    assertThat(granter.grant("r", "b", LEASE_MILLIS, 4_000)).isTrue();
+    assertThat(granter.exclusiveMillis("r", "b", 4_000)).isEqualTo(2_000);
+  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -381,7 +381,7 @@
         lastKnownMillis.values().removeIf(at -> nowMillis - at > ABSENT_RETENTION_MILLIS);
     if (anyForgotten) {
       firstSeenMillis.keySet().retainAll(lastKnownMillis.keySet());
-      granter.retainRunners(lastKnownMillis.keySet());
+      granter.retainRunners(lastKnownMillis.keySet(), ABSENT_RETENTION_MILLIS, nowMillis);
     }
   }
 
