--- a/sequoia-core/src/test/java/org/sequoiahub/core/response/ResponseCompletenessTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/response/ResponseCompletenessTest.java
@@ -24,6 +24,20 @@
         .isEqualTo(end == ConnectionEnd.CLOSED);
   }
 
+  @ParameterizedTest
+  @EnumSource
+  void bodyThatEndsWithItsConnectionIsCompleteOnlyIfItsSenderOutlivedIt(SenderState sender) {
+    assertThat(ResponseCompleteness.ofSender(sender).isComplete())
+        .isEqualTo(sender == SenderState.RUNNING);
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void onlyBodiesThatEndWithTheirConnectionDependOnTheirSender(Framing framing) {
+    assertThat(ResponseCompleteness.dependsOnSender(framing))
+        .isEqualTo(framing == Framing.CONNECTION_END);
+  }
+
   @ParameterizedTest
   @EnumSource
   void streamThatEndsInsideAnEventIsTruncated(Framing framing) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/EndVerification.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/EndVerification.java
@@ -143,10 +143,11 @@
   private void answered(Pending pending, List<Waiting> covered, SenderState state, long nowMillis) {
     runnerStates.recordEnded(pending.runner.id(), RunPermits.End.ANSWERED, nowMillis);
     pending.inProgress = false;
-    switch (state) {
-      case RUNNING -> settle(pending, covered::contains, state, nowMillis);
-      case TERMINATED -> settle(pending, waiting -> true, state, nowMillis);
-      case UNKNOWN -> pending.nextProbeMillis = nowMillis + PROBE_PAUSE_MILLIS;
+    if (state == SenderState.UNKNOWN) {
+      pending.nextProbeMillis = nowMillis + PROBE_PAUSE_MILLIS;
+    } else {
+      boolean terminated = state == SenderState.TERMINATED;
+      settle(pending, waiting -> terminated || covered.contains(waiting), state, nowMillis);
     }
     probeIfDue(pending, nowMillis);
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedStreamTest.java
@@ -71,10 +71,6 @@
         host, path, id, version, Headers.MODEL + ": m\r\n" + Headers.TOKEN_COUNTS + ": 100,20");
   }
 
-  private Received sendPlain(String path, String id) throws IOException {
-    return send(1, path, id, "HTTP/1.1", "Accept: */*");
-  }
-
   private Received send(int host, String path, String id, String version, String headers)
       throws IOException {
     String request =
@@ -94,6 +90,10 @@
     return new Received(received.text(), received.end());
   }
 
+  private Received sendPlain(String path, String id) throws IOException {
+    return send(1, path, id, "HTTP/1.1", "Accept: */*");
+  }
+
   /** Cuts the first host from the runners, and waits until another one serves its requests. */
   private void awaitPassingOn() throws Exception {
     fleet.cutFromRunners(1, LoopbackFleet.Cut.REFUSED);
