Let the scripted runner of the truncation property answer its health check

TruncatedResponsePropertiesTest was red since hosts ask whether a runner outlived a response that its connection ended: its service was in no configuration and its runner answered each request with the planned response, so that a whole response without framing got 502.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/TruncatedResponsePropertiesTest.java
@@ -27,6 +27,12 @@
   private static int number;
   private static volatile Response planned = new Response("", false);
 
+  private static final String HEALTH_CHECK = "GET /health ";
+
+  /** The answer of a runner that outlives its responses, whole or truncated. */
+  private static final String HEALTHY =
+      "HTTP/1.1 200 OK\r\n" + Headers.RUNNER + ": i-1\r\nContent-Length: 0\r\n\r\n";
+
   /** What the runner sends, and whether it resets the connection then. */
   private record Response(String text, boolean reset) {}
 
@@ -43,6 +49,10 @@
     ScriptedRunner scripted =
         new ScriptedRunner(
             (request, connection, out) -> {
+              if (requireNonNull(runner).requestHeads().get(request - 1).startsWith(HEALTH_CHECK)) {
+                ScriptedRunner.write(out, HEALTHY);
+                return;
+              }
               Response response = planned;
               ScriptedRunner.write(out, response.text);
               if (response.reset) {
@@ -53,9 +63,9 @@
             });
     runner = scripted;
     opened.configure(
-        LoopbackFleet.route("/plain/", "unsafe", "raw", false),
-        LoopbackFleet.route("/stream/", "streaming", "raw", false));
-    StandinRunner described = opened.startRunner("i-1", "raw", "");
+        LoopbackFleet.route("/plain/", "unsafe", "plain", false),
+        LoopbackFleet.route("/stream/", "streaming", "plain", false));
+    StandinRunner described = opened.startRunner("i-1", "plain", "");
     opened.store.put("servers/i-1", described.entry("ready", scripted.entry().address()));
     opened.startOnlyNode();
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ScriptedRunner.java
@@ -61,7 +61,7 @@
   }
 
   /** Returns the heads of the requests received so far: request line and headers. */
-  List<String> requestHeads() {
+  public List<String> requestHeads() {
     return List.copyOf(requestHeads);
   }
 
