Move the state of a held runner out of HolderService

HolderService had grown by what continues an interrupted lease. HeldRunner is now a class of its own, with that decision and the one on repeated holdings; HolderService has 857 lines instead of 939. Moved, not changed: HolderPropertiesTest, HoldingsReplyTest and InterruptedLeaseTest pass.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -17,7 +17,6 @@
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.authority.LeaseGranter;
-import org.sequoiahub.core.authority.LeasedAuthority;
 import org.sequoiahub.core.authority.RenewalRound;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
@@ -114,12 +113,6 @@
    */
   private static final long ADVERTISE_PERIOD_MILLIS = 100;
 
-  /**
-   * Interval after which unchanged holdings are sent again to a waiting host (ms): a datagram may
-   * be lost, and a load takes at least 250 ms.
-   */
-  private static final long HOLDINGS_RESEND_MILLIS = 400;
-
   /**
    * Shortest interval in a large fleet between two evaluations of all runners for leases to claim
    * (ms): its cost grows with the number of runners. The held runners are processed more often.
@@ -184,55 +177,6 @@
   private long claimRound;
   private @Nullable LoadEstimates loadEstimates;
 
-  /**
-   * The last sending of a runner's holdings to a waiting host.
-   *
-   * @param changeCount the runner's change count at that time
-   */
-  private record SentHoldings(long changeCount, long sentMillis) {}
-
-  /** One runner whose lease this host holds, or only claims so far. */
-  private static final class HeldRunner {
-    RunnerEntry runner;
-    final EngineSpec engine;
-    final LeasedAuthority authority = new LeasedAuthority(LEASE_MILLIS);
-    @Nullable RunnerResidency residency;
-    long gainedMillis;
-
-    /** Number of the authority's term that this host knows it has held without another holder. */
-    long term;
-
-    long ordersFromMillis;
-    long token;
-    boolean reportPending;
-    long reportDueMillis;
-    long advertiseDueMillis;
-
-    /** Number of changes of the runner's adapters and models. */
-    long changeCount;
-
-    /** The holdings last sent to each host that waits for the runner, by IP address. */
-    final Map<String, SentHoldings> sentHoldings = new HashMap<>();
-
-    /** When the lease was last known to be held (ms). */
-    long lastHeldMillis = Long.MIN_VALUE / 2;
-
-    /**
-     * Hosts that have seen every lease of the runner and granted them to this host only, as stated
-     * with their grants of the latest round.
-     */
-    final Set<String> exclusiveGranters = new HashSet<>();
-
-    /** When this host first saw the runner (ms). */
-    final long firstSeenMillis;
-
-    HeldRunner(RunnerEntry runner, EngineSpec engine, long firstSeenMillis) {
-      this.runner = runner;
-      this.engine = engine;
-      this.firstSeenMillis = firstSeenMillis;
-    }
-  }
-
   /**
    * Creates a service.
    *
@@ -334,7 +278,7 @@
           if (held != null) {
             updateRunner(held, runner);
           } else if (mayClaim && shouldClaim(runner, nowMillis)) {
-            heldRunners.put(runner.instance(), new HeldRunner(runner, engine, seen));
+            heldRunners.put(runner.instance(), new HeldRunner(runner, engine, LEASE_MILLIS, seen));
           }
         });
     heldRunners.keySet().retainAll(present);
@@ -410,7 +354,7 @@
     Digest.Builder digest = Digest.newBuilder();
     for (String runner : runners) {
       HeldRunner held = findHeldRunner(runner);
-      if (held != null && held.residency != null && markSentIfDue(held, ip, nowMillis)) {
+      if (held != null && held.residency != null && held.markSentIfDue(ip, nowMillis)) {
         holdings
             .find(runner)
             .filter(holding -> holding.host().equals(settings.host()))
@@ -427,21 +371,6 @@
     }
   }
 
-  /**
-   * Returns whether a runner's holdings are due to be sent to a host, and if so marks them sent.
-   */
-  private static boolean markSentIfDue(HeldRunner held, String ip, long nowMillis) {
-    SentHoldings last = held.sentHoldings.get(ip);
-    boolean due =
-        last == null
-            || last.changeCount != held.changeCount
-            || nowMillis - last.sentMillis >= HOLDINGS_RESEND_MILLIS;
-    if (due) {
-      held.sentHoldings.put(ip, new SentHoldings(held.changeCount, nowMillis));
-    }
-    return due;
-  }
-
   /** Records that a runner refused a request for an adapter that it is believed to hold. */
   public void recordMissingAdapter(String runner, String target, long nowMillis) {
     HeldRunner held = findHeldRunner(runner);
@@ -655,7 +584,8 @@
       handleMissingLease(held, nowMillis);
       return;
     }
-    if (held.residency == null || !isContinued(held, rights.term(), nowMillis)) {
+    if (held.residency == null
+        || !held.isContinued(rights.term(), settings.leaseMillis(), nowMillis)) {
       leaseGained(held, nowMillis);
     }
     held.term = rights.term();
@@ -675,18 +605,6 @@
     }
   }
 
-  /**
-   * Returns whether no other host can have sent orders to a runner since this host last held its
-   * lease. A short interruption alone does not show this: the host that held the lease meanwhile
-   * may have regained it, too, and so not have waited like a new holder.
-   */
-  private boolean isContinued(HeldRunner held, long term, long nowMillis) {
-    return term == held.term
-        || (term == held.term + 1
-            && held.authority.continuesFormerTerm()
-            && nowMillis - held.lastHeldMillis < settings.leaseMillis());
-  }
-
   private void handleMissingLease(HeldRunner held, long nowMillis) {
     boolean heldRecently = nowMillis - held.lastHeldMillis < settings.leaseMillis();
     if (!heldRecently && held.residency != null) {
