Decide on unmarked ends in EndVerification alone

StreamRelay.completeness finds an attempt's events in one place instead of two conditions. Behaviour is unchanged: TruncatedStreamTest, EndVerificationTest and StreamRelayTest pass.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/EndVerification.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/EndVerification.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.sequoiahub.core.concurrency.RunPermits;
+import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.ResponseCompleteness;
 import org.sequoiahub.core.response.SenderState;
 import org.sequoiahub.core.runnerstate.CallKind;
@@ -99,6 +100,43 @@
             && ResponseCompleteness.dependsOnSender(answered.framing()));
   }
 
+  /**
+   * Decides on the outcome of an attempt whose response ended with its connection.
+   *
+   * @param decided receives the outcome as it is, or a lost response in its place, on the decision
+   *     thread
+   */
+  void decide(
+      Call call,
+      Call.ActiveAttempt active,
+      Outcome outcome,
+      long nowMillis,
+      Consumer<Outcome> decided) {
+    metrics.counter("responses.ended_by_connection").inc();
+    log.info(
+        "response-ended-by-connection",
+        "request",
+        call.id(),
+        "runner",
+        active.runner.id(),
+        "position",
+        call.relay.position());
+    verify(
+        active.runner,
+        nowMillis,
+        sender -> {
+          if (ResponseCompleteness.ofSender(sender) instanceof Completeness.Truncated truncated) {
+            boolean terminated = sender == SenderState.TERMINATED;
+            decided.accept(new Outcome.ResponseLost(truncated.reason(), terminated));
+            return;
+          }
+          if (outcome instanceof Outcome.StreamCompleted && call.activeAttempts.contains(active)) {
+            call.relay.streamCompleted(active.number);
+          }
+          decided.accept(outcome);
+        });
+  }
+
   /**
    * Asks a runner whose response has just ended.
    *
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -31,10 +31,7 @@
 import org.sequoiahub.core.dispatch.StreamLimits;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.origin.ResumePolicy;
-import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
-import org.sequoiahub.core.response.ResponseCompleteness;
-import org.sequoiahub.core.response.SenderState;
 import org.sequoiahub.core.retry.SharedRetryBudget;
 import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.routing.Route;
@@ -593,27 +590,17 @@
   /** Handles the end of an attempt; an end that may be a truncation waits for its sender. */
   private void onAttemptEnded(Call call, Call.ActiveAttempt active, Outcome outcome) {
     if (call.activeAttempts.contains(active) && endVerification.isNeeded(outcome)) {
-      logEndByConnection(call, active);
-      endVerification.verify(
-          active.runner, clock.getAsLong(), sender -> onEndVerified(call, active, outcome, sender));
+      endVerification.decide(
+          call,
+          active,
+          outcome,
+          clock.getAsLong(),
+          decided -> onAttemptDecided(call, active, decided));
       return;
     }
     onAttemptDecided(call, active, outcome);
   }
 
-  private void onEndVerified(
-      Call call, Call.ActiveAttempt active, Outcome outcome, SenderState sender) {
-    if (ResponseCompleteness.ofSender(sender) instanceof Completeness.Truncated truncated) {
-      boolean terminated = sender == SenderState.TERMINATED;
-      onAttemptDecided(call, active, new Outcome.ResponseLost(truncated.reason(), terminated));
-      return;
-    }
-    if (outcome instanceof Outcome.StreamCompleted && call.activeAttempts.contains(active)) {
-      call.relay.streamCompleted(active.number);
-    }
-    onAttemptDecided(call, active, outcome);
-  }
-
   private void onAttemptDecided(Call call, Call.ActiveAttempt active, Outcome outcome) {
     silentStreams.settle(call, clock.getAsLong());
     if (!call.activeAttempts.remove(active)) {
@@ -658,19 +645,6 @@
     }
   }
 
-  /** Logs the end of a response that only the end of its connection marked. */
-  private void logEndByConnection(Call call, Call.ActiveAttempt active) {
-    metrics.counter("responses.ended_by_connection").inc();
-    log.info(
-        "response-ended-by-connection",
-        "request",
-        call.id(),
-        "runner",
-        active.runner.id(),
-        "position",
-        call.relay.position());
-  }
-
   private void onResponse(
       Call call, Call.ActiveAttempt active, Outcome.Answered answered, long now) {
     call.runs++;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamRelay.java
@@ -214,20 +214,26 @@
    * decided, an attempt whose stream is complete goes on, and the other one does not.
    */
   synchronized Completeness completeness(int number, Framing framing) {
-    Standby waiting = standby;
-    boolean standsBy = waiting != null && number == waiting.number;
-    if (!standsBy && number != currentAttempt) {
+    EventSplitter received = eventsOf(number);
+    if (received == null) {
       return Completeness.COMPLETE;
     }
-    StreamPosition position =
-        waiting != null && standsBy ? waiting.events.position() : events.position();
-    Completeness result = ResponseCompleteness.ofStream(framing, position);
+    Completeness result = ResponseCompleteness.ofStream(framing, received.position());
     if (result.isComplete() && !ResponseCompleteness.dependsOnSender(framing)) {
       streamCompleted(number);
     }
     return result;
   }
 
+  /** Returns the events of an attempt; null if they are not relayed any more. */
+  private @Nullable EventSplitter eventsOf(int number) {
+    Standby waiting = standby;
+    if (waiting != null && number == waiting.number) {
+      return waiting.events;
+    }
+    return number == currentAttempt ? events : null;
+  }
+
   /** Goes on with an attempt whose stream is complete, and with no other one. */
   synchronized void streamCompleted(int number) {
     Standby waiting = standby;
