Do not count the statements again once they have shown that a lease continues

Each later grant of the round in which a lease was regained counted the majorities a second time, though the result could not change any more. AuthorityTest passes.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -142,8 +142,10 @@
       }
       term.claimAccepted(sentMillis, nowMillis);
     }
-    if (sentMillis == termRoundMillis && formerTermEndMillis != Long.MIN_VALUE) {
-      continuesFormerTerm |=
+    if (!continuesFormerTerm
+        && sentMillis == termRoundMillis
+        && formerTermEndMillis != Long.MIN_VALUE) {
+      continuesFormerTerm =
           hasGrantedMajorities(
               electorate -> electorate.replacedMillis >= formerTermEndMillis,
               since -> since <= formerTermEndMillis);
