Tests: one place for the settings of simulated hosts, and for orders within a time

The settings of a host that opens no port stood in five test classes; SimulatedHosts has them now, with the same values but for the address of a store that nobody calls. HolderSimulation.ordersWithin replaces a count before and after in three places, with the same assertion.

--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/EndVerificationTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/EndVerificationTest.java
@@ -10,14 +10,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.ratelimit.StatedLimit;
 import org.sequoiahub.core.response.SenderState;
-import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.runnerstate.RunnerSignals;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.node.SimulatedHosts;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.HostSettings;
@@ -57,26 +56,7 @@
           log);
 
   private static HostSettings settings() {
-    return new HostSettings(
-        "host",
-        "z",
-        "10.0.0.1",
-        1,
-        2,
-        3,
-        4,
-        5,
-        List.of("10.0.0.1"),
-        true,
-        "10.0.0.9:1",
-        8_000,
-        2_000,
-        2_000,
-        3_000,
-        new RetryBudgetSettings(0.2, 50, 10_000),
-        5_000,
-        100,
-        AllowanceSettings.DEFAULT);
+    return SimulatedHosts.settings("host", "z", "10.0.0.1", List.of("10.0.0.1"), true, 100);
   }
 
   private void endResponse() {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderPropertiesTest.java
@@ -44,9 +44,8 @@
       simulation.restoreLinksToRunners(host);
     }
     simulation.advanceTime(12_000);
-    int ordersBefore = simulation.orderCount();
-    simulation.advanceTime(4_000);
-    assertThat(simulation.orderCount()).isGreaterThan(ordersBefore);
+    int orders = simulation.ordersWithin(4_000);
+    assertThat(orders).isGreaterThan(0);
   }
 
   /** Guards against runners without orders because their holder has lost its links to them. */
@@ -62,12 +61,11 @@
       }
       cut.forEach(simulation::cutFromRunners);
       simulation.advanceTime(8_000);
-      int ordersBefore = simulation.orderCount();
-      simulation.advanceTime(4_000);
+      int orders = simulation.ordersWithin(4_000);
       assertWithMessage("hosts that order, of which %s are cut off", cut)
           .that(Sets.intersection(simulation.orderingHosts(), cut))
           .isEmpty();
-      assertThat(simulation.orderCount()).isGreaterThan(ordersBefore);
+      assertThat(orders).isGreaterThan(0);
     }
   }
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.allowance.FleetSpending;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
@@ -32,12 +31,12 @@
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerTermination;
 import org.sequoiahub.core.quarantine.RunnerTerminationListener;
-import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.routing.EngineSpec;
 import org.sequoiahub.core.routing.ModelSpec;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerIncarnation;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.node.SimulatedHosts;
 import org.sequoiahub.node.peer.FleetTopology;
 import org.sequoiahub.node.peer.PeerHeartbeats;
 import org.sequoiahub.node.peer.StateCodec;
@@ -119,8 +118,11 @@
     }
   }
 
-  int orderCount() {
-    return orderCount;
+  /** Lets time pass, and returns the number of orders that the runners received meanwhile. */
+  int ordersWithin(long millis) {
+    int before = orderCount;
+    advanceTime(millis);
+    return orderCount - before;
   }
 
   /** Returns the id of a runner. */
@@ -370,26 +372,13 @@
     }
 
     private HostSettings settings(boolean firstStart) {
-      return new HostSettings(
+      return SimulatedHosts.settings(
           "host-" + number,
           "z",
           "10.0.0." + number,
-          1,
-          2,
-          3,
-          4,
-          5,
           List.of("10.0.0.0", "10.0.0.1", "10.0.0.2"),
           firstStart,
-          "10.0.0.9:1",
-          8_000,
-          2_000,
-          2_000,
-          LEASE_MILLIS,
-          new RetryBudgetSettings(0.2, 50, 10_000),
-          5_000,
-          100,
-          AllowanceSettings.DEFAULT);
+          100);
     }
 
     private RunnerStates newRunnerStates(boolean firstStart) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/InterruptedLeaseTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/InterruptedLeaseTest.java
@@ -36,9 +36,8 @@
 
   private static void assertOrdersGoOn(HolderSimulation simulation) {
     simulation.advanceTime(12_000);
-    int ordersBefore = simulation.orderCount();
-    simulation.advanceTime(4_000);
-    assertThat(simulation.orderCount()).isGreaterThan(ordersBefore);
+    int orders = simulation.ordersWithin(4_000);
+    assertThat(orders).isGreaterThan(0);
   }
 
   /** Two hosts gain the lease from each other while the other one is paused. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/CallerAddressesTest.java
@@ -6,10 +6,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
-import org.sequoiahub.core.retry.RetryBudgetSettings;
+import org.sequoiahub.node.SimulatedHosts;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.usersplatform.HostSettings;
 
@@ -25,26 +24,7 @@
   private final CallerAddresses addresses = new CallerAddresses(settings(), members, topology);
 
   private static HostSettings settings() {
-    return new HostSettings(
-        "host-0",
-        "z0",
-        "ip-0",
-        1,
-        2,
-        3,
-        4,
-        5,
-        List.of("ip-1"),
-        true,
-        "store:1",
-        8_000,
-        2_000,
-        2_000,
-        3_000,
-        new RetryBudgetSettings(0.2, 50, 10_000),
-        5_000,
-        WEAK,
-        AllowanceSettings.DEFAULT);
+    return SimulatedHosts.settings("host-0", "z0", "ip-0", List.of("ip-1"), true, WEAK);
   }
 
   /** Reports the states of hosts 1 to {@code count}, the first eight of which are strong. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
@@ -26,9 +26,9 @@
 import org.sequoiahub.core.quarantine.RequestFingerprint;
 import org.sequoiahub.core.quarantine.RequestQuarantine;
 import org.sequoiahub.core.quarantine.RunnerTermination;
-import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.store.StorePosition;
 import org.sequoiahub.core.upstream.RunnerEntry;
+import org.sequoiahub.node.SimulatedHosts;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostState;
@@ -298,26 +298,13 @@
   }
 
   private HostSettings settings(int number, boolean firstStart) {
-    return new HostSettings(
+    return SimulatedHosts.settings(
         "host-" + number,
         "z" + number % domains,
         "ip-" + number,
-        1,
-        2,
-        3,
-        4,
-        5,
         List.of("ip-0", "ip-1", "ip-2"),
         firstStart,
-        "store:1",
-        8_000,
-        2_000,
-        2_000,
-        3_000,
-        new RetryBudgetSettings(0.2, 50, 10_000),
-        5_000,
-        processor(number),
-        AllowanceSettings.DEFAULT);
+        processor(number));
   }
 
   long now() {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/runnerstate/RunnerStatesTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/runnerstate/RunnerStatesTest.java
@@ -7,11 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.sequoiahub.core.allowance.AllowanceSettings;
 import org.sequoiahub.core.ratelimit.StatedLimit;
-import org.sequoiahub.core.retry.RetryBudgetSettings;
 import org.sequoiahub.core.runnerstate.CallKind;
 import org.sequoiahub.core.runnerstate.RunnerSignals;
+import org.sequoiahub.node.SimulatedHosts;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.runtime.metrics.MetricsText;
 import org.sequoiahub.usersplatform.HostSettings;
@@ -38,26 +37,7 @@
   }
 
   private static HostSettings settings() {
-    return new HostSettings(
-        "host-1",
-        "z",
-        "ip-1",
-        1,
-        2,
-        3,
-        4,
-        5,
-        List.of("ip-1"),
-        true,
-        "store:1",
-        8_000,
-        2_000,
-        2_000,
-        3_000,
-        new RetryBudgetSettings(0.2, 50, 10_000),
-        5_000,
-        100,
-        AllowanceSettings.DEFAULT);
+    return SimulatedHosts.settings("host-1", "z", "ip-1", List.of("ip-1"), true, 100);
   }
 
   @Test
