--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Callers.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Callers.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -31,6 +32,8 @@
   private final int port;
   private final Random random;
   private final String runId;
+  private final List<Kind> kinds;
+  private final LongSupplier deadlineMillis;
   private final AtomicInteger sentCount = new AtomicInteger();
   private final AtomicInteger inProgress = new AtomicInteger();
   private final Queue<RequestResult> results = new ConcurrentLinkedQueue<>();
@@ -40,13 +43,24 @@
    *
    * @param port the port on which each host serves callers
    * @param runId the prefix of each request id, which keeps the ids of different runs distinct
+   * @param kinds the kinds of requests, drawn with equal probability
+   * @param deadlineMillis returns the deadline that the next request states (ms)
    */
-  Callers(HttpClient http, List<HostProcess> hosts, int port, Random random, String runId) {
+  Callers(
+      HttpClient http,
+      List<HostProcess> hosts,
+      int port,
+      Random random,
+      String runId,
+      List<Kind> kinds,
+      LongSupplier deadlineMillis) {
     this.http = http;
     this.hosts = hosts;
     this.port = port;
     this.random = random;
     this.runId = runId;
+    this.kinds = List.copyOf(kinds);
+    this.deadlineMillis = deadlineMillis;
   }
 
   /** Returns the results of the requests that have ended. */
@@ -61,9 +75,10 @@
 
   /** Sends one request of a random kind to a random host, without waiting for its response. */
   void send() {
-    Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+    Kind kind = kinds.get(random.nextInt(kinds.size()));
     String id = runId + "-" + sentCount.incrementAndGet();
     HostProcess host = hosts.get(random.nextInt(hosts.size()));
+    long deadline = deadlineMillis.getAsLong();
     Request request =
         http.newRequest("http://" + host.ip() + ":" + port)
             .path(kind.prefix() + "x?id=" + id)
@@ -74,7 +89,7 @@
                     headers
                         .put("Host", "h.example")
                         .put(Headers.REQUEST_ID, id)
-                        .put(Headers.DEADLINE, Long.toString(DEADLINE_MILLIS)));
+                        .put(Headers.DEADLINE, Long.toString(deadline)));
     if (kind.isStream()) {
       String model = "m/a" + random.nextInt(ADAPTERS);
       request.headers(
@@ -100,6 +115,7 @@
                           null,
                           String.valueOf(failure),
                           host.name(),
+                          deadline,
                           sentNanos,
                           System.nanoTime())
                       : new RequestResult(
@@ -109,6 +125,7 @@
                           response.getContentAsString(),
                           "",
                           host.name(),
+                          deadline,
                           sentNanos,
                           System.nanoTime()));
               inProgress.decrementAndGet();
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/EarlyEndCheck.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/EarlyEndCheck.java
@@ -58,7 +58,7 @@
    */
   static Optional<String> violation(
       RequestResult request, List<Run> runs, boolean hostInterrupted) {
-    long deadline = request.sentNanos() + TimeUnit.MILLISECONDS.toNanos(Callers.DEADLINE_MILLIS);
+    long deadline = request.sentNanos() + TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis());
     boolean ended = request.endedNanos() - deadline < -DEADLINE_MARGIN_NANOS;
     // A run that another one took over from was given up rightly, whatever became of the latter.
     boolean takenOver = runs.stream().anyMatch(run -> run.interrupted() && run.pieces() > 0);
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/RequestResult.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/RequestResult.java
@@ -11,6 +11,7 @@
  * @param body the response body; null if no complete response was received
  * @param failure why no complete response was received; empty if one was
  * @param host the name of the host that the request was sent to
+ * @param deadlineMillis the deadline that the request stated (ms)
  * @param sentNanos when the request was sent, in {@link System#nanoTime()}
  * @param endedNanos when its response ended, in {@link System#nanoTime()}
  */
@@ -21,6 +22,7 @@
     @Nullable String body,
     String failure,
     String host,
+    long deadlineMillis,
     long sentNanos,
     long endedNanos) {
 
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -48,6 +49,26 @@
   private static final int PLAIN_DURATION_MILLIS = 15;
   private static final long REQUEST_INTERVAL_MILLIS = 25;
 
+  /** The same in runs with short deadlines (ms). */
+  private static final long SHORT_REQUEST_INTERVAL_MILLIS = 1;
+
+  /** The kinds of requests in such runs: mostly of the kind that must not run twice. */
+  private static final List<RequestResult.Kind> SHORT_DEADLINE_KINDS =
+      List.of(
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.PLAIN_ONCE,
+          RequestResult.Kind.STREAM_ONCE,
+          RequestResult.Kind.PLAIN);
+
+  /** The deadlines of requests in such runs (ms). */
+  private static final int MIN_SHORT_DEADLINE_MILLIS = 60;
+
+  private static final int MAX_SHORT_DEADLINE_MILLIS = 700;
+
   /** The longest time that a runner takes for a request while it is not suspended (ns). */
   private static final long LONGEST_WORK_NANOS =
       TimeUnit.MILLISECONDS.toNanos((long) EVENTS_PER_STREAM * EVENT_INTERVAL_MILLIS);
@@ -187,6 +208,9 @@
     runner.version(VERSIONS.get(number % VERSIONS.size()));
     runner.streamEvents(EVENTS_PER_STREAM, EVENT_INTERVAL_MILLIS);
     runner.plainMillis(PLAIN_DURATION_MILLIS);
+    if (options.shortDeadlines()) {
+      runner.closeConnectionsAfterResponses();
+    }
     return runner;
   }
 
@@ -351,8 +375,21 @@
     }
     await(this::isEveryHostReady);
     Callers callers =
-        new Callers(http, hosts, ports.get(0), new Random(random.nextLong()), "s" + seed);
-    scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        new Callers(
+            http,
+            hosts,
+            ports.get(0),
+            new Random(random.nextLong()),
+            "s" + seed,
+            options.shortDeadlines() ? SHORT_DEADLINE_KINDS : List.of(RequestResult.Kind.values()),
+            deadlines(new Random(~seed << 16)));
+    long interval =
+        options.shortDeadlines() ? SHORT_REQUEST_INTERVAL_MILLIS : REQUEST_INTERVAL_MILLIS;
+    scheduler.scheduleAtFixedRate(callers::send, 0, interval, TimeUnit.MILLISECONDS);
+    HostPauses pauses = new HostPauses(hosts, new Random(~seed << 24), scheduler);
+    if (options.shortDeadlines()) {
+      pauses.start();
+    }
     FaultInjector faults = new FaultInjector(this, random, new Random(~seed), scheduler);
     RestoreInjector restores = new RestoreInjector(this, new Random(~seed << 8), scheduler);
     SuspensionInjector suspensions = new SuspensionInjector(this, suspensionRandom(), scheduler);
@@ -367,6 +404,7 @@
       }
       TimeUnit.MILLISECONDS.sleep(50 + random.nextInt(900));
     }
+    pauses.stop();
     faults.undoAll();
     boolean recovered = await(this::isEveryHostReady);
     final boolean servingAgain = recovered && await(() -> isServingAgain(callers));
@@ -407,6 +445,14 @@
     return violations;
   }
 
+  private LongSupplier deadlines(Random deadlineRandom) {
+    return options.shortDeadlines()
+        ? () ->
+            MIN_SHORT_DEADLINE_MILLIS
+                + deadlineRandom.nextInt(MAX_SHORT_DEADLINE_MILLIS - MIN_SHORT_DEADLINE_MILLIS)
+        : () -> Callers.DEADLINE_MILLIS;
+  }
+
   /** Returns whether a response was completed although its runners were silent for long. */
   private static boolean isLongResponse(RequestResult request) {
     return request.status() == 200
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/SoakMain.java
@@ -41,6 +41,12 @@
                 false,
                 "the store comes back from older copies; changes that it acknowledges afterwards"
                     + " must be in force within the bound")
+            .addOption(
+                null,
+                "short-deadlines",
+                false,
+                "deadlines of fractions of a second, hosts that are paused for as long, and runners"
+                    + " that close their connections")
             .addOption(null, "jar", true, "the path of the host program");
     try {
       CommandLine flags = new DefaultParser().parse(options, arguments);
@@ -59,7 +65,10 @@
     Path jar =
         Path.of(flags.getOptionValue("jar", "sequoia-node/target/sequoia-node-0.1.0-all.jar"));
     SoakOptions options =
-        new SoakOptions(!flags.hasOption("no-suspensions"), flags.hasOption("store-restores"));
+        new SoakOptions(
+            !flags.hasOption("no-suspensions"),
+            flags.hasOption("store-restores"),
+            flags.hasOption("short-deadlines"));
     boolean allHeld = true;
     for (long seed = first; seed < first + seeds; seed++) {
       Path directory = Files.createTempDirectory("soak-" + seed + "-");
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/ChangeCheckerTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/ChangeCheckerTest.java
@@ -78,6 +78,7 @@
               "",
               "",
               "host-0",
+              Callers.DEADLINE_MILLIS,
               nanos(sentMillis),
               nanos(startedMillis + 100));
       return checker.violations(List.of(result), impairments);
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/EarlyEndCheckTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/EarlyEndCheckTest.java
@@ -25,6 +25,7 @@
         null,
         "closed",
         "host-0",
+        Callers.DEADLINE_MILLIS,
         nanos(SENT_MILLIS),
         nanos(SENT_MILLIS + afterMillis));
   }
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/StopSoakTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/StopSoakTest.java
@@ -26,7 +26,7 @@
     assertWithMessage("the host program exists; build sequoia-node first")
         .that(Files.exists(jar))
         .isTrue();
-    SoakOptions options = new SoakOptions(true, false);
+    SoakOptions options = SoakOptions.SUSPENSIONS;
     try (Soak soak = new Soak(SEED, HOSTS, jar.toAbsolutePath(), directory, options)) {
       assertThat(soak.run(FAULT_MILLIS)).isEmpty();
     }
--- a/sequoia-soak/src/test/java/org/sequoiahub/soak/SuspendedRunnersSoakTest.java
+++ b/sequoia-soak/src/test/java/org/sequoiahub/soak/SuspendedRunnersSoakTest.java
@@ -24,7 +24,7 @@
     assertWithMessage("the host program exists; build sequoia-node first")
         .that(Files.exists(jar))
         .isTrue();
-    SoakOptions options = new SoakOptions(true, false);
+    SoakOptions options = SoakOptions.SUSPENSIONS;
     try (Soak soak = new Soak(SEED, HOSTS, jar.toAbsolutePath(), directory, options)) {
       assertThat(soak.run(FAULT_MILLIS)).isEmpty();
     }
