Failing test: a request that was reported as not sent arrives at its runner

Cancels 4,000 attempts while their connections are opened, and concludes as RequestCoordinator.expire does: not begun, so not run.

--- /dev/null
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/CancelledAttemptTest.java
@@ -0,0 +1,91 @@
+package org.sequoiahub.node.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.sequoiahub.usersplatform.Headers;
+
+/** Cancels attempts while their connections are being opened. */
+class CancelledAttemptTest {
+
+  private static final int ATTEMPTS = 4_000;
+
+  /** Connects on loopback and the begin of a request take less (ns). */
+  private static final int MAX_DELAY_NANOS = 600_000;
+
+  private static final long ARRIVAL_MILLIS = 500;
+
+  private HttpClient http;
+  private UpstreamClient client;
+
+  @BeforeEach
+  void start() throws Exception {
+    http = UpstreamClient.start();
+    client = new UpstreamClient(http, System::currentTimeMillis);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    http.stop();
+  }
+
+  /** Guards against a request that runs although its caller was told that it never will. */
+  @Test
+  @Tag("known-red")
+  void neverArrivesIfItWasReportedAsNotSent() throws Exception {
+    Random random = new Random(1);
+    Set<String> reportedAsNotSent = new HashSet<>();
+    try (ScriptedRunner runner = new ScriptedRunner((number, connection, out) -> connection.close())) {
+      for (int number = 0; number < ATTEMPTS; number++) {
+        String id = "q" + number;
+        Attempt attempt = start(runner, id);
+        spin(random.nextInt(MAX_DELAY_NANOS));
+        boolean notSent = !attempt.mayHaveReachedRunner();
+        attempt.cancel("deadline exceeded");
+        if (notSent) {
+          reportedAsNotSent.add(id);
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MILLIS);
+      List<String> ran =
+          runner.requestHeads().stream()
+              .map(CancelledAttemptTest::requestId)
+              .filter(reportedAsNotSent::contains)
+              .toList();
+      assertThat(reportedAsNotSent).isNotEmpty();
+      assertThat(ran).isEmpty();
+    }
+  }
+
+  private Attempt start(ScriptedRunner runner, String id) {
+    HttpFields headers = HttpFields.build().add(Headers.REQUEST_ID, id).add("Host", "h.example");
+    return client.start(
+        runner.entry(), "POST", "/x", id, headers, new byte[10], false, new AttemptRecorder());
+  }
+
+  private static String requestId(String head) {
+    String name = Headers.REQUEST_ID + ": ";
+    return head.lines()
+        .filter(line -> line.startsWith(name))
+        .map(line -> line.substring(name.length()))
+        .findFirst()
+        .orElse("");
+  }
+
+  private static void spin(long nanos) {
+    long end = System.nanoTime() + nanos;
+    while (System.nanoTime() - end < 0) {
+      Thread.onSpinWait();
+    }
+  }
+}
