Let one place state that a request has not run, on evidence for each send

What callers saw: a request that may run once was answered 503, which promises that it has not run and never will, and a runner ran it (REFUSED); its caller came back and it ran again.

Cause: RequestCoordinator.expire read that an attempt had not begun, and cancelled it afterwards; the HTTP client's thread could begin to send it in between. After a pause of the process deadlines and finished connects fall due together. The claim was a boolean computed beside the sends, from counters that each ending kept by itself (runs, mayHaveRun).

Now an attempt is unsent, begun or withdrawn, and one atomic step decides which. A withdrawn one closes its connection before the client writes; aborting it was not enough (the test stayed red). SendHistory holds a verdict for each send, by whatever host, an open one counting as one that may have run, and a status that promises leaves a host only through CallerExchange.reject, with that evidence. A host that serves a request for another one states the verdict; it is no longer concluded from a status. A repeat of a request that may run once asks the same history. Allowances are refunded and quarantine records unanswered requests by the verdict of the cancellation, too.

The log line own-answer names the evidence, attempt-failed each send.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/AttemptSender.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/AttemptSender.java
@@ -53,7 +53,7 @@
         "runner",
         active.runner.id(),
         "send",
-        call.sends,
+        active.number,
         "left_ms",
         call.deadlineMillis() - nowMillis,
         "unread",
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/Call.java
@@ -14,6 +14,8 @@
 import org.sequoiahub.core.runnerstate.StatedLoad;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.SendHistory;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.core.workspace.Workspace;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.RequestForwarder;
@@ -99,14 +101,8 @@
   /** Since when the runner of its stream has been silent, once that is on record (ms). */
   long silentSinceMillis;
 
-  /** Number of times that it was sent to a runner, including refused attempts. */
-  int sends;
-
-  /** Number of attempts that may have run. */
-  int runs;
-
-  /** Whether a runner may have started to run it. */
-  boolean mayHaveRun;
+  /** What is known of each time that it was sent to a runner or to another host. */
+  final SendHistory sends;
 
   boolean done;
 
@@ -134,6 +130,8 @@
     this.arrivedMillis = arrivedMillis;
     this.deadlineMillis = deadlineMillis;
     this.relay = new StreamRelay(exchange);
+    CallerExchange.Forwarding forwarding = exchange.forwarding();
+    this.sends = new SendHistory(forwarding == null ? 0 : forwarding.priorRuns());
   }
 
   /** An attempt in progress. */
@@ -208,7 +206,13 @@
 
   /** Returns whether the request may be sent to a runner beside its active attempts. */
   boolean mayAddAttempt() {
-    return runs + activeAttempts.size() < route.maxAttempts() && sends < RetryRule.MAX_SENDS;
+    return sends.possibleRuns() + activeAttempts.size() < route.maxAttempts()
+        && sends.count() < RetryRule.MAX_SENDS;
+  }
+
+  /** Returns whether it has certainly not run, or may run again. */
+  boolean mayRunAgain() {
+    return route.repeatPolicy().allowsRerun() || sends.verdict() instanceof Verdict.NotRun;
   }
 
   /** Returns whether another host passed the request on to this one. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/LocalResponses.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/LocalResponses.java
@@ -1,9 +1,12 @@
 package org.sequoiahub.node.call;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.codahale.metrics.MetricRegistry;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.usersplatform.HeaderCodec;
@@ -22,28 +25,57 @@
     this.log = log;
   }
 
-  /** Returns whether a status guarantees the caller that its request has not run and will not. */
-  static boolean guaranteesNotRun(int status) {
-    return status == HttpStatus.TOO_MANY_REQUESTS_429
-        || status == HttpStatus.SERVICE_UNAVAILABLE_503
-        || status == HttpStatus.REQUEST_TIMEOUT_408
-        || status == HttpStatus.MISDIRECTED_REQUEST_421;
+  /**
+   * Answers a request that is not served: with 503 if it has certainly not run, else with a status
+   * that promises nothing.
+   *
+   * @param verdict whether the request may have run
+   * @param mayHaveRunStatus the status if it may have run
+   * @param reason the reason, for a human reader
+   * @param notRunRetryMillis when the caller may retry if it has not run (ms from now); negative
+   *     for no Retry-After
+   * @param mayHaveRunRetryMillis the same if it may have run
+   * @return the status
+   */
+  int endUnserved(
+      CallerExchange exchange,
+      CallerHeaders headers,
+      Verdict verdict,
+      int mayHaveRunStatus,
+      String reason,
+      long notRunRetryMillis,
+      long mayHaveRunRetryMillis) {
+    if (verdict instanceof Verdict.NotRun evidence) {
+      int status = HttpStatus.SERVICE_UNAVAILABLE_503;
+      reject(exchange, headers, evidence, status, reason, notRunRetryMillis);
+      return status;
+    }
+    respond(exchange, headers, mayHaveRunStatus, reason, mayHaveRunRetryMillis);
+    return mayHaveRunStatus;
   }
 
   /**
    * Rejects a request that has not run and will not.
    *
+   * @param evidence what shows that it has not run
    * @param reason the reason, for a human reader
-   * @param retryAfterMillis when the caller may retry (ms from now)
+   * @param retryAfterMillis when the caller may retry (ms from now); negative for no Retry-After
    */
   void reject(
-      CallerExchange exchange, CallerHeaders headers, String reason, long retryAfterMillis) {
-    respond(exchange, headers, HttpStatus.SERVICE_UNAVAILABLE_503, reason, retryAfterMillis);
+      CallerExchange exchange,
+      CallerHeaders headers,
+      Verdict.NotRun evidence,
+      int status,
+      String reason,
+      long retryAfterMillis) {
+    record(headers, status, reason, evidence.reason());
+    exchange.reject(evidence, status, fields(headers, retryAfterMillis), content(reason));
   }
 
   /**
-   * Responds to a request, which ends it.
+   * Responds to a request that may have run, which ends it.
    *
+   * @param status a status that does not guarantee that the request has not run
    * @param reason the reason, for a human reader
    * @param retryAfterMillis when the caller may retry (ms from now); negative for no Retry-After
    */
@@ -53,6 +85,25 @@
       int status,
       String reason,
       long retryAfterMillis) {
+    record(headers, status, reason, "may-have-run");
+    exchange.respond(status, fields(headers, retryAfterMillis), content(reason));
+  }
+
+  private void record(CallerHeaders headers, int status, String reason, String evidence) {
+    metrics.counter("answers.own." + status).inc();
+    log.info(
+        "own-answer",
+        "request",
+        headers.requestId(),
+        "status",
+        status,
+        "why",
+        reason,
+        "evidence",
+        evidence);
+  }
+
+  private static HttpFields fields(CallerHeaders headers, long retryAfterMillis) {
     HttpFields.Mutable fields = HttpFields.build();
     if (!headers.requestId().isEmpty()) {
       fields.put(HeaderCodec.requestId(headers.requestId()));
@@ -60,8 +111,10 @@
     if (retryAfterMillis >= 0) {
       fields.put(HttpHeader.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
     }
-    metrics.counter("answers.own." + status).inc();
-    log.info("own-answer", "request", headers.requestId(), "status", status, "why", reason);
-    exchange.respond(status, fields, reason);
+    return fields;
+  }
+
+  private static byte[] content(String reason) {
+    return (reason + "\n").getBytes(UTF_8);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/QuarantineGate.java
@@ -23,6 +23,7 @@
 import org.sequoiahub.core.quarantine.RunnerTerminationListener;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.upstream.RunnerRegistry;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.runtime.log.EventLog;
 
 /**
@@ -217,15 +218,13 @@
     recordTerminations(call, active, nowMillis, confirmed, nowMillis);
   }
 
-  /** Records that all active attempts of a request are abandoned without a response. */
-  void recordUnanswered(Call call, long nowMillis) {
-    call.activeAttempts.forEach(active -> recordUnanswered(call, active, nowMillis));
-  }
-
-  /** Records that an attempt was abandoned without a response; its runner may be silent. */
-  void recordUnanswered(Call call, Call.ActiveAttempt active, long nowMillis) {
-    boolean sent = active.attempt != null && active.attempt.mayHaveReachedRunner();
-    if (!sent || runners.isLeaving(active.runner)) {
+  /**
+   * Records that an attempt was abandoned without a response; its runner may be silent.
+   *
+   * @param verdict whether the attempt may have run
+   */
+  void recordUnanswered(Call call, Call.ActiveAttempt active, Verdict verdict, long nowMillis) {
+    if (verdict instanceof Verdict.NotRun || runners.isLeaving(active.runner)) {
       return;
     }
     unanswered.addLast(new Unanswered(call, active, nowMillis));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -39,6 +39,7 @@
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerProbe;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.HostSelector;
@@ -48,6 +49,7 @@
 import org.sequoiahub.node.reach.RunnerPathMonitor;
 import org.sequoiahub.node.runnerstate.RunnerStates;
 import org.sequoiahub.node.store.ConfigurationStatus;
+import org.sequoiahub.node.upstream.Attempt;
 import org.sequoiahub.node.upstream.Outcome;
 import org.sequoiahub.node.upstream.UpstreamClient;
 import org.sequoiahub.runtime.log.EventLog;
@@ -86,6 +88,14 @@
   /** Stands for the version of an adapter that need not be loaded. */
   private static final int NO_LOAD = -1;
 
+  /** The verdict on a request that is answered before it is placed. */
+  private static final Verdict.NotRun NEVER_SENT =
+      new Verdict.NotRun("never-sent", "the request was sent to no runner", 0);
+
+  /** The verdict on an attempt whose start has failed with an exception. */
+  private static final Verdict NOT_STARTED =
+      new Verdict.MayHaveRun("start-failed", "the attempt was not started in order");
+
   private final FleetView fleet;
   private final CandidateSelector selector;
   private final KeyHasher keyHasher;
@@ -232,7 +242,8 @@
   }
 
   private void deny(CallerExchange exchange, CallerHeaders headers, Admission.Denied denied) {
-    localResponses.respond(exchange, headers, denied.status(), denied.why(), denied.retryMillis());
+    localResponses.reject(
+        exchange, headers, NEVER_SENT, denied.status(), denied.why(), denied.retryMillis());
   }
 
   private void accept(
@@ -246,7 +257,12 @@
     if (shutdown != null) {
       if (!shutdown.accepts(timeoutMillis, now)) {
         localResponses.reject(
-            exchange, headers, "this host is shutting down", MIN_RETRY_AFTER_MILLIS);
+            exchange,
+            headers,
+            NEVER_SENT,
+            HttpStatus.SERVICE_UNAVAILABLE_503,
+            "this host is shutting down",
+            MIN_RETRY_AFTER_MILLIS);
         return;
       }
       deadlineMillis = Math.min(deadlineMillis, shutdown.finalStatusMillis());
@@ -271,7 +287,6 @@
             now,
             deadlineMillis);
     if (forwarded != null) {
-      call.runs = forwarded.priorRuns();
       metrics.counter("forwarding.received").inc();
       log.info("request-taken-over", "request", call.id(), "from", forwarded.host());
       call.requiredVersion = forwarded.streamVersion();
@@ -298,9 +313,8 @@
       }
       if (checkCallers && call.exchange.isCallerDisconnected()) {
         log.info("caller-gone", "request", call.id());
-        quarantineGate.recordUnanswered(call, nowMillis);
         String reason = "the caller has disconnected";
-        cancelAttempts(call, reason);
+        abandonAttempts(call, reason, nowMillis);
         earlyEndings.end(call, EarlyEndings.Cause.CALLER_DISCONNECTED, reason, nowMillis);
         remove(call);
       } else if (nowMillis >= call.deadlineMillis()) {
@@ -367,6 +381,10 @@
     if (rejectIfQuarantined(call, NO_LOAD, nowMillis)) {
       return;
     }
+    if (!call.mayRunAgain()) {
+      fail(call, "an earlier attempt may have run", MIN_RETRY_AFTER_MILLIS);
+      return;
+    }
     if (runnerPath.isLost()) {
       waitingCalls.stopWaiting(call);
       forwarding.forward(call, nowMillis);
@@ -382,6 +400,9 @@
     String reason = "the access key has been revoked";
     if (call.exchange.isStarted()) {
       earlyEndings.end(call, EarlyEndings.Cause.KEY_REVOKED, reason, nowMillis);
+    } else if (call.sends.verdict() instanceof Verdict.NotRun evidence) {
+      localResponses.reject(
+          call.exchange, call.headers, evidence, HttpStatus.UNAUTHORIZED_401, reason, -1);
     } else {
       localResponses.respond(call.exchange, call.headers, HttpStatus.UNAUTHORIZED_401, reason, -1);
     }
@@ -390,12 +411,19 @@
 
   /** Ends a request that takes up a stream which cannot go on; coming back would not help. */
   private void refuseResume(Call call, String reason, long nowMillis) {
-    if (call.runs > 0) {
+    if (call.exchange.isStarted()) {
       fail(call, reason, 0);
       return;
     }
-    int status = HttpStatus.SERVICE_UNAVAILABLE_503;
-    localResponses.respond(call.exchange, call.headers, status, reason, -1);
+    int status =
+        localResponses.endUnserved(
+            call.exchange,
+            call.headers,
+            call.sends.verdict(),
+            HttpStatus.BAD_GATEWAY_502,
+            reason,
+            -1,
+            -1);
     finish(call, status, reason, nowMillis);
   }
 
@@ -515,9 +543,9 @@
       return;
     }
     waitingCalls.stopWaiting(call);
-    call.sends++;
     Call.ActiveAttempt active =
-        new Call.ActiveAttempt(call.sends, runner, nowMillis, firstTokenMillis, unreadTokens);
+        new Call.ActiveAttempt(
+            call.sends.begin(), runner, nowMillis, firstTokenMillis, unreadTokens);
     call.activeAttempts.add(active);
     fleet.speeds().recordSending(active, fleet.fleetLoad(), nowMillis);
     fleet.fleetLoad().add(runner.id(), 1, unreadTokens, 0, call.adapter());
@@ -606,11 +634,11 @@
     if (!call.activeAttempts.remove(active)) {
       return;
     }
+    call.sends.end(active.number, outcome.verdict());
     releaseLoad(call, active, RefusalHandling.end(outcome));
     if (call.done) {
       return;
     }
-    call.mayHaveRun |= !(outcome instanceof Outcome.Refused || outcome instanceof Outcome.NotSent);
     long now = clock.getAsLong();
     fleet.speeds().recordStated(active, now);
     if (outcome instanceof Outcome.StreamCompleted completed) {
@@ -635,7 +663,6 @@
       }
       onAttemptFailed(call, active, Ending.NOT_SENT, notSent.reason(), null, now);
     } else if (outcome instanceof Outcome.ResponseLost lost) {
-      call.runs++;
       fleet.health(active.runner).failed(now);
       quarantineGate.logLostResponse(call, active, now);
       if (lost.connectionBroken() && !runnerPath.isLost()) {
@@ -647,14 +674,14 @@
 
   private void onResponse(
       Call call, Call.ActiveAttempt active, Outcome.Answered answered, long now) {
-    call.runs++;
     if (silentStreams.isStandby(call, active)) {
       // The first runner may still go on.
       String reason = "the second runner answered with status " + answered.status();
       onAttemptFailed(call, active, Ending.FAILED, reason, null, now);
       return;
     }
-    if (answered.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
+    if (answered.status() < HttpStatus.INTERNAL_SERVER_ERROR_500
+        && !CallerExchange.guaranteesNotRun(answered.status())) {
       fleet.health(active.runner).succeeded(now - active.startedMillis, now);
       cancelAttempts(call, "another attempt was answered");
       if (HttpStatus.isSuccess(answered.status())) {
@@ -706,9 +733,9 @@
         "why",
         reason,
         "sends",
-        call.sends,
+        call.sends.summary(),
         "runs",
-        call.runs,
+        call.sends.possibleRuns(),
         "after_ms",
         now - call.arrivedMillis);
     if (ending != Ending.REFUSED) {
@@ -721,8 +748,8 @@
         RetryRule.mayRetry(
             ending,
             call.route.repeatPolicy(),
-            call.sends,
-            call.runs,
+            call.sends.count(),
+            call.sends.possibleRuns(),
             call.route.maxAttempts(),
             call.deadlineMillis() - now);
     if (RetryRule.usesRetryBudget(ending)) {
@@ -739,7 +766,7 @@
 
   /** Forwards a runner's complete response to the caller. */
   private void forwardResponse(Call call, Outcome.Answered answered, long now) {
-    if (LocalResponses.guaranteesNotRun(answered.status())) {
+    if (CallerExchange.guaranteesNotRun(answered.status())) {
       // The status would promise that the request has not run, which the runner did not state.
       localResponses.respond(
           call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
@@ -761,35 +788,35 @@
     boolean started = call.exchange.isStarted();
     if (started) {
       earlyEndings.end(call, EarlyEndings.Cause.ATTEMPTS_FAILED, reason, now);
-    } else if (call.runs > 0) {
-      // The caller may retry at once, unless the request is quarantined.
-      long retryAfter = quarantinedUntil.isPresent() ? quarantinedUntil.getAsLong() - now : -1;
-      localResponses.respond(
-          call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, reason, retryAfter);
-    } else {
-      long retryAfter = quarantinedUntil.orElse(now + retryAfterMillis) - now;
-      localResponses.reject(
-          call.exchange, call.headers, reason, Math.max(MIN_RETRY_AFTER_MILLIS, retryAfter));
+      finish(call, 0, reason, now);
+      return;
     }
-    finish(call, started ? 0 : call.runs > 0 ? 502 : 503, reason, now);
+    long retryAfter = quarantinedUntil.orElse(now + retryAfterMillis) - now;
+    int status =
+        localResponses.endUnserved(
+            call.exchange,
+            call.headers,
+            call.sends.verdict(),
+            HttpStatus.BAD_GATEWAY_502,
+            reason,
+            Math.max(MIN_RETRY_AFTER_MILLIS, retryAfter),
+            // The caller may retry at once, unless the request is quarantined.
+            quarantinedUntil.isPresent() ? quarantinedUntil.getAsLong() - now : -1);
+    finish(call, status, reason, now);
   }
 
   private void expire(Call call, long nowMillis) {
-    boolean mayHaveReachedRunner =
-        call.activeAttempts.stream()
-                .anyMatch(r -> r.attempt != null && r.attempt.mayHaveReachedRunner())
-            || call.forwarded != null;
-    quarantineGate.recordUnanswered(call, nowMillis);
-    cancelAttempts(call, "deadline exceeded");
+    String reason = "deadline exceeded";
+    abandonAttempts(call, reason, nowMillis);
+    int status = HttpStatus.GATEWAY_TIMEOUT_504;
     if (call.exchange.isStarted()) {
-      earlyEndings.end(call, EarlyEndings.Cause.DEADLINE, "deadline exceeded", nowMillis);
-    } else if (mayHaveReachedRunner || call.runs > 0) {
-      localResponses.respond(
-          call.exchange, call.headers, HttpStatus.GATEWAY_TIMEOUT_504, "deadline exceeded", -1);
+      earlyEndings.end(call, EarlyEndings.Cause.DEADLINE, reason, nowMillis);
     } else {
-      localResponses.reject(call.exchange, call.headers, "deadline exceeded", 0);
+      status =
+          localResponses.endUnserved(
+              call.exchange, call.headers, call.sends.verdict(), status, reason, 0, -1);
     }
-    finish(call, HttpStatus.GATEWAY_TIMEOUT_504, "deadline exceeded", nowMillis);
+    finish(call, status, reason, nowMillis);
   }
 
   private void checkActiveAttempts(Call call, long nowMillis) {
@@ -866,10 +893,9 @@
 
     @Override
     public void cancel(Call call, Call.ActiveAttempt attempt, String reason, long nowMillis) {
-      call.runs++;
       call.excludedRunners.add(attempt.runner.id());
-      quarantineGate.recordUnanswered(call, attempt, nowMillis);
-      cancelAttempt(call, attempt, reason);
+      Verdict verdict = cancelAttempt(call, attempt, reason);
+      quarantineGate.recordUnanswered(call, attempt, verdict, nowMillis);
     }
   }
 
@@ -878,13 +904,23 @@
     List.copyOf(call.activeAttempts).forEach(active -> cancelAttempt(call, active, reason));
   }
 
-  private void cancelAttempt(Call call, Call.ActiveAttempt active, String reason) {
+  /** Cancels all attempts and records that they were not answered. */
+  private void abandonAttempts(Call call, String reason, long nowMillis) {
+    forwarding.cancel(call);
+    for (Call.ActiveAttempt active : List.copyOf(call.activeAttempts)) {
+      Verdict verdict = cancelAttempt(call, active, reason);
+      quarantineGate.recordUnanswered(call, active, verdict, nowMillis);
+    }
+  }
+
+  /** Cancels an attempt and returns whether it may have run. */
+  private Verdict cancelAttempt(Call call, Call.ActiveAttempt active, String reason) {
     call.activeAttempts.remove(active);
+    Attempt attempt = active.attempt;
+    Verdict verdict = attempt == null ? NOT_STARTED : attempt.cancel(reason);
+    call.sends.end(active.number, verdict);
     releaseLoad(call, active, RunPermits.End.CANCELLED);
-    if (active.attempt != null) {
-      call.mayHaveRun |= active.attempt.mayHaveReachedRunner();
-      active.attempt.cancel(reason);
-    }
+    return verdict;
   }
 
   private void releaseLoad(Call call, Call.ActiveAttempt active, RunPermits.End end) {
@@ -914,7 +950,7 @@
 
   private void remove(Call call) {
     call.done = true;
-    if (!call.mayHaveRun && !call.isFromOtherHost()) {
+    if (call.sends.verdict() instanceof Verdict.NotRun && !call.isFromOtherHost()) {
       admission.refund(call.permitted, call.headers, call.arrivedMillis);
     }
     waitingCalls.stopWaiting(call);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
@@ -13,6 +13,8 @@
 import org.sequoiahub.core.response.Completeness;
 import org.sequoiahub.core.response.Framing;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.Verdict;
+import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.forward.ForwardListener;
 import org.sequoiahub.node.forward.ForwardOutcome;
 import org.sequoiahub.node.forward.HostSelector;
@@ -40,6 +42,9 @@
   /** Retry-After of a request that the other host's configuration does not admit yet (ms). */
   private static final long NOT_ADMITTED_RETRY_AFTER_MILLIS = 300;
 
+  private static final Verdict CANCELLED =
+      new Verdict.MayHaveRun("cancelled", "another host may have sent it already");
+
   private final HostSelector hosts;
   private final RequestForwarder forwarder;
   private final CallEndings endings;
@@ -103,8 +108,10 @@
           NO_HOST_RETRY_AFTER_MILLIS);
       return;
     }
-    call.sends++;
-    Call.ForwardedAttempt attempt = new Call.ForwardedAttempt(call.sends, host.get().name());
+    Call.ForwardedAttempt attempt =
+        new Call.ForwardedAttempt(call.sends.begin(), host.get().name());
+    // The other host counts the sends before this one.
+    final int priorRuns = call.sends.possibleRuns();
     call.forwarded = attempt;
     call.relay.expectAttempt(attempt.number);
     metrics.counter("forwarding.sent").inc();
@@ -117,13 +124,13 @@
         "left_ms",
         call.deadlineMillis() - nowMillis,
         "runs",
-        call.runs);
+        priorRuns);
     attempt.request =
         forwarder.forward(
             call.exchange,
             host.get().ip(),
             call.deadlineMillis() - nowMillis,
-            call.runs,
+            priorRuns,
             call.relay.lastEventId(),
             call.requiredVersion,
             new Listener(call, attempt));
@@ -134,7 +141,7 @@
     Call.ForwardedAttempt attempt = call.forwarded;
     if (attempt != null) {
       call.forwarded = null;
-      call.mayHaveRun = true;
+      call.sends.end(attempt.number, CANCELLED);
       if (attempt.request != null) {
         attempt.request.cancel();
       }
@@ -146,9 +153,9 @@
       return;
     }
     call.forwarded = null;
+    call.sends.end(attempt.number, outcome.verdict());
     long now = clock.getAsLong();
     if (outcome instanceof ForwardOutcome.StreamCompleted) {
-      call.mayHaveRun = true;
       call.relay.complete();
       endings.succeeded(call, now);
       endings.finish(call, HttpStatus.OK_200, "", now);
@@ -161,15 +168,19 @@
 
   private void onAnswer(Call call, ForwardOutcome.Answered answered, long nowMillis) {
     // This host has admitted the request, so the other one's configuration is older or newer.
-    boolean notAdmitted = answered.notRun() && !LocalResponses.guaranteesNotRun(answered.status());
-    if (notAdmitted || (answered.notRun() && call.runs > 0)) {
-      endings.fail(
-          call,
-          "the host that the request was passed on to answered " + answered.status(),
-          NOT_ADMITTED_RETRY_AFTER_MILLIS);
+    boolean notAdmitted = answered.notRun() && !CallerExchange.guaranteesNotRun(answered.status());
+    if (answered.notRun()) {
+      if (!notAdmitted && call.sends.verdict() instanceof Verdict.NotRun evidence) {
+        call.exchange.reject(evidence, answered.status(), answered.headers(), answered.body());
+        endings.finish(call, answered.status(), "", nowMillis);
+      } else {
+        endings.fail(
+            call,
+            "the host that the request was passed on to answered " + answered.status(),
+            NOT_ADMITTED_RETRY_AFTER_MILLIS);
+      }
       return;
     }
-    call.mayHaveRun |= !answered.notRun();
     if (HttpStatus.isSuccess(answered.status())) {
       endings.succeeded(call, nowMillis);
     }
@@ -192,13 +203,11 @@
         lost.mayHaveRun());
     call.excludedHosts.add(attempt.host);
     if (lost.mayHaveRun()) {
-      call.mayHaveRun = true;
-      call.runs++;
       call.retryAccount.recordRunnerReached();
     }
     boolean mayRepeat =
         !lost.mayHaveRun()
-            || (call.route.repeatPolicy().allowsRerun() && call.runs < call.route.maxAttempts());
+            || (call.mayRunAgain() && call.sends.possibleRuns() < call.route.maxAttempts());
     if (mayRepeat) {
       endings.place(call, nowMillis);
     } else {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -4,8 +4,10 @@
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.Verdict;
 
 /**
  * One caller's request with its complete body, and its response, which is sent once.
@@ -57,9 +59,28 @@
   /** Requests that the connection is closed after this response. */
   void closeConnectionAfterResponse();
 
-  /** Sends a complete response, or aborts one that was started and has not ended. */
+  /** Returns whether a status guarantees the caller that its request has not run and will not. */
+  static boolean guaranteesNotRun(int status) {
+    return status == HttpStatus.TOO_MANY_REQUESTS_429
+        || status == HttpStatus.SERVICE_UNAVAILABLE_503
+        || status == HttpStatus.REQUEST_TIMEOUT_408
+        || status == HttpStatus.MISDIRECTED_REQUEST_421;
+  }
+
+  /**
+   * Sends a complete response, or aborts one that was started and has not ended. A status that
+   * {@linkplain #guaranteesNotRun guarantees} that the request has not run is sent as 502: only
+   * {@link #reject} may guarantee it.
+   */
   void respond(int status, HttpFields headers, byte[] content);
 
+  /**
+   * Sends a complete response to a request that has not run and will not.
+   *
+   * @param evidence what shows that it has not run
+   */
+  void reject(Verdict.NotRun evidence, int status, HttpFields headers, byte[] content);
+
   /** Sends a complete response with a line of text for a human reader. */
   default void respond(int status, HttpFields headers, String text) {
     respond(status, headers, (text + "\n").getBytes(UTF_8));
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/HttpCallerExchange.java
@@ -4,12 +4,14 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.runtime.http.ChunkWriter;
 
 /** A request that a caller sent to this host over HTTP. */
@@ -92,6 +94,16 @@
 
   @Override
   public void respond(int status, HttpFields headers, byte[] content) {
+    boolean unproved = CallerExchange.guaranteesNotRun(status);
+    send(unproved ? HttpStatus.BAD_GATEWAY_502 : status, headers, content);
+  }
+
+  @Override
+  public void reject(Verdict.NotRun evidence, int status, HttpFields headers, byte[] content) {
+    send(status, headers, content);
+  }
+
+  private void send(int status, HttpFields headers, byte[] content) {
     boolean begun;
     synchronized (this) {
       if (ended) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/forward/ForwardedExchange.java
@@ -3,8 +3,8 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.schema.wire.Chunk;
 import org.sequoiahub.schema.wire.Envelope;
@@ -108,7 +108,19 @@
   }
 
   @Override
-  public synchronized void respond(int status, HttpFields fields, byte[] content) {
+  public void respond(int status, HttpFields fields, byte[] content) {
+    RunVerdict verdict =
+        HeaderCodec.isFromRunner(fields) ? RunVerdict.RAN : RunVerdict.MAY_HAVE_RUN;
+    send(status, fields, content, verdict);
+  }
+
+  @Override
+  public void reject(Verdict.NotRun evidence, int status, HttpFields fields, byte[] content) {
+    send(status, fields, content, RunVerdict.NOT_RUN);
+  }
+
+  private synchronized void send(
+      int status, HttpFields fields, byte[] content, RunVerdict verdict) {
     if (started) {
       abort("the response that has begun ends with status " + status);
       return;
@@ -116,17 +128,7 @@
     started = true;
     sendHead(status, fields, true);
     sendChunk(ByteString.copyFrom(content));
-    end(true, verdict(status, fields));
-  }
-
-  /** Returns whether the request has run, by the status and by whether a runner gave it. */
-  private static RunVerdict verdict(int status, HttpFields fields) {
-    if (HeaderCodec.isFromRunner(fields)) {
-      return RunVerdict.RAN;
-    }
-    return HttpStatus.isClientError(status) || status == HttpStatus.SERVICE_UNAVAILABLE_503
-        ? RunVerdict.NOT_RUN
-        : RunVerdict.MAY_HAVE_RUN;
+    end(true, verdict);
   }
 
   @Override
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.client.HttpResponseException;
 import org.eclipse.jetty.client.Request;
@@ -16,8 +17,11 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.BufferUtil;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.runtime.http.ReceivedResponse;
+import org.sequoiahub.runtime.http.SentRequest;
 import org.sequoiahub.runtime.http.UnterminatedDataException;
 import org.sequoiahub.usersplatform.HeaderCodec;
 import org.sequoiahub.usersplatform.HeaderCodec.ResponseHeaders;
@@ -40,13 +44,27 @@
   private final LongSupplier wallClock;
   private final AttemptListener listener;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.UNSENT);
   private final AtomicBoolean ended = new AtomicBoolean();
-  private volatile boolean requestBegun;
+
+  /** The outcome that was reported to the listener; null before, and after a cancellation. */
+  private volatile @Nullable Outcome reported;
+
   private volatile boolean streaming;
   private volatile boolean streamStartReported;
   private HttpFields responseHeaders = HttpFields.EMPTY;
   private boolean notRun;
 
+  /** Whether the request may be on its way; the HTTP client and the caller race for it. */
+  private enum Progress {
+    /** The client has not begun to send it. */
+    UNSENT,
+    /** The client has begun to send it. */
+    BEGUN,
+    /** It was withdrawn before the client could begin, and will never be sent. */
+    WITHDRAWN
+  }
+
   Attempt(
       Request request,
       String requestId,
@@ -64,7 +82,11 @@
     request
         .onRequestBegin(
             sent -> {
-              requestBegun = true;
+              if (!progress.compareAndSet(Progress.UNSENT, Progress.BEGUN)) {
+                SentRequest.closeConnection(sent);
+                request.abort(new IOException("withdrawn"));
+                return;
+              }
               ReceivedResponse.restartUnframedLimit(sent);
             })
         .onResponseHeaders(this::handleHeaders)
@@ -75,11 +97,21 @@
   /**
    * Cancels the attempt and closes its connection, which tells the runner to stop. The listener is
    * not called for the end of a cancelled attempt.
+   *
+   * @return whether the runner may have received the request; a request that has not run will not
    */
-  public void cancel(String reason) {
+  public Verdict cancel(String reason) {
+    boolean withdrawn = withdraw();
     if (ended.compareAndSet(false, true)) {
       request.abort(new IOException(reason));
     }
+    Outcome outcome = reported;
+    if (outcome != null) {
+      return outcome.verdict();
+    }
+    return withdrawn
+        ? new Verdict.NotRun("withdrawn", reason, 0)
+        : new Verdict.MayHaveRun("cancelled", reason);
   }
 
   /**
@@ -87,14 +119,20 @@
    * listener is called for its end.
    */
   public void withdrawIfUnsent(String reason) {
-    if (!requestBegun) {
+    if (withdraw()) {
       request.abort(new IOException(reason));
     }
   }
 
-  /** Returns whether the runner may have received the request. */
-  public boolean mayHaveReachedRunner() {
-    return requestBegun;
+  /** Returns whether the request is certain never to be sent, which this call ensures if it can. */
+  private boolean withdraw() {
+    return progress.compareAndSet(Progress.UNSENT, Progress.WITHDRAWN)
+        || progress.get() == Progress.WITHDRAWN;
+  }
+
+  /** Returns whether the client has begun to send the request; it may do so at any moment. */
+  public boolean hasBegun() {
+    return progress.get() == Progress.BEGUN;
   }
 
   /**
@@ -164,9 +202,9 @@
               || failure instanceof UnterminatedDataException
               || (failure instanceof EOFException && !ReceivedResponse.mayBeEndedByPeer(request)));
       finish(
-          requestBegun
-              ? new Outcome.ResponseLost(reason, connectionBroken)
-              : new Outcome.NotSent(reason, connect(failure)));
+          withdraw()
+              ? new Outcome.NotSent(reason, connect(failure))
+              : new Outcome.ResponseLost(reason, connectionBroken));
       return;
     }
     Response response = result.getResponse();
@@ -215,6 +253,7 @@
 
   private void finish(Outcome outcome) {
     if (ended.compareAndSet(false, true)) {
+      reported = outcome;
       listener.ended(outcome);
     }
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Outcome.java
@@ -2,10 +2,24 @@
 
 import org.eclipse.jetty.http.HttpFields;
 import org.sequoiahub.core.response.Framing;
+import org.sequoiahub.core.verdict.Verdict;
 
 /** The outcome of one attempt to send a request to a runner. */
 public sealed interface Outcome {
 
+  /** Returns whether the request may have run at the runner. */
+  default Verdict verdict() {
+    if (this instanceof NotSent notSent) {
+      return new Verdict.NotRun("not-sent", notSent.reason(), 0);
+    }
+    if (this instanceof Refused refused) {
+      return new Verdict.NotRun("refused", "the runner refused it: " + refused.status(), 0);
+    }
+    return this instanceof ResponseLost lost
+        ? new Verdict.MayHaveRun("response-lost", lost.reason())
+        : new Verdict.Ran();
+  }
+
   /**
    * The request did not reach the runner.
    *
--- a/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/call/RequestForwardingTest.java
@@ -26,6 +26,7 @@
 import org.sequoiahub.core.routing.RoutingTable;
 import org.sequoiahub.core.routing.WeightedService;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.core.workspace.HashedKey;
 import org.sequoiahub.core.workspace.Workspaces;
 import org.sequoiahub.node.caller.CallerExchange;
@@ -167,7 +168,7 @@
     void check() {
       assertWithMessage("endings of the request").that(endings).isEqualTo(1);
       assertThat(possibleRuns).isAtMost(policy.allowsRerun() ? MAX_ATTEMPTS : 1);
-      boolean saidNotRun = refused || LocalResponses.guaranteesNotRun(answeredStatus);
+      boolean saidNotRun = refused || CallerExchange.guaranteesNotRun(answeredStatus);
       if (saidNotRun) {
         assertWithMessage("runs of a request that is said not to have run")
             .that(possibleRuns)
@@ -186,7 +187,7 @@
 
       @Override
       public void fail(Call failed, String reason, long retryAfterMillis) {
-        refused = failed.runs == 0;
+        refused = failed.sends.verdict() instanceof Verdict.NotRun;
         assertThat(retryAfterMillis).isAtLeast(0);
         endings++;
         failed.done = true;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/caller/StubExchange.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/caller/StubExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
+import org.sequoiahub.core.verdict.Verdict;
 
 /** A caller's request whose response is dropped; tests override what they observe. */
 public class StubExchange implements CallerExchange {
@@ -70,6 +71,11 @@
   @Override
   public void respond(int status, HttpFields fields, byte[] content) {}
 
+  @Override
+  public void reject(Verdict.NotRun evidence, int status, HttpFields fields, byte[] content) {
+    respond(status, fields, content);
+  }
+
   @Override
   public void start(int status, HttpFields fields) {}
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/forward/RequestForwardingWireTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.core.upstream.SoftwareVersion;
+import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.node.caller.CallerExchange;
 import org.sequoiahub.node.caller.StubExchange;
 import org.sequoiahub.schema.wire.Chunk;
@@ -200,8 +202,19 @@
   @Nested
   class Responses {
     private ForwardOutcome.Answered answer(int status, HttpFields headers) throws Exception {
+      return answerWith(status, exchange -> exchange.respond(status, headers, new byte[] {5, 6}));
+    }
+
+    private ForwardOutcome.Answered reject(int status, HttpFields headers) throws Exception {
+      Verdict.NotRun evidence = new Verdict.NotRun("never-sent", "sent to no runner", 0);
+      return answerWith(
+          status, exchange -> exchange.reject(evidence, status, headers, new byte[] {5, 6}));
+    }
+
+    private ForwardOutcome.Answered answerWith(int status, Consumer<CallerExchange> response)
+        throws Exception {
       forward(0, "");
-      awaitReceived().respond(status, headers, new byte[] {5, 6});
+      response.accept(awaitReceived());
       ForwardOutcome outcome = recorder.awaitOutcome();
       assertThat(outcome).isInstanceOf(ForwardOutcome.Answered.class);
       ForwardOutcome.Answered answered = (ForwardOutcome.Answered) outcome;
@@ -224,12 +237,19 @@
 
     @Test
     void hostsRejectionHasNotRun() throws Exception {
-      assertThat(answer(503, HttpFields.build().add("Retry-After", "0.5")).notRun()).isTrue();
+      assertThat(reject(503, HttpFields.build().add("Retry-After", "0.5")).notRun()).isTrue();
     }
 
     @Test
     void hostsMissingRouteHasNotRun() throws Exception {
-      assertThat(answer(404, HttpFields.EMPTY).notRun()).isTrue();
+      assertThat(reject(404, HttpFields.EMPTY).notRun()).isTrue();
+    }
+
+    /** Guards against a status that is taken for the statement that a request has not run. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 404, 408, 421, 429, 503})
+    void statusWithoutEvidenceMayHaveRun(int status) throws Exception {
+      assertThat(answer(status, HttpFields.EMPTY).notRun()).isFalse();
     }
 
     @Test
