Take only a runner's statement for just this request as a refusal

What callers saw: a request that may run once was sent again, or refused with a promise, although a runner ran it (TWICE, REFUSED).

It was matched to the request by the caller's id, which all attempts at it share, and a response without an id matched any. So the late second copy of a refusal, on a connection that is used again, refused the next attempt while the runner worked on it; so did a refusal of another kind of call.

Now only Not-Run together with the id of the request is a refusal. The connection on which a request that may run once was refused is closed, so that no copy can meet the next attempt; the price is a new connection for each such refusal.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/AttemptSender.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/AttemptSender.java
@@ -71,7 +71,7 @@
         call.id(),
         HeaderCodec.toRunner(call.exchange.headers(), headers),
         call.exchange.body(),
-        call.route.repeatPolicy().isStream(),
+        call.route.repeatPolicy(),
         listeners.apply(call, active));
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.response.Completeness;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.runtime.http.ReceivedResponse;
 import org.sequoiahub.runtime.http.SentRequest;
@@ -40,7 +41,7 @@
 
   private final Request request;
   private final String requestId;
-  private final boolean stream;
+  private final RepeatPolicy repeatPolicy;
   private final LongSupplier wallClock;
   private final AttemptListener listener;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
@@ -68,12 +69,12 @@
   Attempt(
       Request request,
       String requestId,
-      boolean stream,
+      RepeatPolicy repeatPolicy,
       LongSupplier wallClock,
       AttemptListener listener) {
     this.request = request;
     this.requestId = requestId;
-    this.stream = stream;
+    this.repeatPolicy = repeatPolicy;
     this.wallClock = wallClock;
     this.listener = listener;
   }
@@ -163,8 +164,15 @@
       return;
     }
     responseHeaders = response.getHeaders();
-    notRun = answer.notRun();
-    streaming = stream && successful;
+    notRun = answer.notRun() && answer.requestId().equals(requestId);
+    if (notRun && !repeatPolicy.allowsRerun()) {
+      // A second copy of this refusal on the same connection could be taken for the response to the
+      // next attempt at this request, which has the same id.
+      finish(new Outcome.Refused(response.getStatus()));
+      request.abort(new IOException("a refused request's connection is not used again"));
+      return;
+    }
+    streaming = repeatPolicy.isStream() && successful;
   }
 
   private void handleContent(Response response, ByteBuffer content) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.runtime.http.ResetReportingConnector;
 
@@ -102,8 +103,8 @@
    *
    * @param requestId the caller's request id, which the response must repeat
    * @param headers all headers to send
-   * @param stream whether the content of a successful response is passed to the listener as it
-   *     arrives, rather than buffered
+   * @param repeatPolicy whether the content of a successful response is passed to the listener as
+   *     it arrives, rather than buffered, and whether the request may run again
    */
   public Attempt start(
       RunnerEntry runner,
@@ -112,7 +113,7 @@
       String requestId,
       HttpFields headers,
       byte[] body,
-      boolean stream,
+      RepeatPolicy repeatPolicy,
       AttemptListener listener) {
     Request request =
         http.newRequest("http://" + runner.address())
@@ -129,7 +130,7 @@
     if (body.length > 0 || !HttpMethod.GET.is(method)) {
       request.body(new BytesRequestContent((String) null, body));
     }
-    Attempt attempt = new Attempt(request, requestId, stream, wallClock, listener);
+    Attempt attempt = new Attempt(request, requestId, repeatPolicy, wallClock, listener);
     attempt.send();
     return attempt;
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/CancelledAttemptTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/CancelledAttemptTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.usersplatform.Headers;
 
@@ -82,7 +83,12 @@
     }
 
     private Attempt attempt(Request request) {
-      return new Attempt(request, "q", false, System::currentTimeMillis, new AttemptRecorder());
+      return new Attempt(
+          request,
+          "q",
+          RepeatPolicy.AT_MOST_ONCE,
+          System::currentTimeMillis,
+          new AttemptRecorder());
     }
 
     private Verdict awaitVerdict() throws Exception {
@@ -124,7 +130,14 @@
   private Attempt start(ScriptedRunner runner, String id) {
     HttpFields headers = HttpFields.build().add(Headers.REQUEST_ID, id).add("Host", "h.example");
     return client.start(
-        runner.entry(), "POST", "/x", id, headers, new byte[10], false, new AttemptRecorder());
+        runner.entry(),
+        "POST",
+        "/x",
+        id,
+        headers,
+        new byte[10],
+        RepeatPolicy.AT_MOST_ONCE,
+        new AttemptRecorder());
   }
 
   private static String requestId(String head) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseEndTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseEndTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.usersplatform.Headers;
 
 /** Guards against responses that end early and are taken for complete ones. */
@@ -67,7 +68,8 @@
               end.apply(connection);
             })) {
       HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-      client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], stream, recorder);
+      client.start(
+          runner.entry(), "GET", "/x", "1", headers, new byte[0], policy(stream), recorder);
       return recorder.awaitOutcome();
     }
   }
@@ -138,4 +140,8 @@
           .isInstanceOf(Outcome.Answered.class);
     }
   }
+
+  private static RepeatPolicy policy(boolean stream) {
+    return stream ? RepeatPolicy.RESUMABLE_STREAM : RepeatPolicy.IDEMPOTENT;
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseHeadTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/ResponseHeadTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.usersplatform.Headers;
 
 /** Guards against responses whose heads contradict themselves and that count as complete. */
@@ -38,7 +39,15 @@
               connection.close();
             })) {
       HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-      client.start(runner.entry(), method, "/x", "1", headers, new byte[0], false, recorder);
+      client.start(
+          runner.entry(),
+          method,
+          "/x",
+          "1",
+          headers,
+          new byte[0],
+          RepeatPolicy.IDEMPOTENT,
+          recorder);
       return recorder.awaitOutcome();
     }
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UnterminatedResponseTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UnterminatedResponseTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.usersplatform.Headers;
 
 /** Guards against runners whose responses never end: they must not occupy memory or a caller. */
@@ -91,7 +92,8 @@
               closed.await();
             })) {
       HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-      client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], stream, recorder);
+      client.start(
+          runner.entry(), "GET", "/x", "1", headers, new byte[0], policy(stream), recorder);
       Outcome outcome = recorder.awaitOutcome();
       assertWithMessage("the connection was closed: %s", outcome)
           .that(closed.await(20, TimeUnit.SECONDS))
@@ -138,4 +140,8 @@
     AttemptRecorder recorder = new AttemptRecorder(MAX_CONTENT_LENGTH);
     assertInvalid(receive(start, new byte[8_192], UNBOUNDED_BYTES, true, recorder));
   }
+
+  private static RepeatPolicy policy(boolean stream) {
+    return stream ? RepeatPolicy.RESUMABLE_STREAM : RepeatPolicy.IDEMPOTENT;
+  }
 }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/UpstreamClientTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.io.IOException;
+import java.io.OutputStream;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.AbstractConnectionPool;
@@ -14,12 +16,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.core.ratelimit.StatedLimit;
+import org.sequoiahub.core.routing.RepeatPolicy;
 import org.sequoiahub.usersplatform.Headers;
 
 class UpstreamClientTest {
 
   private static final long TIMEOUT_SECONDS = 20;
+  private static final long COPY_DELAY_MILLIS = 100;
 
   private HttpClient http;
   private UpstreamClient client;
@@ -39,7 +44,7 @@
       throws InterruptedException {
     HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
     String path = "/a//b/%2F?x=1";
-    client.start(runner.entry(), "GET", path, id, headers, new byte[0], stream, recorder);
+    client.start(runner.entry(), "GET", path, id, headers, new byte[0], policy(stream), recorder);
     return recorder.awaitOutcome();
   }
 
@@ -67,7 +72,8 @@
 
     private Attempt start(ScriptedRunner runner, String id, AttemptRecorder recorder) {
       HttpFields headers = HttpFields.build().add("Request-Id", id).add("Host", "h.example");
-      return client.start(runner.entry(), "GET", "/x", id, headers, new byte[0], false, recorder);
+      return client.start(
+          runner.entry(), "GET", "/x", id, headers, new byte[0], RepeatPolicy.IDEMPOTENT, recorder);
     }
 
     /**
@@ -287,19 +293,90 @@
 
   @Nested
   class Refusals {
-    @Test
-    void onlyNotRunHeaderCountsAsRefusal() throws Exception {
-      String notRun = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
-      String withoutHeader = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+    private static String response(int status, String fields) {
+      return "HTTP/1.1 " + status + " No\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    }
+
+    /** Guards against a status that is taken for the statement that a request has not run. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 408, 421, 429, 503})
+    void onlyNotRunHeaderCountsAsRefusal(int status) throws Exception {
       try (ScriptedRunner runner =
           new ScriptedRunner(
               (number, connection, out) ->
-                  ScriptedRunner.write(out, number == 1 ? notRun : withoutHeader))) {
+                  ScriptedRunner.write(
+                      out,
+                      response(
+                          status,
+                          "Request-Id: "
+                              + number
+                              + (number == 1 ? "\r\nNot-Run: 1\r\n" : "\r\n"))))) {
         assertThat(sendPlain(runner, "1")).isInstanceOf(Outcome.Refused.class);
         assertThat(sendPlain(runner, "2")).isInstanceOf(Outcome.Answered.class);
       }
     }
 
+    /** Guards against the refusal of another call that is taken for one of this request. */
+    @Test
+    void refusalWithoutIdIsNoneOfThisRequest() throws Exception {
+      try (ScriptedRunner runner =
+          new ScriptedRunner(
+              (number, connection, out) ->
+                  ScriptedRunner.write(out, response(503, "Not-Run: 1\r\n")))) {
+        assertThat(sendPlain(runner, "1")).isInstanceOf(Outcome.Answered.class);
+      }
+    }
+
+    /** Guards against a late copy of a refusal that is taken for one of the next attempt. */
+    @Test
+    void refusalSentTwiceRefusesOneAttempt() throws Exception {
+      String refusal = response(503, "Request-Id: 1\r\nNot-Run: 1\r\n");
+      CountDownLatch arrived = new CountDownLatch(1);
+      try (ScriptedRunner runner =
+          new ScriptedRunner(
+              (number, connection, out) -> {
+                if (number > 1) {
+                  arrived.countDown();
+                  ScriptedRunner.write(out, completeResponse("1", "ran"));
+                  return;
+                }
+                ScriptedRunner.write(out, refusal);
+                Thread copy = new Thread(() -> writeOnceArrived(arrived, out, refusal), "copy");
+                copy.setDaemon(true);
+                copy.start();
+              })) {
+        assertThat(sendOnce(runner)).isInstanceOf(Outcome.Refused.class);
+        assertThat(sendOnce(runner)).isInstanceOf(Outcome.Answered.class);
+      }
+    }
+
+    /** Writes a response when the next request has arrived, or soon after it was sent. */
+    private static void writeOnceArrived(CountDownLatch arrived, OutputStream out, String text) {
+      try {
+        arrived.await(COPY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        ScriptedRunner.write(out, text);
+      } catch (IOException e) {
+        // The client has closed the connection.
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private Outcome sendOnce(ScriptedRunner runner) throws InterruptedException {
+      HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
+      AttemptRecorder recorder = new AttemptRecorder();
+      client.start(
+          runner.entry(),
+          "POST",
+          "/x",
+          "1",
+          headers,
+          new byte[0],
+          RepeatPolicy.AT_MOST_ONCE,
+          recorder);
+      return recorder.awaitOutcome();
+    }
+
     @Test
     void closedPortMeansNotSent() throws Exception {
       ScriptedRunner runner = new ScriptedRunner((number, connection, out) -> {});
@@ -359,7 +436,7 @@
     }
 
     private String refusal(String limit) {
-      return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+      return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Run: 1\r\n"
           + Headers.RATE_LIMIT
           + ": "
           + limit
@@ -386,7 +463,15 @@
                 connection.close();
               })) {
         HttpFields headers = HttpFields.build().add("Request-Id", "1").add("Host", "h.example");
-        client.start(runner.entry(), "GET", "/x", "1", headers, new byte[0], true, recorder);
+        client.start(
+            runner.entry(),
+            "GET",
+            "/x",
+            "1",
+            headers,
+            new byte[0],
+            RepeatPolicy.RESUMABLE_STREAM,
+            recorder);
         assertThat(recorder.limits().poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
             .isEqualTo(new StatedLimit.Rate(2));
         end.countDown();
@@ -405,4 +490,8 @@
       assertThat(recorder.limits().poll()).isInstanceOf(StatedLimit.Unreadable.class);
     }
   }
+
+  private static RepeatPolicy policy(boolean stream) {
+    return stream ? RepeatPolicy.RESUMABLE_STREAM : RepeatPolicy.IDEMPOTENT;
+  }
 }
