Report a call to another host as not sent only if it can not be written any more

WireClient.call read whether the client is closed again outside its lock: a message that was written just before a close could be reported as not sent, and its request be sent again. A client that was closed while it connected wrote its calls afterwards and reported nothing. A loss was taken in two steps; a call that came between them could open a second connection, whose failure reported calls of the first one as not sent. Each is one step under the lock now.

WireClientTest: the close while connecting was red before (waited 20 s). No host of the users' platform closes these clients while it serves; the entry of the product does.

--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
@@ -77,10 +77,12 @@
   /** Starts a call and returns its number. */
   public long call(Envelope.Builder message, CallListener listener) {
     boolean connect = false;
+    boolean accepted;
     long number;
     synchronized (this) {
       number = ++lastCallNumber;
-      if (!closed) {
+      accepted = !closed;
+      if (accepted) {
         if (listener != NO_REPLY_EXPECTED) {
           calls.put(number, listener);
         }
@@ -94,10 +96,10 @@
         }
       }
     }
-    if (connect) {
-      connect();
-    } else if (closed) {
+    if (!accepted) {
       listener.onConnectionLost(false);
+    } else if (connect) {
+      connect();
     }
     return number;
   }
@@ -129,6 +131,9 @@
     }
     if (open != null) {
       open.close();
+    } else {
+      // Nothing was written yet, and connected() writes nothing after this.
+      failAllCalls(null, false);
     }
   }
 
@@ -155,10 +160,14 @@
 
   private void connected(ChannelFuture future) {
     if (!future.isSuccess()) {
-      failAllCalls(false);
+      failAllCalls(null, false);
       return;
     }
     synchronized (this) {
+      if (closed) {
+        future.channel().close();
+        return;
+      }
       connecting = false;
       channel = future.channel();
       for (Envelope message : unsent) {
@@ -173,18 +182,21 @@
   }
 
   private void connectionLost(Channel lostChannel) {
+    failAllCalls(lostChannel, true);
+  }
+
+  /**
+   * Ends all calls, unless the connection that they use is another one than {@code lostChannel}.
+   *
+   * @param lostChannel the connection that was lost; null if there is none yet
+   */
+  private void failAllCalls(@Nullable Channel lostChannel, boolean possiblySent) {
+    List<CallListener> listeners;
     synchronized (this) {
       if (channel != lostChannel) {
         return;
       }
       channel = null;
-    }
-    failAllCalls(true);
-  }
-
-  private void failAllCalls(boolean possiblySent) {
-    List<CallListener> listeners;
-    synchronized (this) {
       connecting = false;
       unsent.clear();
       listeners = List.copyOf(calls.values());
