--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -8,12 +8,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -49,7 +51,7 @@
   private static final int PLAIN_DURATION_MILLIS = 15;
   private static final long REQUEST_INTERVAL_MILLIS = 25;
 
-  /** The same in runs with short deadlines (ms). */
+  /** The interval of the burst beside them in runs with short deadlines (ms). */
   private static final long SHORT_REQUEST_INTERVAL_MILLIS = 1;
 
   /** The kinds of requests in such runs: mostly of the kind that must not run twice. */
@@ -383,9 +385,13 @@
             "s" + seed,
             options.shortDeadlines() ? SHORT_DEADLINE_KINDS : List.of(RequestResult.Kind.values()),
             deadlines(new Random(~seed << 16)));
-    long interval =
-        options.shortDeadlines() ? SHORT_REQUEST_INTERVAL_MILLIS : REQUEST_INTERVAL_MILLIS;
-    scheduler.scheduleAtFixedRate(callers::send, 0, interval, TimeUnit.MILLISECONDS);
+    scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    Optional<ScheduledFuture<?>> burst =
+        options.shortDeadlines()
+            ? Optional.of(
+                scheduler.scheduleAtFixedRate(
+                    callers::send, 0, SHORT_REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS))
+            : Optional.empty();
     HostPauses pauses = new HostPauses(hosts, new Random(~seed << 24), scheduler);
     if (options.shortDeadlines()) {
       pauses.start();
@@ -405,6 +411,7 @@
       TimeUnit.MILLISECONDS.sleep(50 + random.nextInt(900));
     }
     pauses.stop();
+    burst.ifPresent(requests -> requests.cancel(false));
     faults.undoAll();
     boolean recovered = await(this::isEveryHostReady);
     final boolean servingAgain = recovered && await(() -> isServingAgain(callers));
