Let a stream of unknown origin go on only with what the store answered since its take-up

What callers saw (reported by other operators): during a release a host was out of step for some seconds, and streams that had begun at the new version through other hosts were taken up there and went on at the only version it knew (ORDER).

Cause: the runners counted as known as of any answer about the operators' records, any word of a delegate, and the receipt of an answer, however old it was; an age of up to 2 s was accepted. A host that was paused or cut off so believed to know the runners as of now. Read on the way: the longest life of a stream was twice its route's timeout, though callers repeat a request three times; and a host that joined counted from the start of its process rather than from its first reading, so runners that left in between were never seen.

Now only answers about the runners count, dated by when the store was asked, and a stream of unknown origin waits (the propagation bound at most) until the runners are known as of its arrival: its stream began before, so every version that may have begun it has been seen. Its life is four timeouts. A host that follows the store through others asks it then.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/origin/ResumeDecision.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/origin/ResumeDecision.java
@@ -8,6 +8,9 @@
   /** Only at runners of a version. */
   record OnlyAt(SoftwareVersion version) implements ResumeDecision {}
 
+  /** Not decided until the runners are known as of the time at which the request arrived. */
+  record NotYet() implements ResumeDecision {}
+
   /**
    * Nowhere: the request must be refused without having run.
    *
--- a/sequoia-core/src/main/java/org/sequoiahub/core/origin/ServiceVersions.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/origin/ServiceVersions.java
@@ -17,14 +17,21 @@
 
   private final Map<String, Map<SoftwareVersion, Long>> lastSeenMillis = new HashMap<>();
   private long watchedSinceMillis;
+  private boolean readBefore;
 
-  /**
-   * Creates an empty history.
-   *
-   * @param watchedSinceMillis since when all runners are seen (ms)
-   */
-  public ServiceVersions(long watchedSinceMillis) {
+  private ServiceVersions(long watchedSinceMillis, boolean readBefore) {
     this.watchedSinceMillis = watchedSinceMillis;
+    this.readBefore = readBefore;
+  }
+
+  /** Creates the history of a host of a fleet that has never run: no stream has begun yet. */
+  public static ServiceVersions ofNewFleet() {
+    return new ServiceVersions(Long.MIN_VALUE / 2, true);
+  }
+
+  /** Creates the history of a host that has joined or restarted. */
+  public static ServiceVersions ofJoinedHost() {
+    return new ServiceVersions(Long.MAX_VALUE, false);
   }
 
   @Override
@@ -34,6 +41,14 @@
         .merge(runner.version(), nowMillis, Math::max);
   }
 
+  @Override
+  public void firstReading(long nowMillis) {
+    if (!readBefore) {
+      readBefore = true;
+      watchedSinceMillis = nowMillis;
+    }
+  }
+
   @Override
   public void mayHaveMissed(long nowMillis) {
     watchedSinceMillis = nowMillis;
@@ -48,7 +63,7 @@
    */
   public Optional<SoftwareVersion> soleVersion(
       String service, Iterable<RunnerEntry> present, long forMillis, long nowMillis) {
-    if (nowMillis - watchedSinceMillis < forMillis) {
+    if (!readBefore || nowMillis - watchedSinceMillis < forMillis) {
       return Optional.empty();
     }
     Set<SoftwareVersion> versions = new HashSet<>();
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerSightings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerSightings.java
@@ -11,11 +11,17 @@
 
         @Override
         public void mayHaveMissed(long nowMillis) {}
+
+        @Override
+        public void firstReading(long nowMillis) {}
       };
 
   /** Called when a runner's entry was read, and when it is replaced or has vanished. */
   void seen(RunnerEntry runner, long nowMillis);
 
+  /** Called when all runners were read for the first time; those that left before are unseen. */
+  void firstReading(long nowMillis);
+
   /** Called when runners may have come and gone unseen. */
   void mayHaveMissed(long nowMillis);
 }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/origin/ResumePolicyTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/origin/ResumePolicyTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.core.store.StorePosition;
@@ -23,17 +24,32 @@
   }
 
   private static final long TIMEOUT_MILLIS = 10_000;
-  private static final long STREAM_LIFE_MILLIS = 2 * TIMEOUT_MILLIS;
-  private static final long MAX_AGE_MILLIS = 2_000;
+  private static final long STREAM_LIFE_MILLIS = ResumePolicy.STREAM_LIFE_TIMEOUTS * TIMEOUT_MILLIS;
+  private static final long MAX_WAIT_MILLIS = 2_000;
   private static final SoftwareVersion V1 = SoftwareVersion.of("v1");
   private static final SoftwareVersion V2 = SoftwareVersion.of("v1.1");
 
   private long now = 1_000_000;
   private long knownMillis = now;
   private long revision;
-  private final ServiceVersions versions = new ServiceVersions(now);
+  private boolean requested;
+  private final ServiceVersions versions = ServiceVersions.ofJoinedHost();
   private final RunnerRegistry registry = new RunnerRegistry(id -> false, versions);
-  private final ResumePolicy policy = new ResumePolicy(versions, () -> knownMillis, MAX_AGE_MILLIS);
+  private final ResumePolicy policy =
+      new ResumePolicy(
+          versions,
+          new RunnerKnowledge() {
+            @Override
+            public long knownMillis() {
+              return knownMillis;
+            }
+
+            @Override
+            public void request(long nowMillis) {
+              requested = true;
+            }
+          },
+          MAX_WAIT_MILLIS);
 
   private static RunnerEntry runner(String id, SoftwareVersion version) {
     return new RunnerEntry(
@@ -51,6 +67,11 @@
         Map.of());
   }
 
+  @BeforeEach
+  void readRunners() {
+    registry.applySnapshot(List.of(), Set.of(), at(++revision), now);
+  }
+
   private void add(String id, SoftwareVersion version) {
     registry.apply(new RunnerRegistry.Change(id, at(++revision), runner(id, version)), now);
   }
@@ -65,7 +86,11 @@
   }
 
   private ResumeDecision decide(Optional<StreamOrigin> origin) {
-    return policy.decide(origin, "llm", registry.present(), TIMEOUT_MILLIS, now);
+    return decideOnArrivalAt(origin, now);
+  }
+
+  private ResumeDecision decideOnArrivalAt(Optional<StreamOrigin> origin, long arrivedMillis) {
+    return policy.decide(origin, "llm", registry.present(), TIMEOUT_MILLIS, arrivedMillis, now);
   }
 
   private ResumeDecision decideUnknown() {
@@ -153,14 +178,51 @@
       assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
     }
 
+    /** Guards against a host out of step that goes on at the only version it has seen. */
     @Test
-    void isRefusedWhileTheRunnersAreNotKnown() {
+    void waitsUntilTheRunnersAreKnownAsOfItsArrival() {
       add("i-1", V1);
       advance(STREAM_LIFE_MILLIS);
-      now += MAX_AGE_MILLIS + 1;
+      long arrived = now + 1;
+      now += MAX_WAIT_MILLIS;
+      assertThat(decideOnArrivalAt(Optional.empty(), arrived))
+          .isEqualTo(new ResumeDecision.NotYet());
+      assertThat(requested).isTrue();
+      now++;
+      assertThat(decideOnArrivalAt(Optional.empty(), arrived))
+          .isInstanceOf(ResumeDecision.Nowhere.class);
+      knownMillis = arrived;
+      assertThat(decideOnArrivalAt(Optional.empty(), arrived))
+          .isEqualTo(new ResumeDecision.OnlyAt(V1));
+    }
+
+    /** Guards against streams that last longer than it was known that they go on at one version. */
+    @Test
+    void isRefusedForAsLongAsStreamsOfThreeRetriesLast() {
+      add("i-1", V1);
+      add("i-2", V2);
+      advance(STREAM_LIFE_MILLIS);
+      remove("i-1");
+      advance(4 * TIMEOUT_MILLIS - 1);
       assertThat(decideUnknown()).isInstanceOf(ResumeDecision.Nowhere.class);
     }
 
+    /** Guards against runners that left between the start of a host and its first reading. */
+    @Test
+    void isRefusedForTheLifeOfStreamsAfterTheFirstReading() {
+      ServiceVersions joined = ServiceVersions.ofJoinedHost();
+      RunnerRegistry late = new RunnerRegistry(id -> false, joined);
+      advance(STREAM_LIFE_MILLIS);
+      late.applySnapshot(
+          List.of(new RunnerRegistry.Change("i-1", at(9), runner("i-1", V1))),
+          Set.of(),
+          at(9),
+          now);
+      assertThat(joined.soleVersion("llm", late.present(), STREAM_LIFE_MILLIS, now)).isEmpty();
+      now += STREAM_LIFE_MILLIS;
+      assertThat(joined.soleVersion("llm", late.present(), STREAM_LIFE_MILLIS, now)).hasValue(V1);
+    }
+
     @Test
     void isRefusedWithoutAnyRunner() {
       advance(STREAM_LIFE_MILLIS);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -20,6 +20,7 @@
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.origin.ResumePolicy;
+import org.sequoiahub.core.origin.RunnerKnowledge;
 import org.sequoiahub.core.origin.ServiceVersions;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
@@ -212,9 +213,8 @@
             this::stateChanged,
             metrics,
             log);
-    // Before the first start of all hosts no stream has begun.
     ServiceVersions serviceVersions =
-        new ServiceVersions(hostSettings.firstStart() ? Long.MIN_VALUE / 2 : startedMillis);
+        hostSettings.firstStart() ? ServiceVersions.ofNewFleet() : ServiceVersions.ofJoinedHost();
     this.runnerRegistry =
         new RunnerRegistry(runnerStates.availability()::isLeaving, serviceVersions);
     this.storeHttp = UpstreamClient.start();
@@ -316,7 +316,9 @@
             new ReachingHostSelector(members, random),
             new WireRequestForwarder(wireClients, hostSettings.peerPort()),
             new ResumePolicy(
-                serviceVersions, storeRegistry::runnersKnownMillis, hostSettings.drainMillis()),
+                serviceVersions,
+                new LateRunnerKnowledge(),
+                Math.min(hostSettings.configurationMillis(), hostSettings.drainMillis())),
             originExchange,
             originExchange,
             new RunnerProbeClient(
@@ -767,6 +769,19 @@
     return state;
   }
 
+  /** Passes on to the synchronization with the store, which is created later. */
+  private final class LateRunnerKnowledge implements RunnerKnowledge {
+    @Override
+    public long knownMillis() {
+      return recordSync.knownMillis();
+    }
+
+    @Override
+    public void request(long nowMillis) {
+      recordSync.request(nowMillis);
+    }
+  }
+
   private final class PathListener implements RunnerPathMonitor.Listener {
     @Override
     public void pathChanged() {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/StreamResumption.java
@@ -52,7 +52,7 @@
     /** It may be placed at runners that it admits. */
     record Ready() implements Readiness {}
 
-    /** It is placed once the origin of its stream is known. */
+    /** It is placed once it is known where its stream may go on. */
     record Waiting() implements Readiness {}
 
     /**
@@ -139,12 +139,20 @@
   private Readiness decide(Call call, Optional<StreamOrigin> origin, long nowMillis) {
     ResumeDecision decision =
         policy.decide(
-            origin, call.service, fleet.presentRunners(), call.route.timeoutMillis(), nowMillis);
+            origin,
+            call.service,
+            fleet.presentRunners(),
+            call.route.timeoutMillis(),
+            call.arrivedMillis,
+            nowMillis);
     if (decision instanceof ResumeDecision.OnlyAt only) {
       call.requiredVersion = only.version();
       metrics.counter("streams.taken_up").inc();
       return new Readiness.Ready();
     }
+    if (decision instanceof ResumeDecision.NotYet) {
+      return new Readiness.Waiting();
+    }
     String reason = ((ResumeDecision.Nowhere) decision).reason();
     metrics.counter("streams.resume_refused").inc();
     log.info(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordSync.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import org.sequoiahub.core.member.Members;
+import org.sequoiahub.core.origin.RunnerKnowledge;
 import org.sequoiahub.core.store.StorePosition;
 import org.sequoiahub.node.store.StoreFollower;
 import org.sequoiahub.node.store.StoreRegistry;
@@ -15,7 +16,7 @@
  * Keeps this host's records up to date with the store, through its own watches and through records
  * pulled from other hosts. Runs on the decision thread.
  */
-public final class RecordSync {
+public final class RecordSync implements RunnerKnowledge {
 
   /**
    * Divisor of the propagation bound. For this part of it, this host relies on other hosts before
@@ -40,6 +41,9 @@
   private long keptPulledMillis = Long.MIN_VALUE / 2;
   private long delegateLastSeenMillis = Long.MIN_VALUE / 2;
 
+  /** Until when this host follows the runners itself because that was requested (ms). */
+  private long runnersRequestedUntilMillis = Long.MIN_VALUE / 2;
+
   private final Lag operatorsLag = new Lag();
   private final Lag runnersLag = new Lag();
 
@@ -110,9 +114,21 @@
     if (watchesStore(nowMillis)) {
       operators.tick(nowMillis);
       runners.tick(nowMillis);
+    } else if (nowMillis < runnersRequestedUntilMillis) {
+      runners.tick(nowMillis);
     }
   }
 
+  @Override
+  public long knownMillis() {
+    return store.runnersKnownMillis();
+  }
+
+  @Override
+  public void request(long nowMillis) {
+    runnersRequestedUntilMillis = nowMillis + peerWaitMillis;
+  }
+
   /** Pulls the records that another host's state shows to be newer than this host's. */
   public void stateReceived(String from, HostState state, long nowMillis) {
     StorePosition operatorsCompleteTo = store.operatorsCompleteTo();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -71,6 +71,7 @@
   private boolean rereading;
   private List<StoredItem> readItems = new ArrayList<>();
   private StorePosition firstPagePosition = StorePosition.NONE;
+  private long firstPageCalledMillis;
   private String lastKey = "";
 
   /**
@@ -167,22 +168,22 @@
     boolean continued = answer.era() == era || (page && lastKey.isEmpty());
     if (answer instanceof Result.Items items && continued) {
       era = answer.era();
-      itemsReceived(items, page, now);
+      itemsReceived(items, page, calledMillis, now);
     } else {
       readAgain(now);
     }
   }
 
-  private void itemsReceived(Result.Items items, boolean page, long nowMillis) {
+  private void itemsReceived(Result.Items items, boolean page, long calledMillis, long nowMillis) {
     if (page) {
-      pageReceived(items, nowMillis);
+      pageReceived(items, calledMillis, nowMillis);
       return;
     }
     rereading = false;
     backoffMillis = INITIAL_BACKOFF_MILLIS;
     StorePosition known = requireNonNull(position, "a watch has a position");
     position = StorePosition.max(known, items.position());
-    listener.changes(prefix, items.items(), position, nowMillis);
+    listener.changes(prefix, items.items(), position, calledMillis, nowMillis);
   }
 
   /** Ignores the results of all calls so far. */
@@ -198,11 +199,12 @@
     restartReading();
   }
 
-  private void pageReceived(Result.Items items, long nowMillis) {
+  private void pageReceived(Result.Items items, long calledMillis, long nowMillis) {
     if (lastKey.isEmpty()) {
       // Later pages may show later states. The watch starts at the position of the first page and
       // repeats their changes.
       firstPagePosition = items.position();
+      firstPageCalledMillis = calledMillis;
     }
     readItems.addAll(items.items());
     dueMillis = nowMillis;
@@ -218,7 +220,7 @@
       // once.
       dueMillis = nowMillis + nextBackoff();
     }
-    listener.snapshot(prefix, all, firstPagePosition, nowMillis);
+    listener.snapshot(prefix, all, firstPagePosition, firstPageCalledMillis, nowMillis);
   }
 
   private void restartReading() {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreListener.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreListener.java
@@ -7,11 +7,30 @@
 /** Receives the contents of the store and its changes, on the decision thread. */
 public interface StoreListener {
 
-  /** Receives all items of a prefix as of one position. */
-  void snapshot(String prefix, List<StoredItem> items, StorePosition position, long nowMillis);
+  /**
+   * Receives all items of a prefix as of one position.
+   *
+   * @param askedMillis when the store was asked (ms): what it answered is at least as new, also if
+   *     the answer was received much later
+   */
+  void snapshot(
+      String prefix,
+      List<StoredItem> items,
+      StorePosition position,
+      long askedMillis,
+      long nowMillis);
 
-  /** Receives changes of a prefix up to one position. */
-  void changes(String prefix, List<StoredItem> items, StorePosition position, long nowMillis);
+  /**
+   * Receives changes of a prefix up to one position.
+   *
+   * @param askedMillis as for {@link #snapshot}
+   */
+  void changes(
+      String prefix,
+      List<StoredItem> items,
+      StorePosition position,
+      long askedMillis,
+      long nowMillis);
 
   /**
    * Called when the store became unreachable or reachable again for a prefix.
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -101,7 +101,11 @@
 
   @Override
   public void snapshot(
-      String prefix, List<StoredItem> items, StorePosition position, long nowMillis) {
+      String prefix,
+      List<StoredItem> items,
+      StorePosition position,
+      long askedMillis,
+      long nowMillis) {
     boolean runners = prefix.equals(StoreKeys.RUNNER_PREFIX);
     StorePosition before = runners ? runnerRegistry.position() : operatorsCompleteTo;
     boolean restored = position.isOfLaterEra(before) && before.isAfter(StorePosition.NONE);
@@ -121,7 +125,7 @@
       } else {
         removedRunners(items, position).forEach(this::recordRemoval);
       }
-      runnersKnownMillis = nowMillis;
+      runnersKnownMillis = Math.max(runnersKnownMillis, askedMillis);
     } else {
       items.forEach(item -> applyOperatorItem(item, false, nowMillis));
       if (restored) {
@@ -209,7 +213,11 @@
 
   @Override
   public void changes(
-      String prefix, List<StoredItem> items, StorePosition position, long nowMillis) {
+      String prefix,
+      List<StoredItem> items,
+      StorePosition position,
+      long askedMillis,
+      long nowMillis) {
     boolean updated = false;
     if (prefix.equals(StoreKeys.RUNNER_PREFIX)) {
       List<Change> entries = new ArrayList<>();
@@ -220,7 +228,7 @@
         updated |= apply(entry, nowMillis);
       }
       runnerRegistry.markCompleteTo(position, nowMillis);
-      runnersKnownMillis = nowMillis;
+      runnersKnownMillis = Math.max(runnersKnownMillis, askedMillis);
     } else {
       for (StoredItem item : items) {
         updated |= applyOperatorItem(item, false, nowMillis);
@@ -274,7 +282,6 @@
    */
   public void confirmed(long atMillis, long nowMillis) {
     status = status.confirmedAt(atMillis);
-    runnersKnownMillis = Math.max(runnersKnownMillis, atMillis);
     activatePending(nowMillis);
   }
 
@@ -312,8 +319,8 @@
   }
 
   /**
-   * Returns as of when the runners are known (ms): the last time at which the store answered, or a
-   * host on which this one relies confirmed that it has all records.
+   * Returns as of when the runners are known (ms): when the store was asked for its last answer
+   * about the runners. Answers about other records and words of other hosts do not count.
    */
   public long runnersKnownMillis() {
     return runnersKnownMillis;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
@@ -46,8 +46,8 @@
     }
 
     void read(StorePosition at, long nowMillis, StoredItem configuration, StoredItem... entries) {
-      store.snapshot(StoreKeys.OPERATOR_PREFIX, List.of(configuration), at, nowMillis);
-      store.snapshot(StoreKeys.RUNNER_PREFIX, List.of(entries), at, nowMillis);
+      store.snapshot(StoreKeys.OPERATOR_PREFIX, List.of(configuration), at, nowMillis, nowMillis);
+      store.snapshot(StoreKeys.RUNNER_PREFIX, List.of(entries), at, nowMillis, nowMillis);
     }
 
     /** Pulls from another host and applies its answer, as RecordSync does. */
@@ -160,6 +160,7 @@
         StoreKeys.RUNNER_PREFIX,
         List.of(new StoredItem(StoreKeys.RUNNER_PREFIX + "i-1", removed, null)),
         removed,
+        RESTORED_MILLIS + 3_000,
         RESTORED_MILLIS + 3_000);
     second.read(
         removed,
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
@@ -7,10 +7,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import org.sequoiahub.core.origin.ResumeDecision;
+import org.sequoiahub.core.origin.ResumePolicy;
+import org.sequoiahub.core.origin.ServiceVersions;
 import org.sequoiahub.core.store.StorePosition;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerRegistry;
@@ -34,6 +38,12 @@
 
   static final int TICK_MILLIS = 10;
 
+  /** The software version of the runners of the beginning. */
+  static final String FIRST_VERSION = "v1";
+
+  /** The service of all runners. */
+  private static final String SERVICE = "plain";
+
   /** The propagation bound of a configuration in the users' deployments (ms). */
   static final long BOUND_MILLIS = 2_000;
 
@@ -54,6 +64,7 @@
   private final Random random;
   private final Map<Integer, HostRecords> records = new HashMap<>();
   private final Map<Integer, Integer> starts = new HashMap<>();
+  private final Map<String, String> softwareVersions = new HashMap<>();
   private BiPredicate<Integer, Integer> silent = (from, to) -> false;
   private final PriorityQueue<Delivery> inTransit = new PriorityQueue<>();
   private final Map<String, Rewrite> rewrites = new HashMap<>();
@@ -78,7 +89,8 @@
   /** The records of one process. */
   final class HostRecords implements PeerSimulation.Records {
     final PeerSimulation.Host host;
-    final RunnerRegistry runners = new RunnerRegistry();
+    final ServiceVersions serviceVersions;
+    final RunnerRegistry runners;
     final StoreRegistry registry;
     final List<Long> versions = new ArrayList<>();
     private final RecordSync sync;
@@ -89,6 +101,9 @@
       this.host = host;
       long startedMillis = peers == null ? START_MILLIS : now();
       EventLog log = new EventLog("test", "host-" + host.number);
+      this.serviceVersions =
+          peers == null ? ServiceVersions.ofNewFleet() : ServiceVersions.ofJoinedHost();
+      this.runners = new RunnerRegistry(id -> false, serviceVersions);
       this.registry =
           new StoreRegistry(
               new RecordDecoder(KeyHasher.withRandomSecret(new SecureRandom())),
@@ -127,6 +142,18 @@
       return sync;
     }
 
+    /** Decides where a stream of unknown origin may go on. */
+    ResumeDecision resume(long timeoutMillis, long arrivedMillis) {
+      return new ResumePolicy(serviceVersions, sync, BOUND_MILLIS)
+          .decide(
+              Optional.empty(),
+              SERVICE,
+              runners.present(),
+              timeoutMillis,
+              arrivedMillis,
+              peers.now());
+    }
+
     /** Queues work for the decision thread; a frozen process runs it once it resumes. */
     private void decide(Runnable work) {
       decisions.add(work);
@@ -293,11 +320,39 @@
     heartbeatMillis = peers == null ? 0 : now();
     sequence++;
     for (int runner = 0; runner < RUNNERS; runner++) {
-      store.putRunner(runnerId(runner), false, sequence);
-      written(StoreKeys.RUNNER_PREFIX + runnerId(runner));
+      String id = runnerId(runner);
+      store.putRunner(id, versionOf(id), false, sequence);
+      written(StoreKeys.RUNNER_PREFIX + id);
     }
   }
 
+  private String versionOf(String runner) {
+    return softwareVersions.getOrDefault(runner, FIRST_VERSION);
+  }
+
+  /** Replaces a runner by one whose software has a version. */
+  void releaseRunner(String software) {
+    release(random.nextInt(RUNNERS), software);
+  }
+
+  /** Replaces all runners by ones whose software has a version. */
+  void releaseAll(String software) {
+    for (int runner = 0; runner < RUNNERS; runner++) {
+      release(runner, software);
+    }
+  }
+
+  private void release(int runner, String software) {
+    String old = runnerId(runner);
+    starts.merge(runner, 1, Integer::sum);
+    String id = runnerId(runner);
+    softwareVersions.put(id, software);
+    store.putRunner(id, software, false, ++sequence);
+    written(StoreKeys.RUNNER_PREFIX + id);
+    store.delete(StoreKeys.RUNNER_PREFIX + old);
+    written(StoreKeys.RUNNER_PREFIX + old);
+  }
+
   private String runnerId(int runner) {
     return "i-" + runner + "-" + starts.getOrDefault(runner, 0);
   }
