--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -733,6 +733,8 @@
         "why",
         reason,
         "sends",
+        call.sends.count(),
+        "verdicts",
         call.sends.summary(),
         "runs",
         call.sends.possibleRuns(),
