--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -74,6 +74,11 @@
    */
   void respond(int status, HttpFields headers, byte[] content);
 
+  /** Sends a complete response with a line of text for a human reader. */
+  default void respond(int status, HttpFields headers, String text) {
+    respond(status, headers, (text + "\n").getBytes(UTF_8));
+  }
+
   /**
    * Sends a complete response to a request that has not run and will not.
    *
@@ -81,11 +86,6 @@
    */
   void reject(Verdict.NotRun evidence, int status, HttpFields headers, byte[] content);
 
-  /** Sends a complete response with a line of text for a human reader. */
-  default void respond(int status, HttpFields headers, String text) {
-    respond(status, headers, (text + "\n").getBytes(UTF_8));
-  }
-
   /**
    * States the software version of the runner that began a stream, before the stream is started.
    */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -131,11 +131,6 @@
         || progress.get() == Progress.WITHDRAWN;
   }
 
-  /** Returns whether the client has begun to send the request; it may do so at any moment. */
-  public boolean hasBegun() {
-    return progress.get() == Progress.BEGUN;
-  }
-
   /**
    * Checks the headers of a response and ends the attempt if they cannot be trusted.
    *
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/Soak.java
@@ -386,7 +386,7 @@
             options.shortDeadlines() ? SHORT_DEADLINE_KINDS : List.of(RequestResult.Kind.values()),
             deadlines(new Random(~seed << 16)));
     scheduler.scheduleAtFixedRate(callers::send, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    Optional<ScheduledFuture<?>> burst =
+    final Optional<ScheduledFuture<?>> burst =
         options.shortDeadlines()
             ? Optional.of(
                 scheduler.scheduleAtFixedRate(
