--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -474,8 +474,7 @@
     if (value != null) {
       try {
         entry = decoder.decodeRunner(id, value);
-      } catch (DecodeException | RuntimeException e) {
-        // Whatever an entry holds, it must not cost the others that arrived with it.
+      } catch (DecodeException e) {
         logIgnored(item, e);
         return false;
       }
@@ -503,10 +502,10 @@
   }
 
   /** Logs an unreadable item once, as each complete reading returns it again. */
-  private void logIgnored(StoredItem item, Exception problem) {
+  private void logIgnored(StoredItem item, DecodeException problem) {
     StorePosition logged = ignoredPositions.put(item.key(), item.position());
     if (!item.position().equals(logged)) {
-      log.warning("record-ignored", "key", item.key(), "why", String.valueOf(problem.getMessage()));
+      log.warning("record-ignored", "key", item.key(), "why", problem.getMessage());
     }
   }
 
@@ -557,7 +556,7 @@
       } else {
         applied = true;
       }
-    } catch (DecodeException | RuntimeException e) {
+    } catch (DecodeException e) {
       logIgnored(item, e);
       return false;
     }
