End requests by their own verdict in one place

LocalResponses takes the request rather than three parts of it, which stood at four calls, two of them alike; a line of text is encoded once, in CallerExchange; abandoning an attempt stood twice. SendHistory derives the open sends. Its verdict is the one on the last send: a rejection after a refusal was logged with the evidence that nothing was sent (new case in SendHistoryTest).

--- a/sequoia-core/src/main/java/org/sequoiahub/core/verdict/SendHistory.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/verdict/SendHistory.java
@@ -16,6 +16,10 @@
  */
 public final class SendHistory {
 
+  /** The verdict on a request that was sent nowhere. */
+  public static final Verdict.NotRun NEVER_SENT =
+      new Verdict.NotRun("never-sent", "the request was sent to no runner", 0);
+
   private static final Verdict OPEN =
       new Verdict.MayHaveRun("open", "the request was sent and its outcome is not known");
 
@@ -24,8 +28,6 @@
   /** The verdict of each send, by its number. */
   private final Map<Integer, Verdict> verdicts = new TreeMap<>();
 
-  private int openCount;
-
   /**
    * Creates the history of a request.
    *
@@ -40,7 +42,6 @@
   public int begin() {
     int number = verdicts.size() + 1;
     verdicts.put(number, OPEN);
-    openCount++;
     return number;
   }
 
@@ -48,7 +49,6 @@
   public void end(int number, Verdict verdict) {
     checkState(verdicts.get(number) == OPEN, "send %s is not open", number);
     verdicts.put(number, requireNonNull(verdict, "verdict must not be null"));
-    openCount--;
   }
 
   /** Returns the number of sends that have begun. */
@@ -59,18 +59,22 @@
   /** Returns the number of sends that have ended and may have run, with those of other hosts. */
   public int possibleRuns() {
     return priorRuns
-        + (int) verdicts.values().stream().filter(SendHistory::mayHaveRun).count()
-        - openCount;
+        + (int)
+            verdicts.values().stream()
+                .filter(verdict -> verdict != OPEN && !(verdict instanceof Verdict.NotRun))
+                .count();
   }
 
-  /** Returns whether the request may have run, or may run yet, as far as is known. */
+  /**
+   * Returns whether the request may have run, or may run yet, as far as is known: the verdict on
+   * the last send if none of them ran.
+   */
   public Verdict verdict() {
-    Verdict none = new Verdict.NotRun("not-sent", "the request was sent to no runner", 0);
     Verdict prior =
         priorRuns == 0
-            ? none
+            ? NEVER_SENT
             : new Verdict.MayHaveRun("passed-on", "the request was sent by another host before");
-    return verdicts.values().stream().reduce(prior, Verdict::combinedWith);
+    return verdicts.values().stream().reduce(prior, (before, last) -> last.combinedWith(before));
   }
 
   /** Returns what is known of each send, for a log line. */
@@ -80,10 +84,6 @@
         .collect(Collectors.joining(" "));
   }
 
-  private static boolean mayHaveRun(Verdict verdict) {
-    return !(verdict instanceof Verdict.NotRun);
-  }
-
   private static String code(Verdict verdict) {
     return verdict.fold(Verdict.NotRun::reason, ran -> "ran", Verdict.MayHaveRun::reason);
   }
--- a/sequoia-core/src/test/java/org/sequoiahub/core/verdict/SendHistoryTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/verdict/SendHistoryTest.java
@@ -52,6 +52,15 @@
     assertThat(history.summary()).isEqualTo("1:refused 2:open");
   }
 
+  /** Guards against a rejection whose evidence in the log is that nothing was sent. */
+  @Test
+  void evidenceIsTheVerdictOnTheLastSend() {
+    SendHistory history = new SendHistory(0);
+    assertThat(history.verdict()).isEqualTo(SendHistory.NEVER_SENT);
+    history.end(history.begin(), NOT_RUN);
+    assertThat(history.verdict()).isEqualTo(NOT_RUN);
+  }
+
   @Test
   void sendEndsOnce() {
     SendHistory history = new SendHistory(0);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/LocalResponses.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/LocalResponses.java
@@ -1,7 +1,5 @@
 package org.sequoiahub.node.call;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import com.codahale.metrics.MetricRegistry;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -26,10 +24,9 @@
   }
 
   /**
-   * Answers a request that is not served: with 503 if it has certainly not run, else with a status
+   * Ends a request that is not served: with 503 if it has certainly not run, else with a status
    * that promises nothing.
    *
-   * @param verdict whether the request may have run
    * @param mayHaveRunStatus the status if it may have run
    * @param reason the reason, for a human reader
    * @param notRunRetryMillis when the caller may retry if it has not run (ms from now); negative
@@ -38,20 +35,30 @@
    * @return the status
    */
   int endUnserved(
-      CallerExchange exchange,
-      CallerHeaders headers,
-      Verdict verdict,
+      Call call,
       int mayHaveRunStatus,
       String reason,
       long notRunRetryMillis,
       long mayHaveRunRetryMillis) {
-    if (verdict instanceof Verdict.NotRun evidence) {
-      int status = HttpStatus.SERVICE_UNAVAILABLE_503;
-      reject(exchange, headers, evidence, status, reason, notRunRetryMillis);
-      return status;
+    boolean notRun = call.sends.verdict() instanceof Verdict.NotRun;
+    int status = notRun ? HttpStatus.SERVICE_UNAVAILABLE_503 : mayHaveRunStatus;
+    end(call, status, reason, notRun ? notRunRetryMillis : mayHaveRunRetryMillis);
+    return status;
+  }
+
+  /**
+   * Ends a request with a status, as one that has not run if that is certain.
+   *
+   * @param status a status that guarantees that the request has not run only if that is certain
+   * @param reason the reason, for a human reader
+   * @param retryAfterMillis when the caller may retry (ms from now); negative for no Retry-After
+   */
+  void end(Call call, int status, String reason, long retryAfterMillis) {
+    if (call.sends.verdict() instanceof Verdict.NotRun evidence) {
+      reject(call.exchange, call.headers, evidence, status, reason, retryAfterMillis);
+    } else {
+      respond(call, status, reason, retryAfterMillis);
     }
-    respond(exchange, headers, mayHaveRunStatus, reason, mayHaveRunRetryMillis);
-    return mayHaveRunStatus;
   }
 
   /**
@@ -69,7 +76,7 @@
       String reason,
       long retryAfterMillis) {
     record(headers, status, reason, evidence.reason());
-    exchange.reject(evidence, status, fields(headers, retryAfterMillis), content(reason));
+    exchange.reject(evidence, status, fields(headers, retryAfterMillis), reason);
   }
 
   /**
@@ -79,14 +86,9 @@
    * @param reason the reason, for a human reader
    * @param retryAfterMillis when the caller may retry (ms from now); negative for no Retry-After
    */
-  void respond(
-      CallerExchange exchange,
-      CallerHeaders headers,
-      int status,
-      String reason,
-      long retryAfterMillis) {
-    record(headers, status, reason, "may-have-run");
-    exchange.respond(status, fields(headers, retryAfterMillis), content(reason));
+  void respond(Call call, int status, String reason, long retryAfterMillis) {
+    record(call.headers, status, reason, "may-have-run");
+    call.exchange.respond(status, fields(call.headers, retryAfterMillis), reason);
   }
 
   private void record(CallerHeaders headers, int status, String reason, String evidence) {
@@ -113,8 +115,4 @@
     }
     return fields;
   }
-
-  private static byte[] content(String reason) {
-    return (reason + "\n").getBytes(UTF_8);
-  }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -39,6 +39,7 @@
 import org.sequoiahub.core.runnerstate.SendDecision;
 import org.sequoiahub.core.upstream.RunnerEntry;
 import org.sequoiahub.core.upstream.RunnerProbe;
+import org.sequoiahub.core.verdict.SendHistory;
 import org.sequoiahub.core.verdict.Verdict;
 import org.sequoiahub.core.workspace.KeyHasher;
 import org.sequoiahub.node.caller.CallerExchange;
@@ -88,10 +89,6 @@
   /** Stands for the version of an adapter that need not be loaded. */
   private static final int NO_LOAD = -1;
 
-  /** The verdict on a request that is answered before it is placed. */
-  private static final Verdict.NotRun NEVER_SENT =
-      new Verdict.NotRun("never-sent", "the request was sent to no runner", 0);
-
   /** The verdict on an attempt whose start has failed with an exception. */
   private static final Verdict NOT_STARTED =
       new Verdict.MayHaveRun("start-failed", "the attempt was not started in order");
@@ -243,7 +240,12 @@
 
   private void deny(CallerExchange exchange, CallerHeaders headers, Admission.Denied denied) {
     localResponses.reject(
-        exchange, headers, NEVER_SENT, denied.status(), denied.why(), denied.retryMillis());
+        exchange,
+        headers,
+        SendHistory.NEVER_SENT,
+        denied.status(),
+        denied.why(),
+        denied.retryMillis());
   }
 
   private void accept(
@@ -259,7 +261,7 @@
         localResponses.reject(
             exchange,
             headers,
-            NEVER_SENT,
+            SendHistory.NEVER_SENT,
             HttpStatus.SERVICE_UNAVAILABLE_503,
             "this host is shutting down",
             MIN_RETRY_AFTER_MILLIS);
@@ -400,11 +402,8 @@
     String reason = "the access key has been revoked";
     if (call.exchange.isStarted()) {
       earlyEndings.end(call, EarlyEndings.Cause.KEY_REVOKED, reason, nowMillis);
-    } else if (call.sends.verdict() instanceof Verdict.NotRun evidence) {
-      localResponses.reject(
-          call.exchange, call.headers, evidence, HttpStatus.UNAUTHORIZED_401, reason, -1);
     } else {
-      localResponses.respond(call.exchange, call.headers, HttpStatus.UNAUTHORIZED_401, reason, -1);
+      localResponses.end(call, HttpStatus.UNAUTHORIZED_401, reason, -1);
     }
     finish(call, HttpStatus.UNAUTHORIZED_401, reason, nowMillis);
   }
@@ -415,15 +414,7 @@
       fail(call, reason, 0);
       return;
     }
-    int status =
-        localResponses.endUnserved(
-            call.exchange,
-            call.headers,
-            call.sends.verdict(),
-            HttpStatus.BAD_GATEWAY_502,
-            reason,
-            -1,
-            -1);
+    int status = localResponses.endUnserved(call, HttpStatus.BAD_GATEWAY_502, reason, -1, -1);
     finish(call, status, reason, nowMillis);
   }
 
@@ -770,8 +761,7 @@
   private void forwardResponse(Call call, Outcome.Answered answered, long now) {
     if (CallerExchange.guaranteesNotRun(answered.status())) {
       // The status would promise that the request has not run, which the runner did not state.
-      localResponses.respond(
-          call.exchange, call.headers, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
+      localResponses.respond(call, HttpStatus.BAD_GATEWAY_502, "the runner failed", -1);
     } else {
       call.exchange.respond(answered.status(), answered.headers(), answered.body());
     }
@@ -796,9 +786,7 @@
     long retryAfter = quarantinedUntil.orElse(now + retryAfterMillis) - now;
     int status =
         localResponses.endUnserved(
-            call.exchange,
-            call.headers,
-            call.sends.verdict(),
+            call,
             HttpStatus.BAD_GATEWAY_502,
             reason,
             Math.max(MIN_RETRY_AFTER_MILLIS, retryAfter),
@@ -814,9 +802,7 @@
     if (call.exchange.isStarted()) {
       earlyEndings.end(call, EarlyEndings.Cause.DEADLINE, reason, nowMillis);
     } else {
-      status =
-          localResponses.endUnserved(
-              call.exchange, call.headers, call.sends.verdict(), status, reason, 0, -1);
+      status = localResponses.endUnserved(call, status, reason, 0, -1);
     }
     finish(call, status, reason, nowMillis);
   }
@@ -896,8 +882,7 @@
     @Override
     public void cancel(Call call, Call.ActiveAttempt attempt, String reason, long nowMillis) {
       call.excludedRunners.add(attempt.runner.id());
-      Verdict verdict = cancelAttempt(call, attempt, reason);
-      quarantineGate.recordUnanswered(call, attempt, verdict, nowMillis);
+      abandonAttempt(call, attempt, reason, nowMillis);
     }
   }
 
@@ -909,10 +894,13 @@
   /** Cancels all attempts and records that they were not answered. */
   private void abandonAttempts(Call call, String reason, long nowMillis) {
     forwarding.cancel(call);
-    for (Call.ActiveAttempt active : List.copyOf(call.activeAttempts)) {
-      Verdict verdict = cancelAttempt(call, active, reason);
-      quarantineGate.recordUnanswered(call, active, verdict, nowMillis);
-    }
+    List.copyOf(call.activeAttempts)
+        .forEach(active -> abandonAttempt(call, active, reason, nowMillis));
+  }
+
+  private void abandonAttempt(Call call, Call.ActiveAttempt active, String reason, long nowMillis) {
+    Verdict verdict = cancelAttempt(call, active, reason);
+    quarantineGate.recordUnanswered(call, active, verdict, nowMillis);
   }
 
   /** Cancels an attempt and returns whether it may have run. */
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestForwarding.java
@@ -167,10 +167,11 @@
   }
 
   private void onAnswer(Call call, ForwardOutcome.Answered answered, long nowMillis) {
-    // This host has admitted the request, so the other one's configuration is older or newer.
-    boolean notAdmitted = answered.notRun() && !CallerExchange.guaranteesNotRun(answered.status());
     if (answered.notRun()) {
-      if (!notAdmitted && call.sends.verdict() instanceof Verdict.NotRun evidence) {
+      // Another status shows that the other host's configuration is older or newer, as this host
+      // has admitted the request.
+      boolean rejected = CallerExchange.guaranteesNotRun(answered.status());
+      if (rejected && call.sends.verdict() instanceof Verdict.NotRun evidence) {
         call.exchange.reject(evidence, answered.status(), answered.headers(), answered.body());
         endings.finish(call, answered.status(), "", nowMillis);
       } else {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerExchange.java
@@ -76,7 +76,7 @@
 
   /** Sends a complete response with a line of text for a human reader. */
   default void respond(int status, HttpFields headers, String text) {
-    respond(status, headers, (text + "\n").getBytes(UTF_8));
+    respond(status, headers, line(text));
   }
 
   /**
@@ -86,6 +86,15 @@
    */
   void reject(Verdict.NotRun evidence, int status, HttpFields headers, byte[] content);
 
+  /** Sends a complete response with a line of text, as {@link #reject} does. */
+  default void reject(Verdict.NotRun evidence, int status, HttpFields headers, String text) {
+    reject(evidence, status, headers, line(text));
+  }
+
+  private static byte[] line(String text) {
+    return (text + "\n").getBytes(UTF_8);
+  }
+
   /**
    * States the software version of the runner that began a stream, before the stream is started.
    */
