Create the synchronization with the store before what asks it

Node had an adapter only because RecordSync was created later; it needs nothing of what came before it. ServiceVersions tells an unread history by its time rather than by a second field, and the notification of a reading is named for what it is: it comes with each one.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/origin/ServiceVersions.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/origin/ServiceVersions.java
@@ -15,23 +15,24 @@
  */
 public final class ServiceVersions implements RunnerSightings {
 
+  /** Stands for the time since which runners are seen, until all of them have been read. */
+  private static final long NOT_READ = Long.MAX_VALUE;
+
   private final Map<String, Map<SoftwareVersion, Long>> lastSeenMillis = new HashMap<>();
   private long watchedSinceMillis;
-  private boolean readBefore;
 
-  private ServiceVersions(long watchedSinceMillis, boolean readBefore) {
+  private ServiceVersions(long watchedSinceMillis) {
     this.watchedSinceMillis = watchedSinceMillis;
-    this.readBefore = readBefore;
   }
 
   /** Creates the history of a host of a fleet that has never run: no stream has begun yet. */
   public static ServiceVersions ofNewFleet() {
-    return new ServiceVersions(Long.MIN_VALUE / 2, true);
+    return new ServiceVersions(Long.MIN_VALUE / 2);
   }
 
   /** Creates the history of a host that has joined or restarted. */
   public static ServiceVersions ofJoinedHost() {
-    return new ServiceVersions(Long.MAX_VALUE, false);
+    return new ServiceVersions(NOT_READ);
   }
 
   @Override
@@ -42,16 +43,17 @@
   }
 
   @Override
-  public void firstReading(long nowMillis) {
-    if (!readBefore) {
-      readBefore = true;
+  public void allRead(long nowMillis) {
+    if (watchedSinceMillis == NOT_READ) {
       watchedSinceMillis = nowMillis;
     }
   }
 
   @Override
   public void mayHaveMissed(long nowMillis) {
-    watchedSinceMillis = nowMillis;
+    if (watchedSinceMillis != NOT_READ) {
+      watchedSinceMillis = nowMillis;
+    }
   }
 
   /**
@@ -63,7 +65,7 @@
    */
   public Optional<SoftwareVersion> soleVersion(
       String service, Iterable<RunnerEntry> present, long forMillis, long nowMillis) {
-    if (!readBefore || nowMillis - watchedSinceMillis < forMillis) {
+    if (watchedSinceMillis == NOT_READ || nowMillis - watchedSinceMillis < forMillis) {
       return Optional.empty();
     }
     Set<SoftwareVersion> versions = new HashSet<>();
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerRegistry.java
@@ -295,7 +295,7 @@
     if (position.isAfter(StorePosition.NONE)) {
       sightings.mayHaveMissed(nowMillis);
     }
-    sightings.firstReading(nowMillis);
+    sightings.allRead(nowMillis);
     final boolean restored = isRestored(at);
     Set<String> present = new HashSet<>(unreadable);
     for (Change entry : entries) {
--- a/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerSightings.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/upstream/RunnerSightings.java
@@ -13,14 +13,14 @@
         public void mayHaveMissed(long nowMillis) {}
 
         @Override
-        public void firstReading(long nowMillis) {}
+        public void allRead(long nowMillis) {}
       };
 
   /** Called when a runner's entry was read, and when it is replaced or has vanished. */
   void seen(RunnerEntry runner, long nowMillis);
 
-  /** Called when all runners were read for the first time; those that left before are unseen. */
-  void firstReading(long nowMillis);
+  /** Called when all runners were read; those that left before the first reading are unseen. */
+  void allRead(long nowMillis);
 
   /** Called when runners may have come and gone unseen. */
   void mayHaveMissed(long nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -20,7 +20,6 @@
 import org.sequoiahub.core.member.MemberSettings;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.origin.ResumePolicy;
-import org.sequoiahub.core.origin.RunnerKnowledge;
 import org.sequoiahub.core.origin.ServiceVersions;
 import org.sequoiahub.core.quarantine.LoadGuard;
 import org.sequoiahub.core.quarantine.QuarantineSettings;
@@ -299,6 +298,31 @@
         new StreamOriginExchange(
             OriginKeepers.among(members), heartbeats::datagram, datagrams::send);
     this.wireClients = new WireClients(network, PEER_TIMEOUT_MILLIS);
+    StoreClient storeClient = new StoreClient(storeHttp, hostSettings.storeAddress());
+    StoreFollowers followers =
+        StoreFollowers.create(
+            storeClient,
+            hostSettings.configurationMillis(),
+            hostSettings.drainMillis(),
+            storeRegistry,
+            decisionThread::put,
+            MonotonicClock.SYSTEM::nowMillis,
+            random::nextDouble,
+            log);
+    this.recordSync =
+        new RecordSync(
+            Math.min(hostSettings.configurationMillis(), hostSettings.drainMillis()),
+            startedMillis,
+            fleetShape,
+            members,
+            storeRegistry,
+            followers.operators(),
+            followers.runners(),
+            new RecordExchange(
+                RecordExchange.callsOver(wireClients, hostSettings.peerPort()),
+                this::recordsReceived),
+            this::stateChanged,
+            log);
     SharedRetryBudget budget =
         new SharedRetryBudget(hostSettings.retries(), startedMillis, hostSettings.firstStart());
     this.requestCoordinator =
@@ -317,7 +341,7 @@
             new WireRequestForwarder(wireClients, hostSettings.peerPort()),
             new ResumePolicy(
                 serviceVersions,
-                new LateRunnerKnowledge(),
+                recordSync,
                 Math.min(hostSettings.configurationMillis(), hostSettings.drainMillis())),
             originExchange,
             originExchange,
@@ -371,31 +395,6 @@
             heartbeats::holdingsChanged,
             log);
     this.demandReceiver = new DemandReceiver(holderService, fleetShape);
-    StoreClient storeClient = new StoreClient(storeHttp, hostSettings.storeAddress());
-    StoreFollowers followers =
-        StoreFollowers.create(
-            storeClient,
-            hostSettings.configurationMillis(),
-            hostSettings.drainMillis(),
-            storeRegistry,
-            decisionThread::put,
-            MonotonicClock.SYSTEM::nowMillis,
-            random::nextDouble,
-            log);
-    this.recordSync =
-        new RecordSync(
-            Math.min(hostSettings.configurationMillis(), hostSettings.drainMillis()),
-            startedMillis,
-            fleetShape,
-            members,
-            storeRegistry,
-            followers.operators(),
-            followers.runners(),
-            new RecordExchange(
-                RecordExchange.callsOver(wireClients, hostSettings.peerPort()),
-                this::recordsReceived),
-            this::stateChanged,
-            log);
     this.wireServer =
         WireServer.open(
             network,
@@ -769,19 +768,6 @@
     return state;
   }
 
-  /** Passes on to the synchronization with the store, which is created later. */
-  private final class LateRunnerKnowledge implements RunnerKnowledge {
-    @Override
-    public long knownMillis() {
-      return recordSync.knownMillis();
-    }
-
-    @Override
-    public void request(long nowMillis) {
-      recordSync.request(nowMillis);
-    }
-  }
-
   private final class PathListener implements RunnerPathMonitor.Listener {
     @Override
     public void pathChanged() {
