Derive whether calls may have been sent; one way to try a signal

failAllCalls was told both the lost connection and whether there was one. The soak's injectors each caught the failures of a signal by themselves.

--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/HostPauses.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostPauses.java
@@ -1,6 +1,5 @@
 package org.sequoiahub.soak;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
@@ -48,17 +47,7 @@
   private void pauseNext() {
     HostProcess host = hosts.get(random.nextInt(hosts.size()));
     int millis = MIN_PAUSE_MILLIS + random.nextInt(MAX_PAUSE_MILLIS - MIN_PAUSE_MILLIS);
-    signal(host, "STOP");
-    scheduler.schedule(() -> signal(host, "CONT"), millis, TimeUnit.MILLISECONDS);
-  }
-
-  private static void signal(HostProcess host, String signal) {
-    try {
-      host.signal(signal);
-    } catch (IOException e) {
-      System.out.println("event=fault-failed why=\"" + e + "\"");
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    host.trySignal("STOP");
+    scheduler.schedule(() -> host.trySignal("CONT"), millis, TimeUnit.MILLISECONDS);
   }
 }
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/HostProcess.java
@@ -158,6 +158,17 @@
     }
   }
 
+  /** Sends a signal as {@link #signal} does; a failure is printed. */
+  void trySignal(String signal) {
+    try {
+      signal(signal);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      System.out.println("event=fault-failed why=\"" + e + "\"");
+    }
+  }
+
   /** Kills the process and waits for it to exit. */
   void kill() throws IOException, InterruptedException {
     final long fromNanos = System.nanoTime();
--- a/sequoia-soak/src/main/java/org/sequoiahub/soak/SuspensionInjector.java
+++ b/sequoia-soak/src/main/java/org/sequoiahub/soak/SuspensionInjector.java
@@ -38,7 +38,7 @@
       case 4 -> suspend(first, soak.runnerCount() / 3, millis);
       case 5 -> suspend(first, soak.runnerCount(), millis);
       case 6 -> burst("configurations", soak::rewriteConfiguration);
-      case 7 -> burst("hangups of " + host.name(), () -> hangUp(host));
+      case 7 -> burst("hangups of " + host.name(), () -> host.trySignal("HUP"));
       default -> {}
     }
   }
@@ -56,14 +56,4 @@
       scheduler.schedule(action, number * BURST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
-
-  private static void hangUp(HostProcess host) {
-    try {
-      host.signal("HUP");
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (Exception e) {
-      System.out.println("event=fault-failed why=\"" + e + "\"");
-    }
-  }
 }
--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
@@ -133,7 +133,7 @@
       open.close();
     } else {
       // Nothing was written yet, and connected() writes nothing after this.
-      failAllCalls(null, false);
+      failAllCalls(null);
     }
   }
 
@@ -160,7 +160,7 @@
 
   private void connected(ChannelFuture future) {
     if (!future.isSuccess()) {
-      failAllCalls(null, false);
+      failAllCalls(null);
       return;
     }
     synchronized (this) {
@@ -182,15 +182,16 @@
   }
 
   private void connectionLost(Channel lostChannel) {
-    failAllCalls(lostChannel, true);
+    failAllCalls(lostChannel);
   }
 
   /**
    * Ends all calls, unless the connection that they use is another one than {@code lostChannel}.
    *
-   * @param lostChannel the connection that was lost; null if there is none yet
+   * @param lostChannel the connection that was lost; null if there is none yet, so that nothing was
+   *     sent
    */
-  private void failAllCalls(@Nullable Channel lostChannel, boolean possiblySent) {
+  private void failAllCalls(@Nullable Channel lostChannel) {
     List<CallListener> listeners;
     synchronized (this) {
       if (channel != lostChannel) {
@@ -202,6 +203,7 @@
       listeners = List.copyOf(calls.values());
       calls.clear();
     }
+    boolean possiblySent = lostChannel != null;
     listeners.forEach(listener -> listener.onConnectionLost(possiblySent));
   }
 
