--- a/sequoia-node/src/test/java/org/sequoiahub/node/OddEntryTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/OddEntryTest.java
@@ -56,6 +56,8 @@
         entry("sequence", LARGEST),
         entry("sequence", LARGEST + "0"),
         entry("born", LARGEST),
+        entry("remainingMs", "1e300"),
+        entry("remainingMs", "1e999"),
         entry("address", "\"127.0.0.1:65536\""),
         entry("address", "\"127.0.0.1:99999999999\""),
         entry("address", "\"::1:80\""),
