Log what a host's processor time went into, beside what it did

Whether a host's cost follows its requests or the size of the fleet, or is that of its start, could not be told from logs: a host said nothing of its own processor time, nor how many datagrams it handles. Each host now logs both every 10 s (`resources`): the time of each thread as Linux accounts it, the virtual machine's included, and the counts of requests and datagrams, which are metrics too. A line costs a few system calls a thread.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -71,6 +71,7 @@
 import org.sequoiahub.runtime.duty.MonotonicClock;
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.runtime.metrics.MetricsText;
+import org.sequoiahub.runtime.process.ProcessorTimes;
 import org.sequoiahub.schema.peer.HostState;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.schema.settings.NodeSettings;
@@ -182,6 +183,7 @@
   private final DatagramPort datagrams;
   private final WireServer wireServer;
   private final WireClients wireClients;
+  private final ResourceLog resourceLog;
   private volatile CallerLimits callerLimits = CallerLimits.UNKNOWN;
   private volatile boolean ready;
   private volatile boolean leaving;
@@ -256,7 +258,14 @@
             runnerSpeeds);
     this.datagrams =
         DatagramPort.open(
-            network, hostSettings.ip(), hostSettings.datagramPort(), log, this::datagramReceived);
+            network,
+            hostSettings.ip(),
+            hostSettings.datagramPort(),
+            metrics,
+            log,
+            this::datagramReceived);
+    this.resourceLog =
+        new ResourceLog(new ProcessorTimes(ProcessorTimes.OWN_THREADS), metrics, log);
     this.fleetShape = new FleetTopology(hostSettings, members);
     this.callerAddresses = new CallerAddresses(hostSettings, members, fleetShape);
     this.heartbeats =
@@ -449,6 +458,7 @@
     node.registerGauges();
     node.decisionThread.start();
     node.callerServer.start();
+    node.resourceLog.start();
     node.log.info(
         "started",
         "domain",
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DatagramPort.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DatagramPort.java
@@ -1,5 +1,7 @@
 package org.sequoiahub.node.peer;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -27,15 +29,18 @@
 
   private final Channel channel;
   private final int port;
+  private final Counter sent;
 
-  private DatagramPort(Channel channel, int port) {
+  private DatagramPort(Channel channel, int port, Counter sent) {
     this.channel = channel;
     this.port = port;
+    this.sent = sent;
   }
 
   /**
    * Opens the port.
    *
+   * @param metrics counts the datagrams in both directions
    * @param receiver receives the sender's IP address and the datagram, on the network thread
    * @throws IOException if the port cannot be opened
    */
@@ -43,6 +48,7 @@
       EventLoopGroup group,
       String ip,
       int port,
+      MetricRegistry metrics,
       EventLog log,
       BiConsumer<String, PeerDatagram> receiver)
       throws IOException {
@@ -53,18 +59,19 @@
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(1))
-            .handler(new InboundHandler(log, receiver))
+            .handler(new InboundHandler(metrics.counter("datagrams.received"), log, receiver))
             .bind(new InetSocketAddress(ip, port))
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new IOException(
           "cannot bind UDP port " + ip + ":" + port + ": " + bound.cause(), bound.cause());
     }
-    return new DatagramPort(bound.channel(), port);
+    return new DatagramPort(bound.channel(), port, metrics.counter("datagrams.sent"));
   }
 
   /** Sends a datagram to another host; delivery is not guaranteed. */
   public void send(String ip, byte[] datagram) {
+    sent.inc();
     channel.writeAndFlush(
         new DatagramPacket(Unpooled.wrappedBuffer(datagram), new InetSocketAddress(ip, port)),
         channel.voidPromise());
@@ -76,16 +83,19 @@
   }
 
   private static final class InboundHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final Counter received;
     private final EventLog log;
     private final BiConsumer<String, PeerDatagram> receiver;
 
-    InboundHandler(EventLog log, BiConsumer<String, PeerDatagram> receiver) {
+    InboundHandler(Counter received, EventLog log, BiConsumer<String, PeerDatagram> receiver) {
+      this.received = received;
       this.log = log;
       this.receiver = receiver;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      received.inc();
       try {
         receiver.accept(
             packet.sender().getAddress().getHostAddress(),
