--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
@@ -65,6 +65,9 @@
   private long now = 1_000_000;
   private long deliveries;
   private long bytes;
+
+  /** What each host handled so far, by its number. */
+  private final Map<Integer, Work> work = new HashMap<>();
   private final Map<Integer, Long> frozenUntil = new HashMap<>();
 
   private record Delivery(long atMillis, long number, int from, int to, byte[] datagram)
@@ -76,6 +79,24 @@
     }
   }
 
+  /**
+   * What a host handles.
+   *
+   * @param datagrams the datagrams that it received or sent
+   * @param placementEntries the loads and holdings of runners in the digests that it received
+   */
+  record Work(long datagrams, long placementEntries) {
+    static final Work NONE = new Work(0, 0);
+
+    Work plus(Work other) {
+      return new Work(datagrams + other.datagrams, placementEntries + other.placementEntries);
+    }
+
+    Work minus(Work other) {
+      return new Work(datagrams - other.datagrams, placementEntries - other.placementEntries);
+    }
+  }
+
   /** A host's view of the store's records. */
   interface Records {
     StorePosition operatorPosition();
@@ -316,6 +337,11 @@
     return bytes;
   }
 
+  /** Returns what a host handled so far. */
+  Work work(int host) {
+    return work.getOrDefault(host, Work.NONE);
+  }
+
   /** Returns the running hosts. */
   List<Host> running() {
     List<Host> running = new ArrayList<>();
@@ -412,6 +438,7 @@
 
   private void send(int from, String ip, byte[] datagram) {
     bytes += datagram.length;
+    work.merge(from, new Work(1, 0), Work::plus);
     int to = Integer.parseInt(ip.substring("ip-".length()));
     boolean lost = cut.test(from, to) || random.nextInt(lossOneIn) == 0;
     if (to < hosts.size() && !lost) {
@@ -442,6 +469,8 @@
     try {
       PeerDatagram datagram = PeerDatagram.parseFrom(arrived.datagram);
       String ip = "ip-" + arrived.from;
+      int entries = datagram.getDigest().getLoadsCount() + datagram.getDigest().getHoldingsCount();
+      work.merge(arrived.to, new Work(1, entries), Work::plus);
       to.records.datagramReceived(datagram.getHost());
       if (datagram.hasDigest()) {
         to.heartbeats.receivedDigest(ip, datagram, now);
