Close connections between hosts that no call uses

A host opens a connection to each host that it pulls records from, and kept probing it for ever: in a profile of standby hosts (58 hosts on loopback) these probes were 40% of the datagram thread's time. After two probes without a call the client now gives the connection up and closes it. It is given up under the lock under which calls are written, so that no call can be written on a connection that is being closed; the next call opens another one. WireClientTest.unusedConnectionIsClosedAndTheNextCallOpensAnother.

--- a/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
+++ b/sequoia-wire/src/main/java/org/sequoiahub/wire/WireClient.java
@@ -29,12 +29,19 @@
  * an hour to detect it. The client therefore sends a probe after half the idle timeout without a
  * message, and closes the connection after the whole of it; the listeners of its calls are then
  * notified of the loss. As the server closes a connection on which it receives nothing, the client
- * also sends a probe when it has sent nothing for the idle timeout, as during a long response.
+ * also sends a probe when it has sent nothing for the idle timeout, as during a long response. A
+ * connection that no call has used for some probes is closed, and the next call opens another one.
  */
 public final class WireClient implements AutoCloseable {
 
   private static final int IDLE_EVENTS_BEFORE_CLOSE = 2;
 
+  /**
+   * Probes after which a connection without calls is closed: every host calls every other one at
+   * times, and probes of all these connections would cost more than opening them again.
+   */
+  private static final int PROBES_BEFORE_RELEASE = 2;
+
   private static final CallListener NO_REPLY_EXPECTED =
       new CallListener() {
         @Override
@@ -211,8 +218,23 @@
     return calls.get(call);
   }
 
+  /**
+   * Gives a connection up if no call uses it. Later calls open another one, so that none of them
+   * can be sent on a connection that is being closed.
+   *
+   * @return whether the connection may be closed
+   */
+  private synchronized boolean releaseIfUnused(Channel unused) {
+    if (channel != unused || !calls.isEmpty()) {
+      return false;
+    }
+    channel = null;
+    return true;
+  }
+
   private final class Inbound extends SimpleChannelInboundHandler<Envelope> {
     private int idleEvents;
+    private int unusedEvents;
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
@@ -224,13 +246,17 @@
     protected void channelRead0(ChannelHandlerContext context, Envelope message) {
       CallListener listener = listener(message.getCall());
       if (listener != null) {
+        unusedEvents = 0;
         listener.onMessage(message);
       }
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-      if (Pipelines.isReaderIdle(event) && ++idleEvents >= IDLE_EVENTS_BEFORE_CLOSE) {
+      unusedEvents = Pipelines.isReaderIdle(event) ? unusedEvents + 1 : unusedEvents;
+      if (unusedEvents > PROBES_BEFORE_RELEASE && releaseIfUnused(context.channel())) {
+        context.close();
+      } else if (Pipelines.isReaderIdle(event) && ++idleEvents >= IDLE_EVENTS_BEFORE_CLOSE) {
         context.close();
       } else if (Pipelines.isReaderIdle(event) || Pipelines.isWriterIdle(event)) {
         Ping ping = Ping.newBuilder().setToken(idleEvents).build();
--- a/sequoia-wire/src/test/java/org/sequoiahub/wire/WireClientTest.java
+++ b/sequoia-wire/src/test/java/org/sequoiahub/wire/WireClientTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sequoiahub.runtime.settings.Endpoint;
@@ -20,6 +21,7 @@
   private static final int ROUNDS = 300;
   private static final int CALLS = 200;
   private static final long IDLE_TIMEOUT_MILLIS = 5_000;
+  private static final long SHORT_IDLE_TIMEOUT_MILLIS = 500;
   private static final long TIMEOUT_SECONDS = 20;
 
   private final EventLoopGroup threads = WireThreads.singleThread("test");
@@ -32,6 +34,7 @@
   /** Receives calls, which it tells apart by client and number. */
   private static final class Recorder implements WireServer.Handler {
     final Set<Long> received = ConcurrentHashMap.newKeySet();
+    final AtomicInteger closed = new AtomicInteger();
 
     @Override
     public void onMessage(WireConnection connection, Envelope message) {
@@ -39,7 +42,9 @@
     }
 
     @Override
-    public void onClosed(WireConnection connection) {}
+    public void onClosed(WireConnection connection) {
+      closed.incrementAndGet();
+    }
   }
 
   /** Guards against a call that is reported as not sent although it was written before a close. */
@@ -94,6 +99,38 @@
     }
   }
 
+  /** Guards against probes, for ever, of a connection that no call uses any more. */
+  @Test
+  void unusedConnectionIsClosedAndTheNextCallOpensAnother() throws Exception {
+    Recorder server = new Recorder();
+    try (WireServer opened =
+        WireServer.open(threads, "127.0.0.1", 0, SHORT_IDLE_TIMEOUT_MILLIS, server)) {
+      WireClient client =
+          new WireClient(
+              threads, new Endpoint("127.0.0.1", opened.port()), SHORT_IDLE_TIMEOUT_MILLIS);
+      long first = client.call(message(), onLoss(sent -> {}));
+      awaitReceived(server, first);
+      TimeUnit.MILLISECONDS.sleep(3 * SHORT_IDLE_TIMEOUT_MILLIS);
+      assertThat(server.closed.get()).isEqualTo(0);
+      client.endCall(first);
+      long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      while (server.closed.get() == 0 && System.nanoTime() < endNanos) {
+        TimeUnit.MILLISECONDS.sleep(1);
+      }
+      assertThat(server.closed.get()).isEqualTo(1);
+      awaitReceived(server, client.call(message(), onLoss(sent -> {})));
+      client.close();
+    }
+  }
+
+  private static void awaitReceived(Recorder server, long call) throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+    while (!server.received.contains(call) && System.nanoTime() < endNanos) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertThat(server.received).contains(call);
+  }
+
   private static void connect(WireClient client, Recorder server) throws InterruptedException {
     client.call(message(), onLoss(sent -> {}));
     while (server.received.isEmpty()) {
