Let a committee grant the leases of a large fleet

Each of the holders asked 65% of all hosts for its leases twice a second, so that with 8 holders every host of a fleet of 58 handled 20 datagrams a second for them, more than half of what a host without requests handled. Majorities of committees that differ in one host meet, as those of electorates did; a former committee's majority is needed for a lease time, and while a member is of an earlier release, a majority of all hosts as well. A trial of a held request is elected among the delegates, whose views are fresh: among all hosts, two were elected when digests came later.

The candidates for leases are determined once a tick rather than for each runner, the electorate when a member has come or gone, and the groups when a host has changed.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/authority/LeasedAuthority.java
@@ -39,7 +39,9 @@
   private final long durationMillis;
   private final Term term;
   private final List<Electorate> formerElectorates = new ArrayList<>();
-  private Set<String> granters = Set.of();
+
+  /** The current electorates; a majority of each is required. */
+  private List<Set<String>> electorates = List.of();
 
   /** The hosts that granted the latest round, and since when each granted to no other holder. */
   private final Map<String, Long> exclusiveSinceMillis = new HashMap<>();
@@ -69,19 +71,32 @@
 
   /** Replaces the hosts that may grant the lease; the previous ones count for a lease duration. */
   public void updateGranters(Set<String> hosts, long nowMillis) {
-    if (hosts.equals(granters)) {
+    updateElectorates(List.of(hosts), nowMillis);
+  }
+
+  /**
+   * Replaces the sets of hosts of each of which a majority must grant the lease; the previous ones
+   * count for a lease duration.
+   */
+  public void updateElectorates(List<Set<String>> current, long nowMillis) {
+    if (current.equals(electorates)) {
       return;
     }
-    if (!granters.isEmpty()) {
-      formerElectorates.add(new Electorate(granters, nowMillis));
+    List<Set<String>> copies = new ArrayList<>();
+    current.forEach(hosts -> copies.add(Set.copyOf(hosts)));
+    for (Set<String> former : electorates) {
+      if (!copies.contains(former)) {
+        formerElectorates.add(new Electorate(former, nowMillis));
+      }
     }
-    granters = Set.copyOf(hosts);
+    electorates = List.copyOf(copies);
     removeObsoleteElectorates(nowMillis);
   }
 
   /** Returns the hosts to ask for a grant, including those of former lists that still count. */
   public Set<String> hostsToAsk(long nowMillis) {
-    Set<String> hosts = new HashSet<>(granters);
+    Set<String> hosts = new HashSet<>();
+    electorates.forEach(hosts::addAll);
     formerElectorates.stream()
         .filter(electorate -> isRecent(electorate, nowMillis))
         .forEach(electorate -> hosts.addAll(electorate.hosts));
@@ -133,7 +148,9 @@
     // The grant was made before now, so the host has been exclusive for longer than this.
     exclusiveSinceMillis.put(host, nowMillis - exclusiveMillis);
     removeObsoleteElectorates(nowMillis);
-    if (hasGrantedMajorities(electorate -> isRecent(electorate, nowMillis), since -> true)) {
+    // Further grants of a round that has succeeded add nothing to the term.
+    if (!lastRoundSucceeded
+        && hasGrantedMajorities(electorate -> isRecent(electorate, nowMillis), since -> true)) {
       lastRoundSucceeded = true;
       if (!term.held(nowMillis)) {
         formerTermEndMillis = term.expiresMillis();
@@ -192,7 +209,8 @@
   /** Returns whether the current and the selected former electorates have a granting majority. */
   private boolean hasGrantedMajorities(
       Predicate<Electorate> selected, LongPredicate exclusiveSince) {
-    return isMajority(granters, exclusiveSince)
+    return !electorates.isEmpty()
+        && electorates.stream().allMatch(hosts -> isMajority(hosts, exclusiveSince))
         && formerElectorates.stream()
             .filter(selected)
             .allMatch(electorate -> isMajority(electorate.hosts, exclusiveSince));
--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Members.java
@@ -38,6 +38,12 @@
   /** The members' addresses. Every message names other hosts, most of which are members already. */
   private final Set<String> memberIps = new HashSet<>();
 
+  /** The electorate as last determined; null if it must be determined again. */
+  private @Nullable Set<String> electorate;
+
+  /** When a member may have left the electorate by its silence (ms). */
+  private long electorateValidUntilMillis;
+
   /** Creates a view that contains no other host. */
   public Members(String self, MemberSettings settings) {
     this.self = requireNonNull(self, "self must not be null");
@@ -116,8 +122,7 @@
     }
     candidates.remove(ip);
     memberIps.add(ip);
-    members.put(
-        host, new Member<>(host, ip, incarnation, sequence, lastSeenMillis, leaving, state));
+    put(new Member<>(host, ip, incarnation, sequence, lastSeenMillis, leaving, state));
     return true;
   }
 
@@ -125,8 +130,7 @@
   public void updateLastSeen(String host, long lastSeenMillis) {
     Member<S> known = members.get(host);
     if (known != null && known.lastSeenMillis < lastSeenMillis) {
-      members.put(
-          host,
+      put(
           new Member<>(
               host,
               known.ip,
@@ -138,6 +142,13 @@
     }
   }
 
+  private void put(Member<S> member) {
+    members.put(member.host, member);
+    if (electorate != null && electorate.contains(member.host) == member.leaving) {
+      electorate = null;
+    }
+  }
+
   /** Records the address of a host that another one named, so that it is contacted. */
   public void addCandidate(String ip, long nowMillis) {
     if (!memberIps.contains(ip)) {
@@ -198,14 +209,24 @@
    * fell silent recently, without those that announced that they leave.
    */
   public Set<String> electorate(long nowMillis) {
+    Set<String> current = electorate;
+    if (current != null && nowMillis < electorateValidUntilMillis) {
+      return current;
+    }
     Set<String> hosts = new HashSet<>();
     hosts.add(self);
+    long validUntilMillis = Long.MAX_VALUE;
     for (Member<S> member : members.values()) {
-      if (!member.leaving && nowMillis - member.lastSeenMillis < settings.retainMillis()) {
+      long endMillis = member.lastSeenMillis + settings.retainMillis();
+      if (!member.leaving && nowMillis < endMillis) {
         hosts.add(member.host);
+        validUntilMillis = Math.min(validUntilMillis, endMillis);
       }
     }
-    return hosts;
+    Set<String> determined = Set.copyOf(hosts);
+    electorate = determined;
+    electorateValidUntilMillis = validUntilMillis;
+    return determined;
   }
 
   /** Returns the period at which each member is sent a heartbeat (ms). */
@@ -228,6 +249,7 @@
             .values()
             .removeIf(member -> nowMillis - member.lastSeenMillis >= settings.retainMillis());
     if (removed) {
+      electorate = null;
       memberIps.clear();
       members.values().forEach(member -> memberIps.add(member.ip));
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -762,6 +762,7 @@
             .setReady(ready && !leaving)
             .setLeaving(leaving)
             .setRunnersUnreachable(runnerPath.isLost())
+            .setAsksCommittee(true)
             .setFleetSize(1 + members.reachable(now).size())
             .setKeptRecords(storeRegistry.keptChecksum());
     StateCodec.setPositions(
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderSelector.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderSelector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
 import org.sequoiahub.core.placement.Rendezvous;
@@ -27,6 +28,7 @@
   private final Members<HostState> members;
   private final FleetTopology shape;
   private final BooleanSupplier runnersUnreachable;
+  private @Nullable Candidates candidates;
 
   /**
    * Creates a selector.
@@ -65,12 +67,39 @@
   /**
    * Returns the host that should hold the runner's lease; one of the runner's failure domain if
    * there is any.
+   */
+  private String selectHolder(RunnerEntry runner, long nowMillis) {
+    Candidates current = candidates;
+    if (current == null || current.determinedMillis != nowMillis) {
+      current = determineCandidates(nowMillis);
+      candidates = current;
+    }
+    // Hashed by address: a runner that restarts at its address keeps its holder, which then need
+    // not wait for the orders of another holder to expire.
+    return Rendezvous.first(
+            runner.address(),
+            current.byDomain.getOrDefault(runner.failureDomain(), current.all),
+            host -> host)
+        .orElse(settings.host());
+  }
+
+  /**
+   * The hosts that may hold leases at one time. It is the same for all runners, so that a check of
+   * all of them does not take the product of runners and hosts.
+   *
+   * @param byDomain those of each failure domain that has any
+   */
+  private record Candidates(
+      long determinedMillis, Set<String> all, Map<String, Set<String>> byDomain) {}
+
+  /**
+   * Determines the hosts that may hold leases.
    *
    * <p>Each change of the holder leaves the runner without orders for some seconds. During a
    * rolling restart, hosts that have already been restarted are therefore preferred: the others are
    * likely to be restarted next.
    */
-  private String selectHolder(RunnerEntry runner, long nowMillis) {
+  private Candidates determineCandidates(long nowMillis) {
     Map<String, String> failureDomains = new HashMap<>();
     failureDomains.put(settings.host(), settings.failureDomain());
     Map<String, Long> incarnations = new HashMap<>();
@@ -94,28 +123,28 @@
     }
     // Claims are sent to every host, so in a large fleet only the delegates hold leases, each of
     // them those of many runners.
-    Set<String> candidates = new HashSet<>(failureDomains.keySet());
+    Set<String> eligible = new HashSet<>(failureDomains.keySet());
     if (shape.isLarge()) {
-      candidates.retainAll(shape.delegates());
+      eligible.retainAll(shape.delegates());
     }
-    Set<String> reaching = new HashSet<>(candidates);
+    Set<String> reaching = new HashSet<>(eligible);
     reaching.removeAll(unreachable);
     if (!reaching.isEmpty()) {
-      candidates = reaching;
+      eligible = reaching;
     }
     long oldestIncarnation = incarnations.values().stream().min(Long::compare).orElse(incarnation);
-    Set<String> restarted = new HashSet<>(candidates);
+    Set<String> restarted = new HashSet<>(eligible);
     restarted.removeIf(
         host -> incarnations.getOrDefault(host, 0L) - oldestIncarnation < RESTARTED_AFTER_MILLIS);
     if (rollingRestart && !restarted.isEmpty()) {
-      candidates = restarted;
+      eligible = restarted;
     }
-    Set<String> sameDomain = new HashSet<>(candidates);
-    sameDomain.removeIf(host -> !runner.failureDomain().equals(failureDomains.get(host)));
-    // Hashed by address: a runner that restarts at its address keeps its holder, which then need
-    // not wait for the orders of another holder to expire.
-    return Rendezvous.first(
-            runner.address(), sameDomain.isEmpty() ? candidates : sameDomain, host -> host)
-        .orElse(settings.host());
+    Map<String, Set<String>> byDomain = new HashMap<>();
+    for (String host : eligible) {
+      byDomain
+          .computeIfAbsent(failureDomains.getOrDefault(host, ""), domain -> new HashSet<>())
+          .add(host);
+    }
+    return new Candidates(nowMillis, eligible, byDomain);
   }
 }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderService.java
@@ -17,7 +17,6 @@
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.authority.LeaseGranter;
-import org.sequoiahub.core.authority.RenewalRound;
 import org.sequoiahub.core.dispatch.FleetLoad;
 import org.sequoiahub.core.holding.Demand;
 import org.sequoiahub.core.holding.Holdings;
@@ -174,7 +173,6 @@
   private boolean stopping;
   private long lastScanMillis = Long.MIN_VALUE / 2;
   private int engineCount;
-  private long claimRound;
   private @Nullable LoadEstimates loadEstimates;
 
   /**
@@ -536,10 +534,10 @@
   }
 
   private void claimLeases(long nowMillis) {
-    Set<String> electorate = members.electorate(nowMillis);
+    List<Set<String>> electorates = shape.leaseElectorates(nowMillis);
     boolean due = false;
     for (HeldRunner held : heldRunners.values()) {
-      held.authority.updateGranters(electorate, nowMillis);
+      held.authority.updateElectorates(electorates, nowMillis);
       due |= held.authority.claimDue(nowMillis);
     }
     if (!due) {
@@ -551,8 +549,7 @@
         LeaseClaim.newBuilder().setSentMs(nowMillis).setDurationMs((int) LEASE_MILLIS);
     claim.addAllRunners(heldRunners.keySet());
     byte[] bytes = datagramFactory.get().setClaim(claim).build().toByteArray();
-    claimRecipients(electorate.size(), nowMillis)
-        .forEach(member -> sender.accept(member.ip(), bytes));
+    claimRecipients(electorates, nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
     for (HeldRunner held : heldRunners.values()) {
       held.authority.roundSent(nowMillis);
       held.exclusiveGranters.clear();
@@ -564,17 +561,11 @@
     }
   }
 
-  /**
-   * Returns the hosts to claim from: all reachable hosts, or a part of them in a large fleet if the
-   * last round renewed all leases.
-   */
-  private List<Member<HostState>> claimRecipients(int electorate, long nowMillis) {
-    List<Member<HostState>> reachable = members.reachable(nowMillis);
-    boolean renewed =
-        heldRunners.values().stream().allMatch(held -> held.authority.lastRoundSucceeded());
-    return shape.isLarge() && renewed
-        ? RenewalRound.selectHosts(reachable, electorate, claimRound++)
-        : reachable;
+  /** Returns the other hosts to claim from: those of the electorates that may respond. */
+  private List<Member<HostState>> claimRecipients(List<Set<String>> electorates, long nowMillis) {
+    return members.reachable(nowMillis).stream()
+        .filter(member -> electorates.stream().anyMatch(hosts -> hosts.contains(member.host())))
+        .toList();
   }
 
   /** Does what is due for one runner, depending on whether its lease is held. */
@@ -676,12 +667,22 @@
     if (!previous.equals(settings.host())) {
       return false;
     }
-    Set<String> electorate = members.electorate(nowMillis);
-    long count = electorate.stream().filter(held.exclusiveGranters::contains).count();
     boolean self =
         sawAllLeases(startedMillis, settings.firstStart(), held)
             && granter.grantedOnlyTo(held.runner.instance(), settings.host());
-    return 2 * (count + (self ? 1 : 0)) > electorate.size();
+    return shape.leaseElectorates(nowMillis).stream()
+        .allMatch(electorate -> isMajorityExclusive(electorate, held, self));
+  }
+
+  /**
+   * Returns whether a majority of an electorate granted a runner's lease to this host only.
+   *
+   * @param self whether this host did as a granter
+   */
+  private boolean isMajorityExclusive(Set<String> electorate, HeldRunner held, boolean self) {
+    long count = electorate.stream().filter(held.exclusiveGranters::contains).count();
+    long own = self && electorate.contains(settings.host()) ? 1 : 0;
+    return 2 * (count + own) > electorate.size();
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetTopology.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/FleetTopology.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahub.core.authority.LeaseCommittee;
 import org.sequoiahub.core.member.Delegates;
 import org.sequoiahub.core.member.Members;
 import org.sequoiahub.core.member.Members.Member;
@@ -23,8 +26,8 @@
 public final class FleetTopology {
 
   /**
-   * Interval at which the delegates are chosen again (ms): a host is suspected only after a second,
-   * and ranking all hosts is expensive.
+   * Interval at which it is checked whether the delegates must be chosen again (ms): a host is
+   * suspected only after a second.
    */
   private static final long REFRESH_MILLIS = 400;
 
@@ -36,19 +39,39 @@
   private Set<String> targetDelegates = Set.of();
   private Map<String, String> groups = Map.of();
 
+  /** What the groups and delegates were last chosen from, by host. */
+  private Map<String, Shape> shapes = Map.of();
+
+  /** The electorate from which the committee was selected. */
+  private Set<String> committeeOf = Set.of();
+
+  private Set<String> committee = Set.of();
+
+  /** Whether the fleet has hosts whose leases need a majority of all hosts. */
+  private boolean earlierReleases;
+
+  /** What the choice of delegates depends on at one host. */
+  private record Shape(String failureDomain, int strength, boolean healthy) {}
+
   /** Creates the topology of a fleet of which nothing is known yet. */
   public FleetTopology(HostSettings settings, Members<HostState> members) {
     this.settings = requireNonNull(settings, "settings must not be null");
     this.members = requireNonNull(members, "members must not be null");
   }
 
-  /** Returns whether this one of all healthy hosts is to act for a key. */
+  /**
+   * Returns whether this one of all healthy hosts is to act for a key. In a large fleet it is one
+   * of the delegates: they learn first of what others know of the key, and of each other's end.
+   */
   public boolean isElected(long key, long nowMillis) {
     Set<String> healthy = new HashSet<>();
-    healthy.add(settings.host());
+    if (!large || isDelegate()) {
+      healthy.add(settings.host());
+    }
     for (Member<HostState> member : members.alive(nowMillis)) {
-      if (members.isHealthy(member.host(), nowMillis)) {
-        healthy.add(member.host());
+      String host = member.host();
+      if (members.isHealthy(host, nowMillis) && (!large || delegates.contains(host))) {
+        healthy.add(host);
       }
     }
     return Rendezvous.first(Long.toHexString(key), healthy, host -> host)
@@ -68,33 +91,97 @@
       delegates = Set.of();
       targetDelegates = Set.of();
       groups = Map.of();
+      shapes = Map.of();
       return true;
     }
-    Map<String, String> domains = new HashMap<>();
-    Map<String, Integer> strengths = new HashMap<>();
-    domains.put(settings.host(), settings.failureDomain());
-    strengths.put(settings.host(), settings.processorPercent());
-    for (Member<HostState> member : reachable) {
-      HostState state = member.state();
-      if (state != null) {
-        domains.put(member.host(), state.getFailureDomain());
-        strengths.put(member.host(), state.getProcessor());
-      }
+    earlierReleases =
+        reachable.stream()
+            .map(Member::state)
+            .anyMatch(state -> state != null && !state.getAsksCommittee());
+    Map<String, Shape> current = shapes(reachable, nowMillis);
+    if (current.equals(shapes)) {
+      return true;
     }
+    shapes = current;
+    Map<String, String> domains = new HashMap<>();
+    Map<String, String> healthy = new HashMap<>();
+    current.forEach((host, shape) -> domains.put(host, shape.failureDomain));
     groups = Delegates.groups(domains);
-    Map<String, String> healthy = new HashMap<>(groups);
-    healthy
-        .keySet()
-        .removeIf(host -> !host.equals(settings.host()) && !members.isHealthy(host, nowMillis));
-    delegates = Delegates.of(healthy, host -> strengths.getOrDefault(host, 0));
+    groups.forEach(
+        (host, group) -> {
+          Shape shape = current.get(host);
+          if (shape != null && shape.healthy) {
+            healthy.put(host, group);
+          }
+        });
+    ToIntFunction<String> strength = host -> strengthOf(current.get(host));
+    delegates = Delegates.of(healthy, strength);
     // After a network partition, two groups that consider each other dead would never communicate
     // again if each addressed live delegates only. Hosts that would be delegates if they were alive
     // are therefore addressed too.
-    targetDelegates = Delegates.of(groups, host -> strengths.getOrDefault(host, 0));
+    targetDelegates = Delegates.of(groups, strength);
     targetDelegates.addAll(delegates);
     return true;
   }
 
+  private Map<String, Shape> shapes(List<Member<HostState>> reachable, long nowMillis) {
+    Map<String, Shape> current = new HashMap<>();
+    current.put(
+        settings.host(), new Shape(settings.failureDomain(), settings.processorPercent(), true));
+    for (Member<HostState> member : reachable) {
+      HostState state = member.state();
+      if (state != null) {
+        boolean healthy = members.isHealthy(member.host(), nowMillis);
+        current.put(
+            member.host(), new Shape(state.getFailureDomain(), state.getProcessor(), healthy));
+      }
+    }
+    return current;
+  }
+
+  private static int strengthOf(@Nullable Shape shape) {
+    return shape == null ? 0 : shape.strength;
+  }
+
+  /**
+   * Returns the sets of hosts of each of which a majority must grant a lease.
+   *
+   * <p>In a large fleet this is a committee. While the fleet has hosts of an earlier release, which
+   * need a majority of all hosts, both are required: any two leases then have a common granter.
+   */
+  public List<Set<String>> leaseElectorates(long nowMillis) {
+    Set<String> all = members.electorate(nowMillis);
+    if (!large) {
+      return List.of(all);
+    }
+    if (!all.equals(committeeOf)) {
+      committeeOf = all;
+      committee = LeaseCommittee.select(granterCandidates(all), LeaseCommittee.SIZE);
+    }
+    return earlierReleases ? List.of(all, committee) : List.of(committee);
+  }
+
+  private List<LeaseCommittee.Candidate> granterCandidates(Set<String> hosts) {
+    List<LeaseCommittee.Candidate> candidates = new ArrayList<>();
+    for (String host : hosts) {
+      if (host.equals(settings.host())) {
+        candidates.add(
+            new LeaseCommittee.Candidate(
+                host, settings.failureDomain(), settings.processorPercent()));
+      } else {
+        members
+            .find(host)
+            .map(Member::state)
+            .ifPresent(
+                state ->
+                    candidates.add(
+                        new LeaseCommittee.Candidate(
+                            host, state.getFailureDomain(), state.getProcessor())));
+      }
+    }
+    return candidates;
+  }
+
   /** Returns whether the fleet is so large that delegates represent the other hosts. */
   public boolean isLarge() {
     return large;
@@ -115,10 +202,13 @@
    * others send fewer and bridge the time until a dead delegate is suspected.
    */
   public boolean isFirstDelegate() {
-    return isDelegate()
-        && delegates.stream()
-            .filter(this::isInOwnGroup)
-            .allMatch(d -> settings.host().compareTo(d) <= 0);
+    return isFirstDelegateOfOwnGroup(settings.host());
+  }
+
+  /** Returns whether a host is the first delegate of this host's group. */
+  public boolean isFirstDelegateOfOwnGroup(String host) {
+    return delegates.contains(host)
+        && delegates.stream().filter(this::isInOwnGroup).allMatch(d -> host.compareTo(d) <= 0);
   }
 
   /** Returns the name of this host's group. */
--- a/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/holder/HolderSimulation.java
@@ -89,6 +89,12 @@
   /** The hosts that have lost their path to the runners, and know it. */
   private final Set<Integer> unreachable = new HashSet<>();
 
+  /** The hosts that do not state that they ask a lease committee. */
+  private final Set<Integer> earlierReleases = new HashSet<>();
+
+  /** The number of claims that each host received. */
+  private final Map<Integer, Integer> claimsReceived = new HashMap<>();
+
   private long now = 1_000_000;
   private final List<Digest> digests = new ArrayList<>();
   private boolean collectsDigests;
@@ -125,6 +131,18 @@
     return orderCount - before;
   }
 
+  /** From now on a host states what one of an earlier release does. */
+  void runEarlierRelease(int host) {
+    earlierReleases.add(host);
+  }
+
+  /** Returns how many claims each host receives while time passes; hosts without any are absent. */
+  Map<Integer, Integer> claimsWithin(long millis) {
+    claimsReceived.clear();
+    advanceTime(millis);
+    return Map.copyOf(claimsReceived);
+  }
+
   /** Returns the id of a runner. */
   String runnerId(int runner) {
     return runners.get(runner).entry.id();
@@ -447,8 +465,10 @@
           HostState.newBuilder()
               .setIp("10.0.0." + number)
               .setFailureDomain("z")
+              .setProcessor(100)
               .setReady(true)
               .setLeaving(leaving)
+              .setAsksCommittee(!earlierReleases.contains(number))
               .setRunnersUnreachable(unreachable.contains(number));
       if (withHoldings && !leaving && service != null) {
         for (String runner : service.orderedRunners(now)) {
@@ -511,7 +531,10 @@
         String ip = "10.0.0." + from;
         switch (datagram.getBodyCase()) {
           case STATE -> heartbeats.received(ip, datagram, now);
-          case CLAIM -> running.handleClaim(name, ip, datagram.getClaim(), now);
+          case CLAIM -> {
+            claimsReceived.merge(number, 1, Integer::sum);
+            running.handleClaim(name, ip, datagram.getClaim(), now);
+          }
           case GRANT -> running.handleGrant(name, datagram.getGrant(), now);
           case DIGEST -> {
             if (collectsDigests) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/PeerSimulation.java
@@ -68,6 +68,7 @@
 
   /** What each host handled so far, by its number. */
   private final Map<Integer, Work> work = new HashMap<>();
+
   private final Map<Integer, Long> frozenUntil = new HashMap<>();
 
   private record Delivery(long atMillis, long number, int from, int to, byte[] datagram)
@@ -235,16 +236,26 @@
               .setFailureDomain("z" + number % domains)
               .setProcessor(processor(number))
               .setCallerAddress("10.100.100.100:8149")
+              .setAsksCommittee(true)
               .setReady(true)
               .setFleetSize(1 + members.reachable(now).size())
               .setKeptRecords(records.keptChecksum());
       StateCodec.setPositions(state, records.operatorPosition(), records.runnersPosition());
       StateCodec.addLoads(state, loads.own());
+      if (withHoldings) {
+        holdings.all().entrySet().stream()
+            .filter(entry -> entry.getValue().host().equals("host-" + number))
+            .forEach(
+                entry ->
+                    state.addHoldings(
+                        StateCodec.encodeHolding(entry.getKey(), entry.getValue(), now)));
+      }
       return state.setLoadsComplete(true);
     }
 
     private void stateReceived(String from, HostState state) {
       loads.update(from, StateCodec.decodeLoads(state.getLoadsList()), true, now);
+      StateCodec.decodeHoldings(from, state, now).forEach(holdings::update);
       reportReceived(from, state);
     }
 
