Tell hosts that place no requests only what every host must know

The delegates now send such hosts who is alive, changed reports, spending and statements, every 300 and 900 ms; to a host that begins to place requests all loads and holdings at once.

StandbyHostTest.handlesNothingThatOnlyPlacementNeeds was red at 77 and 300 hosts. As digests to most hosts are fewer, a delegate may represent 64 hosts; DelegatesTest asserts 8 groups of 300 hosts instead of 16, its limit on their size as before. LargeFleetTest.loadsAreSummedOnceOverTheFleet demanded the sums of hosts that place nothing; now all hosts of it place a request, and the sums are checked at each as before.

--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
@@ -33,10 +33,10 @@
   public static final int MAX_HOSTS_WITHOUT_DELEGATES = 16;
 
   /**
-   * The largest number of hosts in a group; its first delegate sends each of them seven digests a
-   * second.
+   * The largest number of hosts in a group; its first delegate sends each of them three digests a
+   * second, and seven to those that place requests.
    */
-  public static final int MAX_GROUP_HOSTS = 32;
+  public static final int MAX_GROUP_HOSTS = 64;
 
   /** The number of delegates per group; one may die unnoticed for a second. */
   public static final int PER_GROUP = 2;
--- a/sequoia-core/src/test/java/org/sequoiahub/core/member/DelegatesTest.java
+++ b/sequoia-core/src/test/java/org/sequoiahub/core/member/DelegatesTest.java
@@ -40,7 +40,7 @@
     void ofLargeDomainsStaySmall() {
       Map<String, Integer> sizes = new HashMap<>();
       Delegates.groups(fleet(300, 1)).values().forEach(g -> sizes.merge(g, 1, Integer::sum));
-      assertThat(sizes).hasSize(16);
+      assertThat(sizes).hasSize(8);
       assertThat(sizes.values().stream().max(Integer::compare).get())
           .isAtMost(Delegates.MAX_GROUP_HOSTS);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -107,20 +107,26 @@
   private static final long QUIET_TICK_MILLIS = 25;
 
   /**
-   * Tick period in a large fleet while a host has no request, holds or claims no lease and is not a
-   * delegate (ms): most hosts of such a fleet are idle, and wake-ups account for most of their
+   * Tick period in a large fleet while a host is ready, has no request, holds or claims no lease
+   * and is not a delegate (ms): most hosts of such a fleet are idle, and wake-ups account for most of their
    * processor time.
    */
-  private static final long IDLE_TICK_MILLIS = 100;
+  private static final long IDLE_TICK_MILLIS = 250;
 
   /** Interval at which leases, orders and the synchronization with the store are processed (ms). */
   private static final long HOLDER_AND_STORE_TICK_MILLIS = 20;
 
-  /** Interval of upkeep: the processing of state that changes slowly (ms). */
-  private static final long UPKEEP_PERIOD_MILLIS = 100;
+  /** Interval at which the advertised addresses and the members are refreshed (ms). */
+  private static final long REFRESH_PERIOD_MILLIS = 100;
 
-  /** Interval of upkeep at a request-only host (ms). */
-  private static final long REQUEST_ONLY_UPKEEP_PERIOD_MILLIS = 250;
+  /** Interval of the same at a request-only host (ms). */
+  private static final long REQUEST_ONLY_REFRESH_PERIOD_MILLIS = 250;
+
+  /**
+   * Interval of upkeep, which removes what is obsolete and publishes metrics (ms): its cost grows
+   * with the runners and the hosts, and nothing depends on its time.
+   */
+  private static final long UPKEEP_PERIOD_MILLIS = 1_000;
 
   /** Interval at which a host without leases checks whether it should claim one (ms). */
   private static final long HOLDER_CHECK_PERIOD_MILLIS = 100;
@@ -191,6 +197,7 @@
   private volatile List<String> advertisedAddresses = List.of();
   private volatile List<RunnerEntry> presentRunners = List.of();
   private long lastHolderAndStoreTickMillis;
+  private long lastRefreshMillis;
   private long lastUpkeepMillis;
   private long lastHolderCheckMillis;
 
@@ -562,7 +569,10 @@
       return TICK_MILLIS;
     }
     boolean idle =
-        isRequestOnly() && requestCoordinator.inProgressCount() == 0 && !holderService.isActive();
+        ready
+            && isRequestOnly()
+            && requestCoordinator.inProgressCount() == 0
+            && !holderService.isActive();
     return idle ? IDLE_TICK_MILLIS : QUIET_TICK_MILLIS;
   }
 
@@ -583,8 +593,13 @@
         holderService.tick(fleetView::engineSpecs, nowMillis);
       }
     }
-    long upkeepPeriod = isRequestOnly() ? REQUEST_ONLY_UPKEEP_PERIOD_MILLIS : UPKEEP_PERIOD_MILLIS;
-    if (nowMillis - lastUpkeepMillis >= upkeepPeriod) {
+    long refreshPeriod =
+        isRequestOnly() ? REQUEST_ONLY_REFRESH_PERIOD_MILLIS : REFRESH_PERIOD_MILLIS;
+    if (nowMillis - lastRefreshMillis >= refreshPeriod) {
+      lastRefreshMillis = nowMillis;
+      refresh(nowMillis);
+    }
+    if (nowMillis - lastUpkeepMillis >= UPKEEP_PERIOD_MILLIS) {
       lastUpkeepMillis = nowMillis;
       performUpkeep(nowMillis);
     }
@@ -602,7 +617,7 @@
     return fleetShape.isLarge() && !fleetShape.isDelegate();
   }
 
-  private void performUpkeep(long nowMillis) {
+  private void refresh(long nowMillis) {
     long holderPeriod =
         isRequestOnly() ? REQUEST_ONLY_HOLDER_CHECK_PERIOD_MILLIS : HOLDER_CHECK_PERIOD_MILLIS;
     if (!holderService.isActive() && nowMillis - lastHolderCheckMillis >= holderPeriod) {
@@ -611,17 +626,20 @@
     }
     refreshAddresses(nowMillis);
     members.removeExpired(nowMillis);
-    runnerRegistry.removeExpired(nowMillis, RUNNER_RETENTION_MILLIS);
-    presentRunners = runnerRegistry.present();
     fleetLarge = fleetShape.isLarge();
-    fleetView.removeStaleEntries(nowMillis);
     requestQuarantine.historyLost(
         history.isShorterThan(
             QuarantineSettings.DEFAULT.quarantineMillis(), System.currentTimeMillis(), nowMillis));
     allowances.assumeSilentSpending(nowMillis);
-    requestCoordinator.publishMetrics(nowMillis);
     quarantineGate.runMaintenance(nowMillis);
+  }
+
+  private void performUpkeep(long nowMillis) {
+    runnerRegistry.removeExpired(nowMillis, RUNNER_RETENTION_MILLIS);
+    presentRunners = runnerRegistry.present();
+    fleetView.removeStaleEntries(nowMillis);
     runnerStates.runMaintenance(runnerRegistry.incarnationKeys(), nowMillis);
+    requestCoordinator.publishMetrics(nowMillis);
   }
 
   private Optional<RunnerEntry> findRunner(String key) {
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/FleetView.java
@@ -47,6 +47,12 @@
   /** Wait assumed for an adapter after a runner refused a request for it (ms). */
   private static final long REFUSAL_WAIT_MILLIS = 50;
 
+  /**
+   * Age from which on a reported holding is not used (ms): it dates from before this host stood by,
+   * and the runner's entry in the store is newer. Holdings are repeated within 4 s.
+   */
+  private static final long OUTDATED_HOLDING_MILLIS = 8_000;
+
   /** Wait assumed for a base model (ms): the users' models take 0.6 to 1.9 s to load. */
   private static final long MODEL_LOAD_MILLIS = 2_000;
 
@@ -401,7 +407,10 @@
     if (generation == null) {
       return Residency.present(0, true);
     }
-    Optional<Holdings.Holding> reported = holdings.find(runner.id());
+    Optional<Holdings.Holding> reported =
+        holdings
+            .find(runner.id())
+            .filter(holding -> nowMillis - holding.reportedMillis() < OUTDATED_HOLDING_MILLIS);
     if (reported.isEmpty()) {
       boolean hasModel = runner.heldModels().contains(generation.model());
       boolean hasAdapter =
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/AliveMarks.java
@@ -25,16 +25,24 @@
  */
 final class AliveMarks {
 
-  /**
-   * Maximum number of marks in a digest: covers a fleet of 77 hosts in 0.3 s and one of 300 in 1 s,
-   * in which hosts are suspected after 1.5 s and 6 s.
-   */
-  private static final int MAX_MARKS = 48;
-
   private final Members<HostState> members;
   private final Map<String, HostMark> marksByHost = new HashMap<>();
   private final Map<Integer, String> hostsByMark = new HashMap<>();
-  private int nextMember;
+
+  /** The position in the rotation of the hosts that one kind of digest marks. */
+  static final class Rotation {
+    private final int maxMarks;
+    private int nextMember;
+
+    /**
+     * Creates a rotation at its beginning.
+     *
+     * @param maxMarks the maximum number of marks in a digest
+     */
+    Rotation(int maxMarks) {
+      this.maxMarks = maxMarks;
+    }
+  }
 
   private record HostMark(long incarnation, boolean ready, boolean leaving, int mark) {
     boolean matches(Member<HostState> member, HostState state) {
@@ -49,10 +57,11 @@
   }
 
   /** Adds the marks of the given hosts to a digest, in rotation if there are too many for one. */
-  void add(Digest.Builder digest, List<Member<HostState>> marked, long nowMillis) {
-    boolean all = marked.size() <= MAX_MARKS;
-    int first = all ? 0 : nextMember;
-    int count = Math.min(MAX_MARKS, marked.size());
+  void add(
+      Digest.Builder digest, List<Member<HostState>> marked, Rotation rotation, long nowMillis) {
+    boolean all = marked.size() <= rotation.maxMarks;
+    int first = all ? 0 : rotation.nextMember;
+    int count = Math.min(rotation.maxMarks, marked.size());
     for (int i = 0; i < count; i++) {
       Member<HostState> member = marked.get((first + i) % marked.size());
       HostState state = member.state();
@@ -62,7 +71,7 @@
       }
     }
     if (!all) {
-      nextMember = (first + count) % marked.size();
+      rotation.nextMember = (first + count) % marked.size();
     }
   }
 
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/DigestExchange.java
@@ -1,9 +1,11 @@
 package org.sequoiahub.node.peer;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
@@ -41,6 +43,15 @@
    */
   private static final long OTHER_DELEGATE_PERIOD_MILLIS = 450;
 
+  /**
+   * Interval between the digests of a group's first delegate to its standby hosts (ms). These tell
+   * them what every host must know in time: who is alive, and which records are new.
+   */
+  private static final long FIRST_DELEGATE_STANDBY_PERIOD_MILLIS = 300;
+
+  /** Interval between the digests of a group's other delegates to its standby hosts (ms). */
+  private static final long OTHER_DELEGATE_STANDBY_PERIOD_MILLIS = 900;
+
   /**
    * Lower bound of the interval between digests to other groups, for each delegate addressed (ms):
    * with many groups they are sent less often.
@@ -56,6 +67,9 @@
   /** Unchanged host reports in each digest to the own group. */
   private static final int INTRA_GROUP_REPORTS = 4;
 
+  /** Unchanged host reports in each digest to the standby hosts of the own group. */
+  private static final int STANDBY_REPORTS = 4;
+
   /**
    * Reports of hosts of any group in each digest to another group's delegates: two delegates may
    * not know each other yet.
@@ -71,6 +85,15 @@
   /** Unchanged holdings in each digest to the own group. */
   private static final int INTRA_GROUP_HOLDINGS = 4;
 
+  /**
+   * Maximum number of liveness marks in a digest: covers a fleet of 77 hosts in 0.3 s and one of
+   * 300 in 1 s, in which hosts are suspected after 1.5 s and 6 s.
+   */
+  private static final int MAX_MARKS = 48;
+
+  /** Maximum number of liveness marks in a digest to standby hosts, which are sent less often. */
+  private static final int MAX_STANDBY_MARKS = 48;
+
   /** Maximum number of reports, of 100 bytes each, sent to a host that lacks its delegates. */
   private static final int MAX_MEMBERSHIP_REPORTS = 500;
 
@@ -97,9 +120,18 @@
   private final DigestBuilder gossip = new DigestBuilder(GOSSIP_REPORTS, 0);
   private final DigestBuilder intraGroup =
       new DigestBuilder(INTRA_GROUP_REPORTS, INTRA_GROUP_HOLDINGS);
+  private final DigestBuilder standby = new DigestBuilder(STANDBY_REPORTS, 0);
+  private final AliveMarks.Rotation interGroupMarks = new AliveMarks.Rotation(MAX_MARKS);
+  private final AliveMarks.Rotation intraGroupMarks = new AliveMarks.Rotation(MAX_MARKS);
+  private final AliveMarks.Rotation standbyMarks = new AliveMarks.Rotation(MAX_STANDBY_MARKS);
   private final Map<String, Long> membershipSentMillis = new HashMap<>();
+
+  /** The hosts of this group that place requests, as this host last heard. */
+  private final Set<String> placingHosts = new HashSet<>();
+
   private long interGroupDueMillis = Long.MIN_VALUE;
   private long intraGroupDueMillis = Long.MIN_VALUE;
+  private long standbyDueMillis = Long.MIN_VALUE;
 
   /**
    * Creates an exchange.
@@ -155,6 +187,21 @@
       intraGroupDueMillis = nowMillis + period;
       sendIntraGroup(nowMillis);
     }
+    if (nowMillis >= standbyDueMillis) {
+      standbyDueMillis =
+          nowMillis
+              + (topology.isFirstDelegate()
+                  ? FIRST_DELEGATE_STANDBY_PERIOD_MILLIS
+                  : OTHER_DELEGATE_STANDBY_PERIOD_MILLIS);
+      sendStandby(nowMillis);
+    }
+  }
+
+  /** Returns the hosts of this group, other than delegates, that place requests or do not. */
+  private List<Member<HostState>> groupHosts(boolean placing, long nowMillis) {
+    return topology.ownGroupNonDelegates(nowMillis).stream()
+        .filter(member -> placingHosts.contains(member.host()) == placing)
+        .toList();
   }
 
   private void sendInterGroup(List<Member<HostState>> delegates, long nowMillis) {
@@ -163,7 +210,7 @@
         members.reachable(nowMillis).stream().filter(m -> topology.isInOwnGroup(m.host())).toList();
     digest.addWords(ownReport.apply(nowMillis));
     interGroup.addReports(digest, group, nowMillis);
-    marks.add(digest, group, nowMillis);
+    marks.add(digest, group, interGroupMarks, nowMillis);
     gossip.addRepeatedReports(digest, members.reachable(nowMillis), nowMillis);
     interGroup.addHoldings(digest, holdings, topology::isInOwnGroup, nowMillis);
     Map<String, FleetLoad.Use> sums = loads.sums(topology::isInOwnGroup, nowMillis);
@@ -182,19 +229,64 @@
   }
 
   private void sendIntraGroup(long nowMillis) {
+    List<Member<HostState>> receivers = groupHosts(true, nowMillis);
+    if (receivers.isEmpty()) {
+      return;
+    }
     Digest.Builder digest = Digest.newBuilder();
     digest.addWords(ownReport.apply(nowMillis));
     List<Member<HostState>> all = members.reachable(nowMillis);
     intraGroup.addReports(digest, all, nowMillis);
-    marks.add(digest, all, nowMillis);
-    intraGroup.addHoldings(digest, holdings, holder -> true, nowMillis);
+    marks.add(digest, all, intraGroupMarks, nowMillis);
+    addPlacementState(digest, intraGroup, nowMillis);
+    addStatements(digest, nowMillis);
+    send(receivers, digest);
+  }
+
+  /**
+   * Sends what hosts need that place no requests. They are most hosts of a large fleet, so that the
+   * cost of the fleet would otherwise grow with the product of hosts and runners.
+   */
+  private void sendStandby(long nowMillis) {
+    List<Member<HostState>> receivers = groupHosts(false, nowMillis);
+    if (receivers.isEmpty()) {
+      return;
+    }
+    Digest.Builder digest = Digest.newBuilder();
+    digest.addWords(ownReport.apply(nowMillis));
+    List<Member<HostState>> all = members.reachable(nowMillis);
+    standby.addReports(digest, all, nowMillis);
+    marks.add(digest, all, standbyMarks, nowMillis);
+    addSpending(digest, nowMillis);
+    addStatements(digest, nowMillis);
+    send(receivers, digest);
+  }
+
+  /**
+   * Records whether a host of this group places requests. To one that begins to, this host sends
+   * all that is known for it at once.
+   */
+  void recordPlacing(String host, String ip, boolean placing, long nowMillis) {
+    if (!placing) {
+      placingHosts.remove(host);
+    } else if (placingHosts.add(host)) {
+      Digest.Builder digest = Digest.newBuilder();
+      addPlacementState(digest, new DigestBuilder(0, 0), nowMillis);
+      send(ip, digest);
+    }
+  }
+
+  /** Adds what the fleet has in flight at the runners, and what these hold. */
+  private void addPlacementState(Digest.Builder digest, DigestBuilder builder, long nowMillis) {
+    builder.addHoldings(digest, holdings, holder -> true, nowMillis);
     DigestBuilder.addLoads(digest, loads.sums(source -> true, nowMillis), runner -> false);
+    addSpending(digest, nowMillis);
+  }
+
+  private void addSpending(Digest.Builder digest, long nowMillis) {
     if (!spending.isUnused()) {
       digest.setSpending(StateCodec.encodeSpending(spending.fleetReport(nowMillis)));
     }
-    addStatements(digest, nowMillis);
-    byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
-    topology.ownGroupNonDelegates(nowMillis).forEach(member -> sender.accept(member.ip(), bytes));
   }
 
   private void addStatements(Digest.Builder digest, long nowMillis) {
@@ -209,6 +301,11 @@
     return holdings.find(runner).filter(holding -> holding.host().equals(host)).isPresent();
   }
 
+  private void send(List<Member<HostState>> receivers, Digest.Builder digest) {
+    byte[] bytes = datagrams.get().setDigest(digest).build().toByteArray();
+    receivers.forEach(member -> sender.accept(member.ip(), bytes));
+  }
+
   private void send(String ip, Digest.Builder digest) {
     sender.accept(ip, datagrams.get().setDigest(digest).build().toByteArray());
   }
@@ -308,6 +405,7 @@
 
   /** Drops outdated sources of spending and rebuilds the liveness marks. */
   void refresh(long nowMillis) {
+    placingHosts.removeIf(host -> !topology.isInOwnGroup(host));
     spending.removeObsoleteSources(this::isRelevantSource, nowMillis);
     marks.refresh(nowMillis);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerHeartbeats.java
@@ -14,6 +14,7 @@
 import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.schema.peer.HostAddress;
 import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.HostStateOrBuilder;
 import org.sequoiahub.schema.peer.HostWord;
 import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.usersplatform.HostSettings;
@@ -49,6 +50,9 @@
 
   private static final long MAX_HEARTBEAT_MILLIS = 400;
 
+  /** Requests in the busiest of the last seconds up to which a host counts as standing by. */
+  private static final int MAX_STANDBY_REQUESTS = 1;
+
   /** Other hosts whose addresses each state includes. */
   private static final int GOSSIP_HOSTS = 2;
 
@@ -69,9 +73,14 @@
   private List<String> seedIps;
   private long sequence;
   private long lastSentMillis = Long.MIN_VALUE / 2;
+  private long lastSentToAllMillis = Long.MIN_VALUE / 2;
   private long lastCompleteMillis = Long.MIN_VALUE / 2;
   private boolean changed;
   private boolean holdingsChanged;
+
+  /** Whether this host placed requests according to the state that it sent last. */
+  private boolean placing;
+
   private long lastHoldingsMillis = Long.MIN_VALUE / 2;
 
   /** Builds this host's state. */
@@ -185,11 +194,27 @@
         Math.max(
             MIN_HEARTBEAT_MILLIS, Math.min(MAX_HEARTBEAT_MILLIS, members.heartbeatPeriodMillis()));
     if (since >= heartbeat || (changed && since >= MIN_DELEGATE_PERIOD_MILLIS)) {
-      send(topology.ownGroupDelegates(), true, nowMillis);
+      send(delegatesDue(heartbeat, nowMillis), true, nowMillis);
     }
     digests.tick(nowMillis);
   }
 
+  /**
+   * Returns the delegates to which this host's state is sent now: all of them on a change or while
+   * this host places requests, and otherwise the first one alone with every other heartbeat.
+   */
+  private List<Member<HostState>> delegatesDue(long heartbeatMillis, long nowMillis) {
+    List<Member<HostState>> delegates = topology.ownGroupDelegates();
+    boolean allDue = changed || placing || nowMillis - lastSentToAllMillis >= 2 * heartbeatMillis;
+    if (allDue || topology.isDelegate()) {
+      lastSentToAllMillis = nowMillis;
+      return delegates;
+    }
+    return delegates.stream()
+        .filter(delegate -> topology.isFirstDelegateOfOwnGroup(delegate.host()))
+        .toList();
+  }
+
   private void tickSmall(long nowMillis) {
     int peers = members.reachable(nowMillis).size();
     long period = Math.max(MIN_PERIOD_MILLIS, (long) peers * MILLIS_PER_SECOND / STATES_PER_SECOND);
@@ -219,6 +244,7 @@
     boolean complete =
         allLoads || nowMillis - lastCompleteMillis >= members.heartbeatPeriodMillis();
     HostState.Builder state = ownState.state(withHoldings, complete);
+    placing = placesRequests(state);
     if (!spending.isUnused()) {
       state.setSpending(StateCodec.encodeSpending(spending.localReport(nowMillis)));
     }
@@ -279,12 +305,20 @@
         nowMillis);
     digests.applySpending(datagram.getHost(), datagram.getIncarnation(), state, nowMillis);
     boolean toDelegate = topology.isDelegate() && topology.isInOwnGroup(datagram.getHost());
+    if (toDelegate) {
+      digests.recordPlacing(datagram.getHost(), ip, placesRequests(state), nowMillis);
+    }
     if (topology.isLarge() && !toDelegate && !state.getLeaving()) {
       // In a large fleet a host addresses only its delegates and hosts that it does not know yet.
       digests.sendMembership(ip, nowMillis);
     }
   }
 
+  /** Returns whether a host has requests, or more than single ones in the last seconds. */
+  private static boolean placesRequests(HostStateOrBuilder state) {
+    return state.getLoadsCount() > 0 || state.getRequestsPerSecond() > MAX_STANDBY_REQUESTS;
+  }
+
   /** Applies a digest received from an IP address. */
   public void receivedDigest(String ip, PeerDatagram datagram, long nowMillis) {
     String reporter = DigestExchange.reporterId(datagram.getHost(), datagram.getIncarnation());
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/AliveMarksTest.java
@@ -17,6 +17,7 @@
 
   private static final long PERIOD_MILLIS = 100;
 
+  private final AliveMarks.Rotation rotation = new AliveMarks.Rotation(48);
   private final Members<HostState> senders = new Members<>("delegate", MemberSettings.DEFAULT);
   private final Members<HostState> receivers = new Members<>("ordinary", MemberSettings.DEFAULT);
   private final AliveMarks senderMarks = new AliveMarks(senders);
@@ -30,7 +31,7 @@
 
   private void exchangeMarks(long nowMillis) {
     Digest.Builder digest = Digest.newBuilder();
-    senderMarks.add(digest, senders.reachable(nowMillis), nowMillis);
+    senderMarks.add(digest, senders.reachable(nowMillis), rotation, nowMillis);
     receiverMarks.refresh(nowMillis);
     receiverMarks.apply(digest.build(), nowMillis);
   }
@@ -70,9 +71,9 @@
       Set<Integer> marked = new HashSet<>();
       for (int i = 0; i < 2; i++) {
         Digest.Builder digest = Digest.newBuilder();
-        senderMarks.add(digest, all, 0);
+        senderMarks.add(digest, all, rotation, 0);
         marked.addAll(digest.getAliveList());
-        senderMarks.add(Digest.newBuilder(), all.subList(0, 19), 0);
+        senderMarks.add(Digest.newBuilder(), all.subList(0, 19), rotation, 0);
       }
       assertThat(marked).hasSize(HOSTS);
     }
@@ -111,7 +112,7 @@
       receiveState(senders, 1, false, 0);
       receiveState(receivers, 1, false, 0);
       Digest.Builder digest = Digest.newBuilder();
-      senderMarks.add(digest, senders.reachable(0), 0);
+      senderMarks.add(digest, senders.reachable(0), rotation, 0);
       receiverMarks.refresh(0);
       receiverMarks.apply(digest.setAliveAgesMs(0, -1_000_000).build(), PERIOD_MILLIS);
       assertThat(lastSeenMillis()).isEqualTo(0);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/LargeFleetTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/LargeFleetTest.java
@@ -14,6 +14,7 @@
   private static final int HOSTS = 40;
   private static final int DOMAINS = 4;
   private static final String RUNNER = "i-1";
+  private static final String OTHER_RUNNER = "i-2";
 
   /** A change at a host (100 ms), two digests (150 ms each), one of which is lost (150 ms). */
   private static final long PROPAGATION_MILLIS = 600;
@@ -75,10 +76,14 @@
     /**
      * Guards against some runners getting far more requests than others in a large fleet, because
      * the sums leave a failure domain out or count one twice. Hosts of different domains each send
-     * two requests to one runner.
+     * two requests to one runner, and every host places a request at another runner.
      */
     @Test
     void loadsAreSummedOnceOverTheFleet() {
+      for (PeerSimulation.Host host : simulation.running()) {
+        host.loads.add(OTHER_RUNNER, 1, 0, 0, "");
+        host.heartbeats.changed();
+      }
       for (int host : List.of(1, 2, 3, 5)) {
         PeerSimulation.Host sender = simulation.running().get(host);
         sender.loads.add(RUNNER, 2, 100, 0, "m/a1");
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/StandbyHostTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/StandbyHostTest.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahub.core.holding.Holdings;
@@ -76,12 +75,13 @@
         .toList();
   }
 
-  /** Guards against a cost of each host that follows the size of the fleet, and not its own work. */
+  /**
+   * Guards against a cost of each host that follows the size of the fleet, and not its own work.
+   */
   @Nested
   class WhileOthersServe {
     @ParameterizedTest
     @ValueSource(ints = {77, 300})
-    @Tag("known-red")
     void handlesNothingThatOnlyPlacementNeeds(int hosts) {
       PeerSimulation simulation = servingFleet(hosts);
       for (PeerSimulation.Host host : standby(simulation)) {
@@ -108,8 +108,7 @@
       for (int i = 0; i < standby.size(); i++) {
         datagrams += simulation.work(standby.get(i).number).minus(before.get(i)).datagrams();
       }
-      assertThat(datagrams / standby.size() / MEASURED_SECONDS)
-          .isAtMost(MAX_DATAGRAMS_PER_SECOND);
+      assertThat(datagrams / standby.size() / MEASURED_SECONDS).isAtMost(MAX_DATAGRAMS_PER_SECOND);
     }
   }
 
