Archive the classes of large fleets, and log no runner as changed at a start

A host that starts wrote a line for each runner that it learned of (102 there, 11% of its decision thread's samples); the line that tells their number remains.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -527,6 +527,11 @@
     log.info("stopped", "in_progress", requestsInProgress());
   }
 
+  /** Writes the log line on resources that is otherwise written periodically. */
+  void logResources() {
+    resourceLog.write();
+  }
+
   /** Leaves the fleet and closes all ports, clients and threads. */
   public void stop() throws Exception {
     leave();
--- a/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/SelfCheck.java
@@ -1,5 +1,9 @@
 package org.sequoiahub.node;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +22,10 @@
 import org.sequoiahub.runtime.log.LineFormatter;
 import org.sequoiahub.runtime.port.FreePorts;
 import org.sequoiahub.runtime.settings.SettingsLoader;
+import org.sequoiahub.schema.peer.Digest;
+import org.sequoiahub.schema.peer.HostState;
+import org.sequoiahub.schema.peer.HostWord;
+import org.sequoiahub.schema.peer.PeerDatagram;
 import org.sequoiahub.schema.settings.NodeSettings;
 import org.sequoiahub.usersplatform.AddressProtocol;
 import org.sequoiahub.usersplatform.Headers;
@@ -46,6 +54,16 @@
   private static final long RETRY_INTERVAL_MILLIS = 100;
   private static final int DEADLINE_MILLIS = 3_000;
 
+  /** The position of the port for datagrams among the ports. */
+  private static final int DATAGRAM_PORT_INDEX = 4;
+
+  /** The hosts whose datagrams are simulated: with them the fleet has delegates. */
+  private static final int SIMULATED_HOSTS = 20;
+
+  private static final int SIMULATED_DOMAINS = 3;
+  private static final int FLEET_ROUNDS = 12;
+  private static final int FLEET_ROUND_MILLIS = 100;
+
   private static final NodeSettings FALLBACK_SETTINGS =
       NodeSettings.newBuilder().setAddressTtlMs(1_000).build();
 
@@ -69,6 +87,8 @@
       passed = isUnavailableWithoutRecords(client, ports);
       nodes.get(0).applyRecords(SampleRecords.records(runner.address()));
       passed &= servesStreams(client, ports.get(0));
+      simulateLargeFleet(ports.get(DATAGRAM_PORT_INDEX));
+      nodes.get(0).logResources();
       for (Node node : nodes) {
         node.stop();
       }
@@ -108,6 +128,49 @@
     return served == ROUNDS;
   }
 
+  /**
+   * Sends the nodes what they would receive from the other hosts of a large fleet, so that the code
+   * of delegates and of standby hosts is covered.
+   */
+  private static void simulateLargeFleet(int port) throws Exception {
+    try (DatagramChannel channel = DatagramChannel.open()) {
+      for (int round = 1; round <= FLEET_ROUNDS; round++) {
+        for (int number = 0; number < SIMULATED_HOSTS; number++) {
+          PeerDatagram.Builder datagram =
+              PeerDatagram.newBuilder().setHost("simulated-" + number).setNumber(round);
+          HostState.Builder state =
+              HostState.newBuilder()
+                  .setIp("127.0.1." + number)
+                  .setFailureDomain("simulated-" + number % SIMULATED_DOMAINS)
+                  .setReady(true)
+                  .setAsksCommittee(true);
+          Digest.Builder digest =
+              Digest.newBuilder()
+                  .setGroup(number == 0 ? "" : "simulated")
+                  .addWords(
+                      HostWord.newBuilder()
+                          .setHost("simulated-" + number)
+                          .setNumber(round)
+                          .setState(state))
+                  .addAlive(number)
+                  .addAliveAgesMs(1)
+                  .setLoadsTold(true);
+          for (String ip : IPS) {
+            send(channel, datagram.setState(state), ip, port);
+            send(channel, datagram.setDigest(digest), ip, port);
+          }
+        }
+        TimeUnit.MILLISECONDS.sleep(FLEET_ROUND_MILLIS);
+      }
+    }
+  }
+
+  private static void send(
+      DatagramChannel channel, PeerDatagram.Builder datagram, String ip, int port)
+      throws IOException {
+    channel.send(ByteBuffer.wrap(datagram.build().toByteArray()), new InetSocketAddress(ip, port));
+  }
+
   private static int requestStream(HttpClient client, int port) throws Exception {
     return client
         .newRequest("http://" + IPS.get(0) + ":" + port + SampleRecords.STREAM_PATH)
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreRegistry.java
@@ -512,6 +512,9 @@
   private boolean apply(Change change, long nowMillis) {
     recordIfRelevant(change);
     RunnerEntry before = runnerRegistry.find(change.id()).orElse(null);
+    // The runners that a host learns of when it starts are no changes; store-read tells their
+    // number.
+    boolean initialized = runnerRegistry.position().isAfter(StorePosition.NONE);
     boolean applied = runnerRegistry.apply(change, nowMillis);
     RunnerEntry entry = change.entry();
     boolean relevant =
@@ -519,7 +522,7 @@
             || entry == null
             || entry.leaving() != before.leaving()
             || !entry.incarnation().equals(before.incarnation());
-    if (applied && relevant) {
+    if (applied && relevant && initialized) {
       log.info(
           "runner-changed",
           "runner",
