Answer or close every connection before a stopping host exits

In a planned stop, requests that came late were accepted, sent to runners and cut when the process ended.

The check and the rejection of later requests are now one step on the decision thread. The port, connections without a request and then the others as their responses are written are closed before the process exits (at most 200 ms later).

PlannedStopTest.AfterTheStop.noConnectionIsOpen was red: a host that had stopped answered on a kept connection. UntilTheStop (12 callers until the end, two grace times) was green before, too: under steady load the host is rarely idle.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.sequoiahub.core.allowance.AllowanceLimiter;
@@ -108,8 +110,8 @@
 
   /**
    * Tick period in a large fleet while a host is ready, has no request, holds or claims no lease
-   * and is not a delegate (ms): most hosts of such a fleet are idle, and wake-ups account for most of their
-   * processor time.
+   * and is not a delegate (ms): most hosts of such a fleet are idle, and wake-ups account for most
+   * of their processor time.
    */
   private static final long IDLE_TICK_MILLIS = 250;
 
@@ -143,6 +145,15 @@
    */
   private static final int PROBE_TIMEOUT_MILLIS = 250;
 
+  /** Interval at which a stopping host checks whether requests are in progress (ms). */
+  private static final long STOP_CHECK_MILLIS = 50;
+
+  /**
+   * Time for which a host that is about to exit waits for responses to be written (ms): callers get
+   * what is ready, and a slow one does not delay the exit beyond the grace time.
+   */
+  private static final long CLOSE_CONNECTIONS_MILLIS = 200;
+
   /** Time for which the state of a runner without an entry is retained (ms). */
   private static final long RUNNER_RETENTION_MILLIS = 60_000;
 
@@ -519,12 +530,19 @@
           heartbeats.sendToAll(now);
           requestCoordinator.beginShutdown(shutdown);
         });
-    boolean idle = false;
-    while (MonotonicClock.SYSTEM.nowMillis() < shutdown.endMillis() && !idle) {
-      TimeUnit.MILLISECONDS.sleep(50);
-      idle = !shutdown.acceptsAll(MonotonicClock.SYSTEM.nowMillis()) && requestsInProgress() == 0;
+    boolean closed = false;
+    while (MonotonicClock.SYSTEM.nowMillis() < shutdown.endMillis() && !closed) {
+      TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
+      closed = decide(() -> requestCoordinator.closeIfIdle(MonotonicClock.SYSTEM.nowMillis()));
     }
-    log.info("stopped", "in_progress", requestsInProgress());
+    int inProgress =
+        decide(
+            () -> {
+              requestCoordinator.close();
+              return requestCoordinator.inProgressCount();
+            });
+    int unfinished = callerServer.closeCallerConnections(CLOSE_CONNECTIONS_MILLIS);
+    log.info("stopped", "in_progress", inProgress, "unfinished", unfinished);
   }
 
   /** Writes the log line on resources that is otherwise written periodically. */
@@ -545,16 +563,15 @@
     network.shutdownGracefully();
   }
 
-  private int requestsInProgress() throws InterruptedException {
-    int[] count = new int[1];
-    CountDownLatch counted = new CountDownLatch(1);
-    decisionThread.put(
-        () -> {
-          count[0] = requestCoordinator.inProgressCount();
-          counted.countDown();
-        });
-    counted.await();
-    return count[0];
+  /** Returns what a task returns on the decision thread. */
+  private <T> T decide(Callable<T> task) throws InterruptedException {
+    FutureTask<T> decision = new FutureTask<>(task);
+    decisionThread.put(decision);
+    try {
+      return decision.get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a task of the decision thread has failed", e);
+    }
   }
 
   /**
--- a/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/call/RequestCoordinator.java
@@ -127,6 +127,9 @@
   private final WaitingCalls waitingCalls;
   private @Nullable Shutdown shutdown;
 
+  /** Whether the process is about to exit, so that a request would be cut off. */
+  private boolean closed;
+
   /**
    * Creates a coordinator.
    *
@@ -257,7 +260,7 @@
     long timeoutMillis = Math.min(requestedMillis, route.timeoutMillis());
     long deadlineMillis = now + timeoutMillis;
     if (shutdown != null) {
-      if (!shutdown.accepts(timeoutMillis, now)) {
+      if (closed || !shutdown.accepts(timeoutMillis, now)) {
         localResponses.reject(
             exchange,
             headers,
@@ -357,6 +360,27 @@
         });
   }
 
+  /**
+   * Ends the shutdown if no request is in progress and those that come may be rejected: all
+   * requests that come later are.
+   *
+   * <p>The check and the rejection are one step. A request accepted after a check alone would be
+   * cut off when the process exits, and its caller could not tell whether it ran.
+   *
+   * @return whether the shutdown has ended
+   */
+  public boolean closeIfIdle(long nowMillis) {
+    if (shutdown != null && !shutdown.acceptsAll(nowMillis) && calls.isEmpty()) {
+      closed = true;
+    }
+    return closed;
+  }
+
+  /** Rejects all requests that come from now on; those in progress go on. */
+  public void close() {
+    closed = true;
+  }
+
   /** Publishes the metrics of the retry budget; call it periodically. */
   public void publishMetrics(long nowMillis) {
     retryGate.publish(nowMillis);
--- a/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/caller/CallerServer.java
@@ -6,15 +6,20 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongUnaryOperator;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.ConnectionFactory;
@@ -50,6 +55,9 @@
    */
   private static final int ACCEPT_QUEUE = 1_024;
 
+  /** Interval at which it is checked which connections can be closed (ms). */
+  private static final long CLOSE_CHECK_MILLIS = 5;
+
   private final Server server;
   private final ServerConnector callerConnector;
   private final HttpConfiguration callerConfiguration;
@@ -65,6 +73,9 @@
   private final int metricsPort;
   private final UnaryOperator<String> operatorPage;
 
+  /** The connections on which the response to a caller's request is not written completely. */
+  private final Set<EndPoint> responding = ConcurrentHashMap.newKeySet();
+
   /**
    * Creates a server; {@link #start} opens its ports.
    *
@@ -162,6 +173,30 @@
         .forEach(endPoint -> endPoint.setIdleTimeout(idleTimeoutMillis));
   }
 
+  /**
+   * Closes the callers' port and connections: those without a request at once, and the others once
+   * their response has been written. From then on no request is read that nobody would answer.
+   *
+   * @param timeoutMillis the time after which the remaining connections are closed as well (ms)
+   * @return the number of responses that were not finished
+   */
+  public int closeCallerConnections(long timeoutMillis) throws InterruptedException {
+    callerConnector.close();
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    closeCallerConnections(endPoint -> !responding.contains(endPoint));
+    while (!callerConnector.getConnectedEndPoints().isEmpty() && endNanos - System.nanoTime() > 0) {
+      TimeUnit.MILLISECONDS.sleep(CLOSE_CHECK_MILLIS);
+      closeCallerConnections(endPoint -> !responding.contains(endPoint));
+    }
+    int unfinished = responding.size();
+    closeCallerConnections(endPoint -> true);
+    return unfinished;
+  }
+
+  private void closeCallerConnections(Predicate<EndPoint> closed) {
+    callerConnector.getConnectedEndPoints().stream().filter(closed).forEach(EndPoint::close);
+  }
+
   @Override
   public void close() throws Exception {
     server.stop();
@@ -244,6 +279,9 @@
     }
 
     private void readRequest(Request request, Response response, Callback callback) {
+      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+      responding.add(endPoint);
+      Request.addCompletionListener(request, failure -> responding.remove(endPoint));
       new BodyReader(
               request,
               limits.get().maxBodyBytes(),
