Bound the memory of all buffered responses together

A report of other operators: runners that send without end exhaust a host's memory, and the requests of all its callers end. Each response was bounded to 8 MiB, their sum by nothing: 22 of them fill the heap of a host.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/Attempt.java
@@ -36,6 +36,8 @@
    */
   private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
+  private static final String NO_MEMORY = "all responses exceed the memory for them";
+
   /** Maximum length of an exception's text in a reason (characters). */
   private static final int MAX_REASON_LENGTH = 60;
 
@@ -44,6 +46,7 @@
   private final RepeatPolicy repeatPolicy;
   private final LongSupplier wallClock;
   private final AttemptListener listener;
+  private final ResponseMemory.Share memory;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.UNSENT);
   private final AtomicBoolean ended = new AtomicBoolean();
@@ -71,8 +74,10 @@
       String requestId,
       RepeatPolicy repeatPolicy,
       LongSupplier wallClock,
+      ResponseMemory memory,
       AttemptListener listener) {
     this.request = request;
+    this.memory = memory.open();
     this.requestId = requestId;
     this.repeatPolicy = repeatPolicy;
     this.wallClock = wallClock;
@@ -104,6 +109,7 @@
   public Verdict cancel(String reason) {
     boolean withdrawn = withdraw();
     if (ended.compareAndSet(false, true)) {
+      memory.close();
       request.abort(new IOException(reason));
     }
     Outcome outcome = reported;
@@ -182,6 +188,11 @@
         request.abort(new IOException("response exceeds the maximum size"));
         return;
       }
+      if (!memory.grow(bytes.length)) {
+        finish(new Outcome.ResponseLost(NO_MEMORY, false));
+        request.abort(new IOException(NO_MEMORY));
+        return;
+      }
       bufferedBody.write(bytes, 0, bytes.length);
       return;
     }
@@ -256,6 +267,7 @@
 
   private void finish(Outcome outcome) {
     if (ended.compareAndSet(false, true)) {
+      memory.close();
       reported = outcome;
       listener.ended(outcome);
     }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/upstream/UpstreamClient.java
@@ -49,16 +49,27 @@
 
   private final HttpClient http;
   private final LongSupplier wallClock;
+  private final ResponseMemory responseMemory;
 
   /**
-   * Creates a client.
+   * Creates a client whose buffered responses take a part of the heap of the process at most.
    *
    * @param http a started HTTP client, as returned by {@link #start}
    * @param wallClock returns the time of day (ms since the epoch)
    */
   public UpstreamClient(HttpClient http, LongSupplier wallClock) {
+    this(http, wallClock, ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()));
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param responseMemory bounds the memory of the responses that are buffered
+   */
+  UpstreamClient(HttpClient http, LongSupplier wallClock, ResponseMemory responseMemory) {
     this.http = http;
     this.wallClock = wallClock;
+    this.responseMemory = responseMemory;
   }
 
   /** Returns a started HTTP client that adds no headers to a request and never repeats one. */
@@ -130,7 +141,8 @@
     if (body.length > 0 || !HttpMethod.GET.is(method)) {
       request.body(new BytesRequestContent((String) null, body));
     }
-    Attempt attempt = new Attempt(request, requestId, repeatPolicy, wallClock, listener);
+    Attempt attempt =
+        new Attempt(request, requestId, repeatPolicy, wallClock, responseMemory, listener);
     attempt.send();
     return attempt;
   }
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/AttemptRecorder.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/AttemptRecorder.java
@@ -60,6 +60,11 @@
     outcomes.add(outcome);
   }
 
+  /** Returns whether the attempt has ended and its outcome was not taken yet. */
+  boolean hasEnded() {
+    return !outcomes.isEmpty();
+  }
+
   /** Waits for the end of the attempt. */
   Outcome awaitOutcome() throws InterruptedException {
     Outcome outcome = outcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/upstream/CancelledAttemptTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/upstream/CancelledAttemptTest.java
@@ -88,6 +88,7 @@
           "q",
           RepeatPolicy.AT_MOST_ONCE,
           System::currentTimeMillis,
+          new ResponseMemory(1 << 20),
           new AttemptRecorder());
     }
 
