--- a/sequoia-node/src/main/java/org/sequoiahub/node/ResourceLog.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/ResourceLog.java
@@ -52,18 +52,11 @@
     } catch (IOException e) {
       log.debug("processor-time-unknown", "why", e);
     }
-    long total = millisByThread.values().stream().mapToLong(Long::longValue).sum();
-    String threads =
-        millisByThread.entrySet().stream()
-            .filter(entry -> entry.getValue() >= MIN_LISTED_MILLIS)
-            .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
-            .map(entry -> entry.getKey() + ":" + entry.getValue())
-            .collect(Collectors.joining(","));
     Object[] pairs = new Object[2 * (2 + COUNTERS.size())];
     pairs[0] = "processor_ms";
-    pairs[1] = total;
+    pairs[1] = millisByThread.values().stream().mapToLong(Long::longValue).sum();
     pairs[2] = "threads";
-    pairs[3] = threads;
+    pairs[3] = describe(millisByThread);
     for (int i = 0; i < COUNTERS.size(); i++) {
       pairs[4 + 2 * i] = COUNTERS.get(i).replace('.', '_');
       pairs[5 + 2 * i] = metrics.counter(COUNTERS.get(i)).getCount();
@@ -71,6 +64,14 @@
     log.info("resources", pairs);
   }
 
+  private static String describe(Map<String, Long> millisByThread) {
+    return millisByThread.entrySet().stream()
+        .filter(entry -> entry.getValue() >= MIN_LISTED_MILLIS)
+        .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+        .map(entry -> entry.getKey() + ":" + entry.getValue())
+        .collect(Collectors.joining(","));
+  }
+
   private void run() {
     try {
       while (true) {
--- a/sequoia-node/src/test/java/org/sequoiahub/node/StoppedHeadTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/StoppedHeadTest.java
@@ -83,7 +83,7 @@
     switch (ending) {
       case CLOSE -> connection.close();
       case RESET -> ScriptedRunner.reset(connection);
-      case HALF_CLOSE -> connection.shutdownOutput();
+      default -> connection.shutdownOutput();
     }
   }
 
