--- a/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
+++ b/sequoia-core/src/main/java/org/sequoiahub/core/member/Delegates.java
@@ -33,7 +33,7 @@
   public static final int MAX_HOSTS_WITHOUT_DELEGATES = 16;
 
   /**
-   * The largest number of hosts in a group; its first delegate sends each of them three digests a
+   * The largest number of hosts in a group; its first delegate sends each of them five digests a
    * second, and seven to those that place requests.
    */
   public static final int MAX_GROUP_HOSTS = 64;
--- a/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderSelector.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/holder/HolderSelector.java
@@ -121,8 +121,8 @@
         }
       }
     }
-    // Claims are sent to every host, so in a large fleet only the delegates hold leases, each of
-    // them those of many runners.
+    // Each holder sends claims to all granters, so in a large fleet only the delegates hold leases,
+    // each of them those of many runners.
     Set<String> eligible = new HashSet<>(failureDomains.keySet());
     if (shape.isLarge()) {
       eligible.retainAll(shape.delegates());
