--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -4,6 +4,8 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -11,7 +13,11 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahub.core.member.Delegates;
 import org.sequoiahub.node.peer.RecordTrouble.Kind;
 import org.sequoiahub.usersplatform.standin.VirtualStore.Fault;
 
@@ -58,6 +64,31 @@
     injectTogether(troubles, hosts, seed);
   }
 
+  @Provide
+  Arbitrary<Integer> sizesWithDelegates() {
+    return Arbitraries.integers().between(Delegates.MAX_HOSTS_WITHOUT_DELEGATES + 1, 40);
+  }
+
+  /** Guards against a change that depends on the few hosts that read the store for the others. */
+  @net.jqwik.api.Tag("known-red")
+  @Property(tries = 40, seed = "20261206")
+  void holdsUnderFaultsOfDelegates(
+      @ForAll("troubles") List<RecordTrouble> troubles,
+      @ForAll("sizesWithDelegates") int hosts,
+      @ForAll boolean together,
+      @ForAll long seed) {
+    RecordBoundsChecker bounds =
+        new RecordBoundsChecker(new RecordSimulation(seed, hosts, DOMAINS), seed);
+    bounds.advance(2 * JOIN_MILLIS);
+    bounds.affectDelegatesFirst();
+    if (together) {
+      bounds.injectTogether(troubles);
+    } else {
+      troubles.forEach(bounds::inject);
+    }
+    bounds.advance(RecordBoundsChecker.SETTLED_MILLIS);
+  }
+
   private static void injectTogether(List<RecordTrouble> troubles, int hosts, long seed) {
     RecordBoundsChecker bounds =
         new RecordBoundsChecker(new RecordSimulation(seed, hosts, DOMAINS), seed);
@@ -177,6 +208,40 @@
     }
   }
 
+  @Nested
+  class DelegatesWithoutStore {
+
+    /** Guards against hosts that take a delegate that is alive for one that reads the store. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"20, SILENT", "20, REFUSING", "77, SILENT", "77, REFUSING", "300, SILENT"})
+    void changesAreKnownWhereTheStoreAnswers(int hosts, Fault fault) {
+      RecordSimulation simulation = new RecordSimulation(hosts, hosts, DOMAINS);
+      simulation.advance(2 * JOIN_MILLIS);
+      Set<Integer> delegates =
+          simulation.peers.running().stream()
+              .filter(host -> host.topology.isDelegate())
+              .map(host -> host.number)
+              .collect(Collectors.toSet());
+      simulation.store.setFault(fault, delegates::contains);
+      simulation.advance(JOIN_MILLIS);
+      long version = simulation.configure();
+      String leaving = simulation.replaceRunner();
+      simulation.advance(RecordSimulation.BOUND_MILLIS);
+      for (PeerSimulation.Host host : simulation.peers.running()) {
+        if (!delegates.contains(host.number)) {
+          RecordSimulation.HostRecords records = simulation.host(host.number);
+          assertWithMessage("version at host %s", host.number)
+              .that(records.versionInForce())
+              .isEqualTo(version);
+          assertWithMessage("use of a leaving runner at host %s", host.number)
+              .that(records.isUsable(leaving))
+              .isFalse();
+        }
+      }
+    }
+  }
+
   @Nested
   class Start {
 
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordBoundsChecker.java
@@ -62,6 +62,7 @@
   private final List<Long> peerLatencies = new ArrayList<>();
 
   private final List<OverlappingFault> active = new ArrayList<>();
+  private boolean delegatesFirst;
   private long storeFaultyUntil = -1;
   private long changedMillis;
   private int intervalMillis = CHANGE_INTERVAL_MILLIS;
@@ -391,9 +392,20 @@
     };
   }
 
+  /** From now on the delegates are the first hosts that a fault affects. */
+  void affectDelegatesFirst() {
+    delegatesFirst = true;
+  }
+
   private Set<Integer> drawHosts(int tenths) {
     Set<Integer> affected = new HashSet<>();
     int wanted = Math.max(1, simulation.peers.size() * tenths / 10);
+    if (delegatesFirst) {
+      simulation.peers.running().stream()
+          .filter(host -> host.topology.isDelegate())
+          .limit(wanted)
+          .forEach(host -> affected.add(host.number));
+    }
     while (affected.size() < wanted) {
       affected.add(random.nextInt(simulation.peers.size()));
     }
