Deflate large records on the way between hosts

What callers saw: with many routes, changes of the configuration came into force seconds late at hosts with slow links, and requests failed meanwhile.

Cause: each host pulls the whole configuration, and a delegate sends it to all of its group. 1,900 routes are 375 KB, which take a link of 10 Mbit/s 0.3 s for each host. The class: the time of a change follows the size of the configuration times the hosts that need it.

Evidence: LargeConfigurationTest was red (4,497 ms to send it to 15 hosts; 1,000 allowed).

Values of 1 KB and more are deflated for hosts that accept it; the last results are kept, as all hosts pull the same. Hosts of earlier releases get plain values, and send them.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/Node.java
@@ -362,7 +362,8 @@
             random::nextDouble,
             new RecordExchange(
                 RecordExchange.callsOver(wireClients, hostSettings.peerPort()),
-                this::recordsReceived),
+                this::recordsReceived,
+                log),
             this::stateChanged,
             log);
     SharedRetryBudget budget =
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerConnections.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PeerConnections.java
@@ -21,6 +21,9 @@
   private final Consumer<Runnable> decisionThread;
   private final LongSupplier clock;
 
+  /** Used on the decision thread. */
+  private final DeflatedValues deflatedValues = new DeflatedValues();
+
   /**
    * Creates a handler.
    *
@@ -53,7 +56,7 @@
         Envelope.newBuilder()
             .setStoreRecords(
                 RecordExchange.answerPull(
-                    message.getStorePull(), storeRegistry, clock.getAsLong())));
+                    message.getStorePull(), storeRegistry, deflatedValues, clock.getAsLong())));
   }
 
   @Override
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/PulledRecords.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/PulledRecords.java
@@ -1,5 +1,6 @@
 package org.sequoiahub.node.peer;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -38,21 +39,38 @@
     return new PulledRecords(ip, items, List.of(), StorePosition.NONE, StorePosition.NONE, 0);
   }
 
-  static PulledRecords decode(String ip, StoreRecords records) {
-    List<StoredItem> items = new ArrayList<>();
-    records.getOperatorsList().forEach(entry -> items.add(item(entry)));
-    records.getRunnersList().forEach(entry -> items.add(item(entry)));
+  /**
+   * Decodes the answer of a host.
+   *
+   * @throws IOException if a value cannot be inflated
+   */
+  static PulledRecords decode(String ip, StoreRecords records) throws IOException {
+    List<StoredItem> items = items(records.getOperatorsList());
+    items.addAll(items(records.getRunnersList()));
     return new PulledRecords(
         ip,
         items,
-        records.getKeptList().stream().map(PulledRecords::item).toList(),
+        items(records.getKeptList()),
         StateCodec.decodePosition(records.getOperatorsEra(), records.getOperatorsCompleteTo()),
         StateCodec.decodePosition(records.getRunnersEra(), records.getRunnersCompleteTo()),
         records.getConfirmedMsAgo());
   }
 
-  private static StoredItem item(StoredEntry entry) {
-    byte @Nullable [] value = entry.getValue().isEmpty() ? null : entry.getValue().toByteArray();
+  private static List<StoredItem> items(List<StoredEntry> entries) throws IOException {
+    List<StoredItem> items = new ArrayList<>();
+    for (StoredEntry entry : entries) {
+      items.add(item(entry));
+    }
+    return items;
+  }
+
+  private static StoredItem item(StoredEntry entry) throws IOException {
+    byte @Nullable [] value = null;
+    if (!entry.getDeflatedValue().isEmpty()) {
+      value = DeflatedValues.inflate(entry.getDeflatedValue());
+    } else if (!entry.getValue().isEmpty()) {
+      value = entry.getValue().toByteArray();
+    }
     StorePosition position = StateCodec.decodePosition(entry.getEra(), entry.getRevision());
     return new StoredItem(entry.getKey(), position, value);
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/RecordExchange.java
@@ -1,12 +1,15 @@
 package org.sequoiahub.node.peer;
 
 import com.google.protobuf.ByteString;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahub.core.store.StorePosition;
 import org.sequoiahub.node.store.StoreRegistry;
+import org.sequoiahub.runtime.log.EventLog;
 import org.sequoiahub.runtime.settings.Endpoint;
 import org.sequoiahub.schema.peer.StorePull;
 import org.sequoiahub.schema.peer.StoreRecords;
@@ -36,6 +39,7 @@
 
   private final PeerCalls calls;
   private final Consumer<PulledRecords> recordsListener;
+  private final EventLog log;
   private final Map<String, Long> pendingSinceMillis = new HashMap<>();
   private long lastPullMillis = Long.MIN_VALUE / 2;
 
@@ -52,9 +56,10 @@
    * @param recordsListener receives the records that another host returns, on the thread of its
    *     answer
    */
-  public RecordExchange(PeerCalls calls, Consumer<PulledRecords> recordsListener) {
+  public RecordExchange(PeerCalls calls, Consumer<PulledRecords> recordsListener, EventLog log) {
     this.calls = calls;
     this.recordsListener = recordsListener;
+    this.log = log;
   }
 
   /** Returns calls over connections to the hosts' peer ports. */
@@ -102,8 +107,18 @@
             .setOperatorsEra(operatorsCompleteTo.era())
             .setRunnersCompleteTo(runnersCompleteTo.revision())
             .setRunnersEra(runnersCompleteTo.era())
+            .setAcceptsDeflated(true)
             .build();
-    calls.pull(ip, pull, records -> recordsListener.accept(PulledRecords.decode(ip, records)));
+    calls.pull(ip, pull, records -> received(ip, records));
+  }
+
+  private void received(String ip, StoreRecords records) {
+    try {
+      recordsListener.accept(PulledRecords.decode(ip, records));
+    } catch (IOException e) {
+      // The next state from any host with newer records triggers another pull.
+      log.warning("peer-records-ignored", "peer", ip, "why", e.getMessage());
+    }
   }
 
   /**
@@ -114,8 +129,15 @@
     pendingSinceMillis.remove(ip);
   }
 
-  /** Answers another host's pull. */
-  public static StoreRecords answerPull(StorePull pull, StoreRegistry store, long nowMillis) {
+  /**
+   * Answers another host's pull.
+   *
+   * @param deflated deflates values for hosts that accept it
+   */
+  public static StoreRecords answerPull(
+      StorePull pull, StoreRegistry store, DeflatedValues deflated, long nowMillis) {
+    Function<StoredItem, StoredEntry.Builder> encoder =
+        item -> entry(item, pull.getAcceptsDeflated() ? deflated.of(item) : ByteString.EMPTY);
     StoreRecords.Builder records =
         StoreRecords.newBuilder()
             .setOperatorsCompleteTo(store.operatorsCompleteTo().revision())
@@ -126,23 +148,25 @@
     store
         .operatorRecordsSince(
             StateCodec.decodePosition(pull.getOperatorsEra(), pull.getOperatorsCompleteTo()))
-        .forEach(item -> records.addOperators(entry(item)));
+        .forEach(item -> records.addOperators(encoder.apply(item)));
     store
         .runnerRecordsSince(
             StateCodec.decodePosition(pull.getRunnersEra(), pull.getRunnersCompleteTo()))
-        .forEach(item -> records.addRunners(entry(item)));
-    store.keptRecords().forEach(item -> records.addKept(entry(item)));
+        .forEach(item -> records.addRunners(encoder.apply(item)));
+    store.keptRecords().forEach(item -> records.addKept(encoder.apply(item)));
     return records.build();
   }
 
-  private static StoredEntry.Builder entry(StoredItem item) {
+  private static StoredEntry.Builder entry(StoredItem item, ByteString deflated) {
     StoredEntry.Builder entry =
         StoredEntry.newBuilder()
             .setKey(item.key())
             .setRevision(item.position().revision())
             .setEra(item.position().era());
     byte @Nullable [] value = item.value();
-    if (value != null) {
+    if (!deflated.isEmpty()) {
+      entry.setDeflatedValue(deflated);
+    } else if (value != null) {
       entry.setValue(ByteString.copyFrom(value));
     }
     return entry;
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/KeptRecordsExchangeTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -51,7 +52,7 @@
     }
 
     /** Pulls from another host and applies its answer, as RecordSync does. */
-    void pull(Host other, long nowMillis) {
+    void pull(Host other, long nowMillis) throws IOException {
       StorePull pull =
           StorePull.newBuilder()
               .setOperatorsEra(store.operatorsCompleteTo().era())
@@ -60,7 +61,8 @@
               .setRunnersCompleteTo(store.runnersCompleteTo().revision())
               .build();
       PulledRecords records =
-          PulledRecords.decode("", RecordExchange.answerPull(pull, other.store, nowMillis));
+          PulledRecords.decode(
+              "", RecordExchange.answerPull(pull, other.store, new DeflatedValues(), nowMillis));
       records.items().forEach(item -> store.applyFromPeer(item, nowMillis));
       store.completeTo(records.operatorsCompleteTo(), records.runnersCompleteTo(), nowMillis);
       records.kept().forEach(item -> store.applyKept(item, nowMillis));
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
@@ -95,6 +95,7 @@
     final StoreRegistry registry;
     final List<Long> versions = new ArrayList<>();
     private final RecordSync sync;
+    private final DeflatedValues deflated = new DeflatedValues();
     private final List<Runnable> decisions = new ArrayList<>();
     private boolean ended;
 
@@ -141,7 +142,8 @@
               random::nextDouble,
               new RecordExchange(
                   (ip, pull, answer) -> pull(this, ip, pull, answer),
-                  records -> decide(() -> sync().recordsReceived(records, peers.now()))),
+                  records -> decide(() -> sync().recordsReceived(records, peers.now())),
+                  log),
               () -> host.heartbeats.changed(),
               log);
       records.put(host.number, this);
@@ -408,7 +410,8 @@
           HostRecords asked = host(to);
           asked.decide(
               () -> {
-                StoreRecords answered = RecordExchange.answerPull(pull, asked.registry, now());
+                StoreRecords answered =
+                    RecordExchange.answerPull(pull, asked.registry, asked.deflated, now());
                 deliver(to, asker, () -> answer.accept(answered));
               });
         });
