--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -20,7 +20,8 @@
  *
  * <p>While the store does not answer, calls are made at a fixed interval although earlier ones are
  * still pending: a call that the store lost looks like one that it answers slowly, and must hide
- * the store's recovery no longer than that interval. The first answer counts.
+ * the store's recovery no longer than that interval. The first answer counts. No call is made while
+ * a response arrives, which may take longer than the interval: they would share the link.
  *
  * <p>Runs on the decision thread, to which {@code decisionExecutor} passes the answers.
  */
@@ -67,6 +68,9 @@
   /** Number of pending calls that were made since the last answer. */
   private int pendingCalls;
 
+  /** Number of pending calls whose response has begun to arrive. */
+  private int arrivingCalls;
+
   private boolean reachable = true;
 
   /** Whether one complete answer is wanted, however long ago the last call was made. */
@@ -111,29 +115,50 @@
       abandonCalls();
       readAgain(nowMillis);
     }
-    if (nowMillis < dueMillis || ((reachable || probing) && pendingCalls > 0)) {
+    boolean waits = reachable || probing || arrivingCalls > 0;
+    if (nowMillis < dueMillis || (waits && pendingCalls > 0)) {
       return;
     }
     long interval =
         reachable ? timing.minIntervalMillis() : timing.probeIntervalMillis(draw.getAsDouble());
     dueMillis = nowMillis + interval;
     pendingCalls++;
-    long round = answeredRound;
     StorePosition watched = position;
+    PendingCall call = new PendingCall(watched == null, nowMillis);
     if (watched == null) {
-      client.range(
-          prefix,
-          lastKey,
-          answerTimeoutMillis,
-          answer -> post(() -> received(answer, true, round, nowMillis)));
+      client.range(prefix, lastKey, answerTimeoutMillis, call);
     } else {
       long hold = reachable && !probing ? holdMillis() : PROBE_HOLD_MILLIS;
-      client.watch(
-          prefix,
-          watched.revision(),
-          hold,
-          hold + answerTimeoutMillis,
-          answer -> post(() -> received(answer, false, round, nowMillis)));
+      client.watch(prefix, watched.revision(), hold, hold + answerTimeoutMillis, call);
+    }
+  }
+
+  /** A call whose response is outstanding. */
+  private final class PendingCall implements StoreReader.Listener {
+    private final boolean page;
+    private final long calledMillis;
+    private final long round = answeredRound;
+    private boolean arriving;
+
+    PendingCall(boolean page, long calledMillis) {
+      this.page = page;
+      this.calledMillis = calledMillis;
+    }
+
+    @Override
+    public void begun() {
+      decisionExecutor.accept(
+          () -> {
+            if (round == answeredRound) {
+              arriving = true;
+              arrivingCalls++;
+            }
+          });
+    }
+
+    @Override
+    public void completed(Result answer) {
+      decisionExecutor.accept(() -> received(answer, this));
     }
   }
 
@@ -168,16 +193,15 @@
     return reachable;
   }
 
-  private void post(Runnable work) {
-    decisionExecutor.accept(work);
-  }
-
-  private void received(Result answer, boolean page, long round, long calledMillis) {
+  private void received(Result answer, PendingCall call) {
     long now = clock.getAsLong();
-    if (round != answeredRound) {
+    if (call.round != answeredRound) {
       return;
     }
+    long calledMillis = call.calledMillis;
+    boolean page = call.page;
     pendingCalls--;
+    arrivingCalls -= call.arriving ? 1 : 0;
     if (!eras.accept(prefix, answer.era())) {
       Result obsolete = new Result.Failed("response of an earlier era", answer.era());
       failed(obsolete, calledMillis, now);
@@ -215,6 +239,7 @@
   private void abandonCalls() {
     answeredRound++;
     pendingCalls = 0;
+    arrivingCalls = 0;
   }
 
   private void readAgain(long nowMillis) {
