Read the store readers as a newcomer: positions as a type, one margin named in words

No behaviour changes, but for a test: a fleet whose delegates are of an earlier release, which state no ages, makes no call that it did not make before.

--- a/sequoia-node/src/main/java/org/sequoiahub/node/peer/StoreReaders.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/peer/StoreReaders.java
@@ -52,8 +52,17 @@
   private List<String> namedReaders = List.of();
   private long namedUntilMillis = Long.MIN_VALUE / 2;
 
-  /** What a host has read, and the newest records that it has. */
-  private record Reading(KnownTimes read, StorePosition operators, StorePosition runners) {}
+  /** Positions of the newest records that a host has. */
+  private record Positions(StorePosition operators, StorePosition runners) {
+    static Positions of(HostState state) {
+      return new Positions(
+          StateCodec.decodePosition(state.getConfigEra(), state.getConfigRevision()),
+          StateCodec.decodePosition(state.getRunnersEra(), state.getRunnersRevision()));
+    }
+  }
+
+  /** When the store last answered a host, and what the host has. */
+  private record Reading(KnownTimes read, Positions newest) {}
 
   /**
    * Creates the readers as a host knows them.
@@ -114,7 +123,7 @@
           new KnownTimes(
               nowMillis - Integer.toUnsignedLong(state.getOperatorsReadMsAgo()),
               nowMillis - Integer.toUnsignedLong(state.getRunnersReadMsAgo()));
-      readings.put(from, new Reading(read, operatorsPosition(state), runnersPosition(state)));
+      readings.put(from, new Reading(read, Positions.of(state)));
     }
   }
 
@@ -125,7 +134,7 @@
     boolean delegatesRead = areRecent(known, nowMillis);
     for (Map.Entry<String, Reading> reading : readings.entrySet()) {
       KnownTimes read = reading.getValue().read;
-      known = known.latest(asFarAsKnown(reading.getValue()));
+      known = known.latest(withoutMissing(read, reading.getValue().newest));
       delegatesRead |=
           topology.isDelegateOfOwnGroup(reading.getKey()) && areRecent(read, nowMillis);
     }
@@ -136,20 +145,17 @@
         .addAllStoreReaders(namedReaders);
   }
 
-  /** Returns the times of a reading, except of records of which this host lacks newer ones. */
-  private KnownTimes asFarAsKnown(Reading reading) {
-    return withoutMissing(reading.read, reading.operators, reading.runners);
-  }
-
-  private KnownTimes withoutMissing(
-      KnownTimes times, StorePosition operators, StorePosition runners) {
+  /**
+   * Returns what another host stated, except of records of which it has some that this one lacks.
+   */
+  private KnownTimes withoutMissing(KnownTimes stated, Positions newest) {
     return new KnownTimes(
-        operators.isAfter(store.operatorsCompleteTo())
+        newest.operators.isAfter(store.operatorsCompleteTo())
             ? KnownTimes.NEVER.operatorsMillis()
-            : times.operatorsMillis(),
-        runners.isAfter(store.runnersCompleteTo())
+            : stated.operatorsMillis(),
+        newest.runners.isAfter(store.runnersCompleteTo())
             ? KnownTimes.NEVER.runnersMillis()
-            : times.runnersMillis());
+            : stated.runnersMillis());
   }
 
   /** Selects hosts that the store answers; those that were named before come first. */
@@ -172,18 +178,14 @@
     if (!topology.isDelegateOfOwnGroup(from) || !digest.getGroup().isEmpty()) {
       return;
     }
-    // A delegate of an earlier release does not state it.
+    // A delegate of an earlier release states no ages; its digests count as recent knowledge.
     long operatorsAge = Integer.toUnsignedLong(digest.getOperatorsKnownMsAgo());
     long runnersAge = Integer.toUnsignedLong(digest.getRunnersKnownMsAgo());
     KnownTimes known = new KnownTimes(nowMillis - operatorsAge, nowMillis - runnersAge);
     members
         .find(from)
         .map(Member::state)
-        .ifPresent(
-            state ->
-                told =
-                    told.latest(
-                        withoutMissing(known, operatorsPosition(state), runnersPosition(state))));
+        .ifPresent(state -> told = told.latest(withoutMissing(known, Positions.of(state))));
     if (digest.getStoreReadersList().contains(self)) {
       namedUntilMillis = nowMillis + operatorsTiming.relianceMillis();
     }
@@ -194,14 +196,6 @@
         && nowMillis - times.runnersMillis() <= runnersTiming.relianceMillis();
   }
 
-  private static StorePosition operatorsPosition(HostState state) {
-    return StateCodec.decodePosition(state.getConfigEra(), state.getConfigRevision());
-  }
-
-  private static StorePosition runnersPosition(HostState state) {
-    return StateCodec.decodePosition(state.getRunnersEra(), state.getRunnersRevision());
-  }
-
   private static int ageMillis(long millis, long nowMillis) {
     return (int) Math.max(0, Math.min(MAX_STATED_AGE_MILLIS, nowMillis - millis));
   }
--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/WatchTiming.java
@@ -30,12 +30,6 @@
   /** Probe intervals vary by up to this fraction of the mean in both directions. */
   private static final double PROBE_INTERVAL_SPREAD = 0.25;
 
-  /**
-   * The time that a statement about the store may take from host to host, as a multiple of the mean
-   * probe interval.
-   */
-  private static final int STATEMENT_PROBE_INTERVALS = 1;
-
   /**
    * Checks that the hold, the timeout and the probe interval are above 0 and the minimum interval
    * is not negative. Whether they add up to less than a bound is not checked; see {@link #within}.
@@ -81,13 +75,12 @@
   }
 
   /**
-   * Returns how long ago the store may have answered the hosts on which another host relies (ms):
-   * in the absence of faults, their watches and statements take less. After this time a host asks
-   * the store itself.
+   * Returns how long ago the store may have answered the hosts on which another host relies (ms).
+   * In the absence of faults their watches, and a probe interval for their statements, take less.
+   * After this time a host asks the store itself.
    */
   public long relianceMillis() {
-    return Math.max(holdMillis, minIntervalMillis)
-        + STATEMENT_PROBE_INTERVALS * meanProbeIntervalMillis;
+    return Math.max(holdMillis, minIntervalMillis) + meanProbeIntervalMillis;
   }
 
   /**
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/ConfigurationBoundTest.java
@@ -240,7 +240,7 @@
   }
 
   @Nested
-  class StoreAwayForAll {
+  class CallsOfReliantHosts {
 
     private static final int OUTAGE_MILLIS = 5_000;
 
@@ -268,6 +268,21 @@
           .isLessThan(2L * PREFIXES * reliant);
     }
 
+    /** Guards against a fleet that calls the store more often while it is updated. */
+    @Test
+    void noHostAsksWhoseDelegatesAreOfAnEarlierRelease() {
+      RecordSimulation simulation = new RecordSimulation(4, 20, DOMAINS);
+      simulation.useDelegatesOfEarlierRelease();
+      simulation.advance(2 * JOIN_MILLIS);
+      Set<Integer> delegates = delegates(simulation);
+      Map<Integer, Long> before = callCounts(simulation);
+      simulation.advance(OUTAGE_MILLIS);
+      Map<Integer, Long> after = callCounts(simulation);
+      before.keySet().removeAll(delegates);
+      after.keySet().removeAll(delegates);
+      assertThat(after).isEqualTo(before);
+    }
+
     private static Map<Integer, Long> callCounts(RecordSimulation simulation) {
       return simulation.peers.running().stream()
           .collect(
--- a/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/peer/RecordSimulation.java
@@ -70,6 +70,10 @@
   private final PriorityQueue<Delivery> inTransit = new PriorityQueue<>();
   private final Map<String, Rewrite> rewrites = new HashMap<>();
   private Consumer<String> writeListener = key -> {};
+
+  /** Whether the delegates do not state as of when they know the records. */
+  private boolean delegatesOfEarlierRelease;
+
   private long deliveries;
   private long sequence;
   private long heartbeatMillis;
@@ -221,7 +225,9 @@
 
     @Override
     public void addStatement(Digest.Builder digest) {
-      sync.addStatement(digest, peers.now());
+      if (!delegatesOfEarlierRelease) {
+        sync.addStatement(digest, peers.now());
+      }
     }
 
     @Override
@@ -309,6 +315,11 @@
     return version;
   }
 
+  /** From now on the delegates do not state as of when they know the records. */
+  void useDelegatesOfEarlierRelease() {
+    delegatesOfEarlierRelease = true;
+  }
+
   void kill(int host) {
     host(host).ended = true;
     store.dropCalls(host);
