--- a/sequoia-node/src/test/java/org/sequoiahub/node/PlannedStopTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/PlannedStopTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -105,6 +106,7 @@
   /** Guards against requests that are accepted by a host that is about to exit. */
   @Nested
   class AfterTheStop {
+    @Tag("known-red")
     @Test
     void noConnectionIsOpen() throws Exception {
       fleet.shutdownMillis(1_000);
--- a/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
+++ b/sequoia-node/src/test/java/org/sequoiahub/node/caller/CallerServerTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiahub.core.routing.CallerLimits;
@@ -141,6 +142,7 @@
       }
     }
 
+    @Tag("known-red")
     @Test
     void silentStreamIsNotEnded() throws Exception {
       server.apply(limits(SHORT_IDLE_MILLIS, HEADER_BYTES));
