--- a/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
+++ b/sequoia-node/src/main/java/org/sequoiahub/node/store/StoreFollower.java
@@ -194,12 +194,12 @@
   }
 
   private void received(Result answer, PendingCall call) {
-    long now = clock.getAsLong();
+    final long now = clock.getAsLong();
     if (call.round != answeredRound) {
       return;
     }
-    long calledMillis = call.calledMillis;
-    boolean page = call.page;
+    final long calledMillis = call.calledMillis;
+    final boolean page = call.page;
     pendingCalls--;
     arrivingCalls -= call.arriving ? 1 : 0;
     if (!eras.accept(prefix, answer.era())) {
